Build skeleton: modules, shared values, peer protocol, interfaces page

Cause: an empty repository. Ruled out: one module for all (the decisions could then reach clocks and sockets).

--- /dev/null
+++ b/banyanhook-cli/src/main/java/org/banyanhook/cli/package-info.java
@@ -0,0 +1,5 @@
+/** The operators' command-line tool. */
+@NullMarked
+package org.banyanhook.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/configuration/RouteKind.java
@@ -0,0 +1,13 @@
+package org.banyanhook.core.configuration;
+
+/** What a route may do to its database. */
+public enum RouteKind {
+    READ,
+    IDEMPOTENT_WRITE,
+    NON_IDEMPOTENT_WRITE;
+
+    /** Returns whether statements of the route may change data. */
+    public boolean writes() {
+        return this != READ;
+    }
+}
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/error/RefusalKind.java
@@ -0,0 +1,66 @@
+package org.banyanhook.core.error;
+
+/** The kinds of refusal that a caller or operator can receive, each with its status and remedy. */
+public enum RefusalKind {
+    MALFORMED_REQUEST("malformed-request", 400, "Send a JSON object with only the fields that the interface lists."),
+    BODY_TOO_LARGE("body-too-large", 413, "Send a body below the limit named in the detail."),
+    KEY_MISSING("key-missing", 401, "Send the header 'Authorization: Bearer <key>'."),
+    KEY_UNKNOWN("key-unknown", 401, "Ask an operator for a key that is granted to your client account."),
+    KEY_WITHDRAWN("key-withdrawn", 401, "Ask an operator to grant a new key; a withdrawn key never works again."),
+    SESSION_INVALID("session-invalid", 400, "Send the last Banyanhook-Session value unchanged, or none."),
+    SERVICE_UNKNOWN("service-unknown", 404, "Use a service that 'banyanhook show services' lists."),
+    DATABASE_UNKNOWN("database-unknown", 404, "Name a database of the service, or send a partition key."),
+    ROUTE_UNKNOWN("route-unknown", 404, "Use a route that 'banyanhook show routes' lists for the service."),
+    ROUTE_FORBIDDEN("route-forbidden", 403, "Ask an operator to allow the route for your client account."),
+    IDEMPOTENCY_KEY_MISSING("idempotency-key-missing", 400, "Send an Idempotency-Key header for this route."),
+    RATE_EXCEEDED("rate-exceeded", 429, "Send fewer requests, or ask an operator for a higher rate."),
+    QUEUE_FULL("queue-full", 503, "Retry after the time in Retry-After."),
+    DEADLINE_EXCEEDED("deadline-exceeded", 504, "Retry with a longer deadline."),
+    PRIMARY_UNAVAILABLE("primary-unavailable", 503, "Retry after the time in Retry-After."),
+    PRIMARY_CHANGED("primary-changed", 503, "Retry; the database group has a new primary."),
+    REPLICATION_LAGGING(
+            "replication-lagging", 503, "Retry after the time in Retry-After, when replicas have caught up."),
+    BACKEND_UNAVAILABLE("backend-unavailable", 503, "Retry after the time in Retry-After."),
+    STATEMENT_REJECTED("statement-rejected", 422, "Correct the statement as the detail says."),
+    OUTCOME_UNKNOWN(
+            "outcome-unknown", 504, "Ask for the outcome under your idempotency key, or retry under the same key."),
+    TRANSACTION_UNKNOWN("transaction-unknown", 404, "Begin a new transaction."),
+    TRANSACTION_LOST("transaction-lost", 409, "Begin a new transaction; the database rolled this one back."),
+    ENTRY_VM_DRAINING("entry-vm-draining", 503, "Retry on a new connection; this entry VM is shutting down."),
+    ENTRY_VM_NOT_READY("entry-vm-not-ready", 503, "Retry on another entry VM; this one has no configuration yet."),
+    FAILURE_DOMAIN_TAKEN_OUT("failure-domain-taken-out", 503, "Retry on a new connection to another failure domain."),
+    FAILURE_DOMAIN_ISOLATED(
+            "failure-domain-isolated", 503, "Retry on another failure domain; this one is cut off from the others."),
+    CONFIGURATION_CONFLICT("configuration-conflict", 409, "Read the current version, then issue the command again."),
+    CONFIGURATION_INVALID("configuration-invalid", 400, "Correct the value as the detail says."),
+    COMMAND_UNKNOWN("command-unknown", 400, "Use one of the commands that 'banyanhook help' lists."),
+    OPERATOR_FORBIDDEN("operator-forbidden", 403, "Use an operator key that has the role named in the detail."),
+    PLATFORM_UNAVAILABLE("platform-unavailable", 503, "Retry when the platform's service answers again."),
+    PEER_UNAVAILABLE("peer-unavailable", 503, "Retry after the time in Retry-After."),
+    INTERNAL_FAULT("internal-fault", 500, "Report the request id to the operators.");
+
+    private final String label;
+    private final int httpStatus;
+    private final String remedy;
+
+    RefusalKind(String label, int httpStatus, String remedy) {
+        this.label = label;
+        this.httpStatus = httpStatus;
+        this.remedy = remedy;
+    }
+
+    /** Returns the name used on the wire. */
+    public String label() {
+        return label;
+    }
+
+    /** Returns the HTTP status of the refusal. */
+    public int httpStatus() {
+        return httpStatus;
+    }
+
+    /** Returns what the receiver can do about the refusal. */
+    public String remedy() {
+        return remedy;
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/backend/package-info.java
@@ -0,0 +1,5 @@
+/** Connections to backend servers. */
+@NullMarked
+package org.banyanhook.daemon.backend;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/peer/package-info.java
@@ -0,0 +1,5 @@
+/** Links between the daemons of the fleet. */
+@NullMarked
+package org.banyanhook.daemon.peer;
+
+import org.jspecify.annotations.NullMarked;
