--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/duty/Duty.java
@@ -0,0 +1,192 @@
+package org.banyanhook.daemon.duty;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static java.util.Objects.requireNonNull;
+
+import com.lmax.disruptor.EventHandler;
+import com.lmax.disruptor.RingBuffer;
+import com.lmax.disruptor.TimeoutBlockingWaitStrategy;
+import com.lmax.disruptor.dsl.Disruptor;
+import com.lmax.disruptor.dsl.ProducerType;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A thread that owns one piece of state and takes its work from a bounded ring.
+ *
+ * <p>All tasks and the periodic tick run on the same thread, so the state needs no locks. Submitting is safe for use by
+ * several threads and never blocks.
+ */
+public final class Duty implements AutoCloseable {
+
+    /** How many tasks a ring holds unless stated otherwise. */
+    public static final int DEFAULT_RING_SIZE = 4096;
+
+    private static final Logger LOGGER = LogManager.getLogger(Duty.class);
+    private static final long SHUTDOWN_TIMEOUT_SECONDS = 2;
+
+    private final String name;
+    private final Disruptor<Slot> disruptor;
+    private final RingBuffer<Slot> ring;
+
+    private Duty(Builder builder) {
+        this.name = builder.name;
+        this.disruptor = new Disruptor<>(
+                Slot::new,
+                builder.ringSize,
+                task -> newThread(builder.name, task),
+                ProducerType.MULTI,
+                new TimeoutBlockingWaitStrategy(builder.tickInterval.toNanos(), TimeUnit.NANOSECONDS));
+        disruptor.handleEventsWith(new TaskHandler(builder.name, builder.tick, builder.tickInterval));
+        this.ring = disruptor.start();
+    }
+
+    /**
+     * Starts the description of a duty.
+     *
+     * @param name the name of its thread
+     * @return a new builder
+     */
+    public static Builder builder(String name) {
+        return new Builder(name);
+    }
+
+    /**
+     * Adds a task to the ring.
+     *
+     * @param task the work; an exception that it throws is logged
+     * @return false if the ring is full and the task was not taken
+     */
+    public boolean submit(Runnable task) {
+        requireNonNull(task, "task");
+        return ring.tryPublishEvent((slot, sequence) -> slot.task = task);
+    }
+
+    /**
+     * Runs a computation on the duty's thread.
+     *
+     * @param computation the work
+     * @param <T> the type of its result
+     * @return its result; failed with {@link IllegalStateException} if the ring is full
+     */
+    public <T> CompletableFuture<T> call(Supplier<T> computation) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        boolean taken = submit(() -> complete(result, computation));
+        if (!taken) {
+            result.completeExceptionally(
+                    new IllegalStateException("the ring of duty " + name + " is full; retry later"));
+        }
+        return result;
+    }
+
+    @Override
+    public void close() {
+        try {
+            disruptor.shutdown(SHUTDOWN_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        } catch (com.lmax.disruptor.TimeoutException exception) {
+            LOGGER.warn("duty {} did not finish its tasks in {} s; halting it", name, SHUTDOWN_TIMEOUT_SECONDS);
+            disruptor.halt();
+        }
+    }
+
+    private static <T> void complete(CompletableFuture<T> result, Supplier<T> computation) {
+        try {
+            result.complete(computation.get());
+        } catch (RuntimeException exception) {
+            result.completeExceptionally(exception);
+        }
+    }
+
+    private static Thread newThread(String name, Runnable task) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    /** Builds a {@link Duty}. Not safe for use by several threads. */
+    public static final class Builder {
+        private static final Duration DEFAULT_TICK_INTERVAL = Duration.ofMillis(100);
+
+        private final String name;
+        private int ringSize = DEFAULT_RING_SIZE;
+        private Duration tickInterval = DEFAULT_TICK_INTERVAL;
+        private Runnable tick = () -> {};
+
+        private Builder(String name) {
+            this.name = requireNonNull(name, "name");
+        }
+
+        /** Sets how many tasks the ring holds, a power of two. */
+        public Builder ringSize(int value) {
+            checkArgument(Integer.bitCount(value) == 1, "ringSize must be a power of two, was %s", value);
+            this.ringSize = value;
+            return this;
+        }
+
+        /** Sets what runs at every interval, also when tasks keep the thread busy. */
+        public Builder tick(Duration interval, Runnable action) {
+            checkArgument(interval.toNanos() > 0, "tick interval must be positive, was %s", interval);
+            this.tickInterval = interval;
+            this.tick = requireNonNull(action, "action");
+            return this;
+        }
+
+        /** Starts the thread. */
+        public Duty start() {
+            return new Duty(this);
+        }
+    }
+
+    private static final class Slot {
+        private @Nullable Runnable task;
+    }
+
+    private static final class TaskHandler implements EventHandler<Slot> {
+        private final String name;
+        private final Runnable tick;
+        private final long tickIntervalNanos;
+        private long lastTickNanos = System.nanoTime();
+
+        TaskHandler(String name, Runnable tick, Duration tickInterval) {
+            this.name = name;
+            this.tick = tick;
+            this.tickIntervalNanos = tickInterval.toNanos();
+        }
+
+        @Override
+        public void onEvent(Slot slot, long sequence, boolean endOfBatch) {
+            Runnable task = slot.task;
+            slot.task = null;
+            if (task != null) {
+                runLogged(task);
+            }
+            tickIfDue();
+        }
+
+        @Override
+        public void onTimeout(long sequence) {
+            tickIfDue();
+        }
+
+        private void tickIfDue() {
+            long now = System.nanoTime();
+            if (now - lastTickNanos >= tickIntervalNanos) {
+                lastTickNanos = now;
+                runLogged(tick);
+            }
+        }
+
+        private void runLogged(Runnable task) {
+            try {
+                task.run();
+            } catch (RuntimeException exception) {
+                LOGGER.error("a task of duty {} failed; its state may need a restart of the daemon", name, exception);
+            }
+        }
+    }
+}
