--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/http/JsonRequest.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/http/JsonRequest.java
@@ -96,6 +96,18 @@
         }
     }
 
+    /**
+     * Reads a whole number from the query.
+     *
+     * @param name the name of the parameter
+     * @param fallback the value if it is absent
+     * @return its value
+     * @throws MalformedRequestException if it is no number
+     */
+    public long queryNumber(String name, long fallback) throws MalformedRequestException {
+        return query.getValue(name) == null ? fallback : queryNumber(name);
+    }
+
     /**
      * Reads a text from the query.
      *
