--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/admission/FairQueue.java
@@ -0,0 +1,252 @@
+package org.banyanhook.core.admission;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * A bounded queue that is fair between client accounts by weighted deficit round robin.
+ *
+ * <p>Every item costs one unit. In each round an account with items waiting may take as many as its weight. A full
+ * queue makes room by displacing the newest item of the account with the longest queue, relative to its weight, so that
+ * one account's flood cannot keep the others out. Items whose deadline has passed are never returned by {@link #poll}.
+ *
+ * <p>Not safe for use by several threads. Times are nanoseconds of one monotonic clock.
+ *
+ * @param <T> the type of queued items
+ */
+public final class FairQueue<T> {
+
+    private final int capacity;
+    private final int accountCapacity;
+    private final Map<String, AccountQueue<T>> queues = new HashMap<>();
+    private final ArrayDeque<AccountQueue<T>> active = new ArrayDeque<>();
+    private final ArrayDeque<T> expired = new ArrayDeque<>();
+    private int size;
+
+    /**
+     * Creates an empty queue.
+     *
+     * @param capacity how many items may wait, over 0
+     * @param accountCapacity how many items of one account may wait, over 0
+     * @throws IllegalArgumentException if a capacity is not positive
+     */
+    public FairQueue(int capacity, int accountCapacity) {
+        checkArgument(capacity > 0, "capacity must be positive, was %s", capacity);
+        checkArgument(accountCapacity > 0, "accountCapacity must be positive, was %s", accountCapacity);
+        this.capacity = capacity;
+        this.accountCapacity = accountCapacity;
+    }
+
+    /** Returns how many items wait, those past their deadline included. */
+    public int size() {
+        return size;
+    }
+
+    /**
+     * Offers an item.
+     *
+     * @param account the client account that it belongs to
+     * @param weight the account's share, over 0
+     * @param item the item
+     * @param deadlineNanos when the item is of no more use
+     * @param nowNanos the current time
+     * @return whether it was queued, why, and the item that was displaced if any
+     */
+    public AdmissionDecision<T> offer(String account, int weight, T item, long deadlineNanos, long nowNanos) {
+        requireNonNull(account, "account");
+        requireNonNull(item, "item");
+        checkArgument(weight > 0, "weight of account %s must be positive, was %s", account, weight);
+        if (deadlineNanos - nowNanos <= 0) {
+            return AdmissionDecision.of(AdmissionDecision.Reason.DEADLINE_PASSED);
+        }
+        if (waiting(account) >= accountCapacity) {
+            return AdmissionDecision.of(AdmissionDecision.Reason.ACCOUNT_LIMIT);
+        }
+        if (size < capacity) {
+            enqueue(account, weight, item, deadlineNanos);
+            return AdmissionDecision.of(AdmissionDecision.Reason.ROOM);
+        }
+        return offerToFullQueue(account, weight, item, deadlineNanos);
+    }
+
+    /**
+     * Takes the next item.
+     *
+     * @param nowNanos the current time
+     * @return the item whose turn it is, or empty if none waits within its deadline
+     */
+    public Optional<T> poll(long nowNanos) {
+        while (!active.isEmpty()) {
+            AccountQueue<T> queue = active.getFirst();
+            Optional<T> item = queue.takeWithin(nowNanos, this::keepExpired);
+            if (queue.exhausted()) {
+                endTurn(queue);
+            }
+            if (item.isPresent()) {
+                size--;
+                return item;
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Removes every item whose deadline has passed, also those that {@link #poll} passed over.
+     *
+     * @param nowNanos the current time
+     * @return the items removed, to be refused as not run
+     */
+    public List<T> removeExpired(long nowNanos) {
+        for (AccountQueue<T> queue : ImmutableList.copyOf(active)) {
+            queue.removeExpired(nowNanos, this::keepExpired);
+            if (queue.isEmpty()) {
+                forget(queue);
+            }
+        }
+        List<T> removed = ImmutableList.copyOf(expired);
+        expired.clear();
+        return removed;
+    }
+
+    /** Returns how many items of an account wait. */
+    public int waiting(String account) {
+        AccountQueue<T> queue = queues.get(account);
+        return queue == null ? 0 : queue.size();
+    }
+
+    private AdmissionDecision<T> offerToFullQueue(String account, int weight, T item, long deadlineNanos) {
+        AccountQueue<T> longest = longestQueue();
+        double offeredLoad = (waiting(account) + 1) / (double) weight;
+        if (longest.account().equals(account) || offeredLoad >= longest.load()) {
+            return AdmissionDecision.of(AdmissionDecision.Reason.OWN_QUEUE_LONGEST);
+        }
+        T displaced = longest.removeNewest();
+        size--;
+        if (longest.isEmpty()) {
+            forget(longest);
+        }
+        enqueue(account, weight, item, deadlineNanos);
+        return AdmissionDecision.displacing(displaced);
+    }
+
+    private AccountQueue<T> longestQueue() {
+        return active.stream()
+                .max(Comparator.comparingDouble(AccountQueue::load))
+                .orElseThrow(() -> new IllegalStateException("a full queue has no active account"));
+    }
+
+    private void enqueue(String account, int weight, T item, long deadlineNanos) {
+        AccountQueue<T> queue = queues.computeIfAbsent(account, AccountQueue::new);
+        boolean wasIdle = queue.isEmpty();
+        queue.add(weight, item, deadlineNanos);
+        size++;
+        if (wasIdle) {
+            queue.startTurn();
+            active.addLast(queue);
+        }
+    }
+
+    private void endTurn(AccountQueue<T> queue) {
+        active.remove(queue);
+        if (queue.isEmpty()) {
+            queues.remove(queue.account());
+            return;
+        }
+        queue.startTurn();
+        active.addLast(queue);
+    }
+
+    private void forget(AccountQueue<T> queue) {
+        active.remove(queue);
+        queues.remove(queue.account());
+    }
+
+    private void keepExpired(T item) {
+        size--;
+        expired.add(item);
+    }
+
+    /** The items of one account, oldest first. */
+    private static final class AccountQueue<T> {
+        private final String account;
+        private final ArrayDeque<Entry<T>> entries = new ArrayDeque<>();
+        private int weight = 1;
+        private int deficit;
+
+        AccountQueue(String account) {
+            this.account = account;
+        }
+
+        String account() {
+            return account;
+        }
+
+        int size() {
+            return entries.size();
+        }
+
+        boolean isEmpty() {
+            return entries.isEmpty();
+        }
+
+        double load() {
+            return entries.size() / (double) weight;
+        }
+
+        void startTurn() {
+            deficit = weight;
+        }
+
+        boolean exhausted() {
+            return deficit <= 0 || entries.isEmpty();
+        }
+
+        void add(int newWeight, T item, long deadlineNanos) {
+            weight = newWeight;
+            entries.addLast(new Entry<>(item, deadlineNanos));
+        }
+
+        T removeNewest() {
+            return entries.removeLast().item();
+        }
+
+        Optional<T> takeWithin(long nowNanos, Consumer<T> expiredReceiver) {
+            while (!entries.isEmpty()) {
+                Entry<T> oldest = entries.removeFirst();
+                if (!oldest.expired(nowNanos)) {
+                    deficit--;
+                    return Optional.of(oldest.item());
+                }
+                expiredReceiver.accept(oldest.item());
+            }
+            return Optional.empty();
+        }
+
+        void removeExpired(long nowNanos, Consumer<T> expiredReceiver) {
+            Iterator<Entry<T>> iterator = entries.iterator();
+            while (iterator.hasNext()) {
+                Entry<T> entry = iterator.next();
+                if (entry.expired(nowNanos)) {
+                    iterator.remove();
+                    expiredReceiver.accept(entry.item());
+                }
+            }
+        }
+    }
+
+    private record Entry<T>(T item, long deadlineNanos) {
+        boolean expired(long nowNanos) {
+            return deadlineNanos - nowNanos <= 0;
+        }
+    }
+}
