--- a/banyanhook-core/src/main/java/org/banyanhook/core/error/RefusalKind.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/error/RefusalKind.java
@@ -8,6 +8,7 @@
     KEY_UNKNOWN("key-unknown", 401, "Ask an operator for a key that is granted to your client account."),
     KEY_WITHDRAWN("key-withdrawn", 401, "Ask an operator to grant a new key; a withdrawn key never works again."),
     SESSION_INVALID("session-invalid", 400, "Send the last Banyanhook-Session value unchanged, or none."),
+    SESSION_FULL("session-full", 400, "Send no Banyanhook-Session value, to start a new session."),
     SERVICE_UNKNOWN("service-unknown", 404, "Use a service that 'banyanhook show services' lists."),
     DATABASE_UNKNOWN("database-unknown", 404, "Name a database of the service, or send a partition key."),
     ROUTE_UNKNOWN("route-unknown", 404, "Use a route that 'banyanhook show routes' lists for the service."),
