--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/BelievedPrimary.java
@@ -0,0 +1,9 @@
+package org.banyanhook.core.primary;
+
+/**
+ * The primary of a term, as far as one observer knows.
+ *
+ * @param term the term
+ * @param member the name of the backend server
+ */
+public record BelievedPrimary(long term, String member) {}
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/FailureEvidence.java
@@ -0,0 +1,81 @@
+package org.banyanhook.core.primary;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * What peers say about whether they reach a primary. Each failure domain has one vote, so that many entry VMs behind
+ * one cut do not outvote the others. Not safe for use by several threads.
+ */
+public final class FailureEvidence {
+
+    private static final long FRESH_NANOS = 4_000_000_000L;
+
+    private final Map<String, Statement> statements = new HashMap<>();
+
+    /**
+     * Takes in what a peer says.
+     *
+     * @param peer the name of the entry VM
+     * @param failureDomain the failure domain that it runs in
+     * @param unreachable true if the peer does not reach the primary
+     * @param nowNanos the reading of the monotonic clock
+     */
+    public void record(String peer, String failureDomain, boolean unreachable, long nowNanos) {
+        statements.put(peer, new Statement(failureDomain, unreachable, nowNanos));
+    }
+
+    /** Forgets everything, as after a change of primary. */
+    public void clear() {
+        statements.clear();
+    }
+
+    /**
+     * Counts the votes of the failure domains.
+     *
+     * @param ownFailureDomain the failure domain of the observer, whose own finding is that the primary is unreachable
+     * @param nowNanos the reading of the monotonic clock
+     * @return the votes
+     */
+    public Votes count(String ownFailureDomain, long nowNanos) {
+        Map<String, Integer> balances = new TreeMap<>();
+        balances.put(ownFailureDomain, 1);
+        boolean ownPeerAgrees = false;
+        for (Statement statement : statements.values()) {
+            if (nowNanos - statement.recordedNanos() <= FRESH_NANOS) {
+                balances.merge(statement.failureDomain(), statement.unreachable() ? 1 : -1, Integer::sum);
+                ownPeerAgrees |=
+                        statement.unreachable() && statement.failureDomain().equals(ownFailureDomain);
+            }
+        }
+        int unreachable = 0;
+        int reachable = 0;
+        boolean foreignDomainAgrees = false;
+        for (Map.Entry<String, Integer> balance : balances.entrySet()) {
+            boolean foreign = !balance.getKey().equals(ownFailureDomain);
+            unreachable += balance.getValue() > 0 ? 1 : 0;
+            reachable += balance.getValue() < 0 ? 1 : 0;
+            foreignDomainAgrees |= foreign && balance.getValue() > 0;
+        }
+        return new Votes(unreachable, reachable, foreignDomainAgrees, ownPeerAgrees);
+    }
+
+    /**
+     * The votes of the failure domains.
+     *
+     * @param unreachable how many do not reach the primary
+     * @param reachable how many reach it
+     * @param foreignDomainAgrees true if a failure domain other than the observer's does not reach it
+     * @param ownPeerAgrees true if a peer in the observer's failure domain does not reach it
+     */
+    public record Votes(int unreachable, int reachable, boolean foreignDomainAgrees, boolean ownPeerAgrees) {
+
+        /** Returns whether more failure domains miss the primary than reach it. */
+        boolean majorityMisses() {
+            return unreachable > reachable;
+        }
+    }
+
+    private record Statement(String failureDomain, boolean unreachable, long recordedNanos) {}
+}
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/FollowerRepair.java
@@ -0,0 +1,56 @@
+package org.banyanhook.core.primary;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import java.util.Optional;
+import org.banyanhook.core.configuration.BackendServer;
+
+/** Finds members that are out of step with a working primary, such as a former primary that came back. */
+public final class FollowerRepair {
+
+    private FollowerRepair() {}
+
+    /**
+     * Finds the members to be told to follow.
+     *
+     * @param view the group
+     * @return a step for each member that was last seen in an older term, or in the primary's term without following
+     */
+    public static List<PromotionCommand> followCommands(GroupView view) {
+        Optional<BelievedPrimary> primary = view.primary();
+        if (primary.isEmpty()) {
+            return List.of();
+        }
+        ImmutableList.Builder<PromotionCommand> commands = ImmutableList.builder();
+        for (BackendServer member : view.database().members()) {
+            Optional<MemberStatus> status = view.status(member.name());
+            if (status.isPresent() && isOutOfStep(status.get(), primary.get())) {
+                commands.add(PromotionCommand.follow(
+                        member.name(), primary.get().term(), primary.get().member()));
+            }
+        }
+        return commands.build();
+    }
+
+    private static boolean isOutOfStep(MemberStatus status, BelievedPrimary primary) {
+        if (status.member().equals(primary.member())) {
+            return false;
+        }
+        boolean follows =
+                status.role() == MemberRole.REPLICA && status.primaryMember().equals(primary.member());
+        return status.term() < primary.term() || (status.term() == primary.term() && !follows);
+    }
+
+    /**
+     * Tells whether a member accepted a term that never got a primary, as when a proposer died. It can follow nobody
+     * until a later term has a primary.
+     *
+     * @param view the group
+     * @return true if a member was last seen in a later term than the primary's
+     */
+    public static boolean needsNewTerm(GroupView view) {
+        return view.primary()
+                .filter(primary -> view.membersAbove(primary.term()) > 0)
+                .isPresent();
+    }
+}
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/GroupView.java
@@ -0,0 +1,111 @@
+package org.banyanhook.core.primary;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.Map;
+import java.util.Optional;
+import org.banyanhook.core.configuration.Database;
+import org.banyanhook.core.replication.LogPosition;
+
+/**
+ * The latest observations of one database group and what follows from them. Immutable.
+ *
+ * @param database the group as configured
+ * @param observations the latest observation of each member that ever answered, by the name of the member
+ */
+public record GroupView(Database database, Map<String, MemberObservation> observations) {
+    public GroupView {
+        observations = ImmutableMap.copyOf(observations);
+    }
+
+    /** Returns the highest term that any member accepted, 0 if none answered. */
+    public long highestTerm() {
+        return observations.values().stream()
+                .mapToLong(observation -> observation.status().term())
+                .max()
+                .orElse(0);
+    }
+
+    /**
+     * Returns the primary of the highest term that has one, or empty if none is known or a majority accepted a later
+     * term.
+     */
+    public Optional<BelievedPrimary> primary() {
+        BelievedPrimary best = null;
+        for (MemberObservation observation : observations.values()) {
+            MemberStatus status = observation.status();
+            String named = status.role() == MemberRole.PRIMARY ? status.member() : status.primaryMember();
+            boolean known =
+                    status.role() != MemberRole.FENCED && database.member(named).isPresent();
+            if (known && (best == null || status.term() > best.term())) {
+                best = new BelievedPrimary(status.term(), named);
+            }
+        }
+        return Optional.ofNullable(best).filter(primary -> membersAbove(primary.term()) < database.majority());
+    }
+
+    /**
+     * Returns the highest place of the primary's term that a majority holds, {@link LogPosition#START} if none is
+     * known.
+     */
+    public LogPosition durablePosition() {
+        return primary()
+                .map(primary -> MajorityConfirmation.durablePosition(
+                        observations.values(), database.majority(), primary.term()))
+                .orElse(LogPosition.START);
+    }
+
+    /**
+     * Counts the members that accepted a term above another.
+     *
+     * @param term the term to compare with
+     * @return how many members were last seen in a later term
+     */
+    public int membersAbove(long term) {
+        return (int) observations.values().stream()
+                .filter(observation -> observation.status().term() > term)
+                .count();
+    }
+
+    /**
+     * Returns what a member last answered.
+     *
+     * @param member the name of the backend server
+     * @return its status, or empty if it never answered
+     */
+    public Optional<MemberStatus> status(String member) {
+        return Optional.ofNullable(observations.get(member)).map(MemberObservation::status);
+    }
+
+    /**
+     * Returns a view with one observation replaced by a later one.
+     *
+     * @param observation the observation
+     * @return the new view, or this one if it holds a later observation of the member already
+     */
+    public GroupView with(MemberObservation observation) {
+        String member = observation.status().member();
+        MemberObservation known = observations.get(member);
+        if (known != null && known.readBeganNanos() - observation.readBeganNanos() > 0) {
+            return this;
+        }
+        ImmutableMap.Builder<String, MemberObservation> replaced = ImmutableMap.builder();
+        replaced.putAll(observations).put(member, observation);
+        return new GroupView(database, replaced.buildKeepingLast());
+    }
+
+    /**
+     * Returns a view of the group as configured anew, without observations of former members.
+     *
+     * @param configured the group as configured
+     * @return the new view
+     */
+    public GroupView withDatabase(Database configured) {
+        ImmutableMap.Builder<String, MemberObservation> kept = ImmutableMap.builder();
+        observations.forEach((member, observation) -> {
+            if (configured.member(member).isPresent()) {
+                kept.put(member, observation);
+            }
+        });
+        return new GroupView(configured, kept.buildOrThrow());
+    }
+}
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/MajorityConfirmation.java
@@ -0,0 +1,60 @@
+package org.banyanhook.core.primary;
+
+import java.util.Collection;
+import org.banyanhook.core.replication.LogPosition;
+
+/** Decides whether a majority of a database group holds a position. */
+public final class MajorityConfirmation {
+
+    private MajorityConfirmation() {}
+
+    /**
+     * Evaluates the observations of a group.
+     *
+     * @param observations the latest observation of each member, at most one a member
+     * @param majority how many members are a majority of the whole group
+     * @param wanted the place to confirm
+     * @param afterNanos only reads that began after this time count for the place
+     * @return the result
+     */
+    public static ConfirmationResult evaluate(
+            Collection<MemberObservation> observations, int majority, LogPosition wanted, long afterNanos) {
+        int holding = 0;
+        int inLaterTerm = 0;
+        for (MemberObservation observation : observations) {
+            boolean began = observation.readBeganNanos() - afterNanos > 0;
+            if (began && observation.status().countsFor(wanted)) {
+                holding++;
+            }
+            if (observation.status().term() > wanted.term()) {
+                inLaterTerm++;
+            }
+        }
+        if (holding >= majority) {
+            return ConfirmationResult.CONFIRMED;
+        }
+        return inLaterTerm >= majority ? ConfirmationResult.SUPERSEDED : ConfirmationResult.WAITING;
+    }
+
+    /**
+     * Finds the highest place of a term that a majority holds, at whatever time the members were read. Such a place can
+     * never be lost any more.
+     *
+     * @param observations the latest observation of each member, at most one a member
+     * @param majority how many members are a majority of the whole group
+     * @param term the term
+     * @return the place, {@link LogPosition#START} if no majority holds an entry of the term
+     */
+    public static LogPosition durablePosition(Collection<MemberObservation> observations, int majority, long term) {
+        long[] positions = observations.stream()
+                .map(MemberObservation::status)
+                .filter(status -> status.countsFor(new LogPosition(term, 0)))
+                .mapToLong(status -> status.position().position())
+                .sorted()
+                .toArray();
+        if (positions.length < majority) {
+            return LogPosition.START;
+        }
+        return new LogPosition(term, positions[positions.length - majority]);
+    }
+}
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/PrimarySuspicion.java
@@ -0,0 +1,203 @@
+package org.banyanhook.core.primary;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * Decides whether one database group needs a new primary, from probes, request outcomes and what peers say.
+ *
+ * <p>It takes part in availability only: a wrong decision costs a change of primary, never a write. Not safe for use by
+ * several threads.
+ */
+public final class PrimarySuspicion {
+
+    private static final int MINIMUM_FAILURES = 3;
+    private static final long MINIMUM_FAILURE_NANOS = Duration.ofMillis(1000).toNanos();
+    private static final long FRESH_READ_NANOS = Duration.ofMillis(2500).toNanos();
+    private static final long RANK_DELAY_NANOS = Duration.ofMillis(1500).toNanos();
+    private static final long NO_PRIMARY_DELAY_NANOS = Duration.ofMillis(600).toNanos();
+    private static final long STRAY_MEMBER_DELAY_NANOS = Duration.ofSeconds(4).toNanos();
+    private static final long LONE_DELAY_NANOS = Duration.ofSeconds(8).toNanos();
+    private static final long PROGRESS_WINDOW_NANOS = Duration.ofSeconds(3).toNanos();
+
+    private final FailureEvidence evidence = new FailureEvidence();
+
+    private Optional<BelievedPrimary> subject = Optional.empty();
+    private int failures;
+    private long firstFailureNanos;
+    private long highestReplicaPosition;
+    private long lastProgressNanos;
+    private boolean progressSeen;
+    private Condition condition = Condition.HEALTHY;
+    private long conditionSinceNanos;
+
+    private enum Condition {
+        HEALTHY,
+        PRIMARY_UNREACHABLE,
+        NO_PRIMARY,
+        STRAY_MEMBER
+    }
+
+    /**
+     * Takes in whether a member answered a probe or a request.
+     *
+     * @param member the name of the backend server
+     * @param reachable whether it answered
+     * @param nowNanos the reading of the monotonic clock
+     */
+    public void onOutcome(String member, boolean reachable, long nowNanos) {
+        if (subject.filter(primary -> primary.member().equals(member)).isEmpty()) {
+            return;
+        }
+        if (reachable) {
+            failures = 0;
+            return;
+        }
+        if (failures == 0) {
+            firstFailureNanos = nowNanos;
+        }
+        failures++;
+    }
+
+    /**
+     * Takes in what a peer says about the primary.
+     *
+     * @param peer the name of the entry VM
+     * @param failureDomain the failure domain that it runs in
+     * @param term the term of the primary that it speaks of
+     * @param unreachable true if the peer does not reach the primary
+     * @param nowNanos the reading of the monotonic clock
+     */
+    public void onPeerEvidence(String peer, String failureDomain, long term, boolean unreachable, long nowNanos) {
+        if (subject.filter(primary -> primary.term() == term).isPresent()) {
+            evidence.record(peer, failureDomain, unreachable, nowNanos);
+        }
+    }
+
+    /** Returns whether the last probe or request to the primary failed. */
+    public boolean isDoubtful() {
+        return failures > 0;
+    }
+
+    /**
+     * Returns how long the primary has not answered.
+     *
+     * @param nowNanos the reading of the monotonic clock
+     * @return the time in nanoseconds, 0 if it answers
+     */
+    public long unreachableNanos(long nowNanos) {
+        return failures == 0 ? 0 : Math.max(0, nowNanos - firstFailureNanos);
+    }
+
+    /**
+     * Decides.
+     *
+     * @param view the group
+     * @param position where this proposer stands in the fleet
+     * @param nowNanos the reading of the monotonic clock
+     * @return the decision with its reason
+     */
+    public PromotionDecision decide(GroupView view, ProposerPosition position, long nowNanos) {
+        onView(view, nowNanos);
+        Condition found = condition(view);
+        if (found != condition) {
+            condition = found;
+            conditionSinceNanos = nowNanos;
+        }
+        if (found == Condition.HEALTHY) {
+            return PromotionDecision.none("the primary answers");
+        }
+        int answering = freshMembers(view, nowNanos);
+        if (answering < view.database().majority()) {
+            return PromotionDecision.investigate(
+                    "only " + answering + " of " + view.database().members().size() + " members answer");
+        }
+        long rankDelay = position.rank() * RANK_DELAY_NANOS;
+        return switch (found) {
+            case NO_PRIMARY -> proposeAfter(NO_PRIMARY_DELAY_NANOS + rankDelay, nowNanos, "no member names a primary");
+            case STRAY_MEMBER ->
+                proposeAfter(
+                        STRAY_MEMBER_DELAY_NANOS + rankDelay,
+                        nowNanos,
+                        "a member accepted a term that has no primary and cannot follow");
+            default -> decideUnreachable(position, rankDelay, nowNanos);
+        };
+    }
+
+    /**
+     * Takes in what is known of the group. A change of primary clears the suspicion.
+     *
+     * @param view the group
+     * @param nowNanos the reading of the monotonic clock
+     */
+    public void onView(GroupView view, long nowNanos) {
+        Optional<BelievedPrimary> current = view.primary();
+        if (!current.equals(subject)) {
+            subject = current;
+            failures = 0;
+            highestReplicaPosition = 0;
+            progressSeen = false;
+            evidence.clear();
+        }
+        long highest = view.observations().values().stream()
+                .map(MemberObservation::status)
+                .filter(status -> status.role() == MemberRole.REPLICA)
+                .mapToLong(status -> status.position().position())
+                .max()
+                .orElse(0);
+        if (highest > highestReplicaPosition) {
+            progressSeen = highestReplicaPosition > 0;
+            highestReplicaPosition = highest;
+            lastProgressNanos = nowNanos;
+        }
+    }
+
+    private Condition condition(GroupView view) {
+        if (subject.isEmpty()) {
+            return Condition.NO_PRIMARY;
+        }
+        if (failures > 0) {
+            return Condition.PRIMARY_UNREACHABLE;
+        }
+        return FollowerRepair.needsNewTerm(view) ? Condition.STRAY_MEMBER : Condition.HEALTHY;
+    }
+
+    private static int freshMembers(GroupView view, long nowNanos) {
+        return (int) view.observations().values().stream()
+                .filter(observation -> nowNanos - observation.readBeganNanos() <= FRESH_READ_NANOS)
+                .count();
+    }
+
+    private PromotionDecision proposeAfter(long delayNanos, long nowNanos, String reason) {
+        return nowNanos - conditionSinceNanos >= delayNanos
+                ? PromotionDecision.propose(reason)
+                : PromotionDecision.investigate(reason);
+    }
+
+    private PromotionDecision decideUnreachable(ProposerPosition position, long rankDelay, long nowNanos) {
+        long unreachableNanos = unreachableNanos(nowNanos);
+        String finding = "the primary did not answer " + failures + " times in " + unreachableNanos / 1_000_000 + " ms";
+        if (failures < MINIMUM_FAILURES || unreachableNanos < MINIMUM_FAILURE_NANOS + rankDelay) {
+            return PromotionDecision.investigate(finding);
+        }
+        if (position.peers().isEmpty()) {
+            return decideAlone(rankDelay, finding, nowNanos);
+        }
+        FailureEvidence.Votes votes = evidence.count(position.failureDomain(), nowNanos);
+        boolean corroborated = position.hasForeignPeers() ? votes.foreignDomainAgrees() : votes.ownPeerAgrees();
+        String counted = finding + ", " + votes.unreachable() + " failure domains miss it and " + votes.reachable()
+                + " reach it";
+        if (!corroborated || !votes.majorityMisses()) {
+            return PromotionDecision.investigate(counted);
+        }
+        return PromotionDecision.propose(counted);
+    }
+
+    private PromotionDecision decideAlone(long rankDelay, String finding, long nowNanos) {
+        boolean progress = progressSeen && nowNanos - lastProgressNanos < PROGRESS_WINDOW_NANOS;
+        if (progress || unreachableNanos(nowNanos) < LONE_DELAY_NANOS + rankDelay) {
+            return PromotionDecision.investigate(finding + ", no other entry VM is alive to ask");
+        }
+        return PromotionDecision.propose(finding + ", no other entry VM is alive and no replica advances");
+    }
+}
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/PromotionBackoff.java
@@ -0,0 +1,46 @@
+package org.banyanhook.core.primary;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.time.Duration;
+
+/** Spaces the proposals of one proposer for one database. Not safe for use by several threads. */
+public final class PromotionBackoff {
+
+    private static final long FIRST_NANOS = Duration.ofMillis(200).toNanos();
+    private static final int MAXIMUM_DOUBLINGS = 4;
+
+    private int failures;
+    private long notBeforeNanos;
+    private boolean waiting;
+
+    /**
+     * Takes in that a proposal was abandoned.
+     *
+     * @param nowNanos the reading of the monotonic clock
+     * @param random a random number from 0 to below 1, so that rivals do not collide again
+     */
+    public void onAbandoned(long nowNanos, double random) {
+        checkArgument(random >= 0 && random < 1, "random must be from 0 to below 1, was %s", random);
+        long ceiling = FIRST_NANOS << Math.min(failures, MAXIMUM_DOUBLINGS);
+        notBeforeNanos = nowNanos + ceiling / 2 + (long) (random * ceiling);
+        waiting = true;
+        failures++;
+    }
+
+    /** Takes in that the group has a working primary. */
+    public void onSuccess() {
+        failures = 0;
+        waiting = false;
+    }
+
+    /**
+     * Tells whether a new proposal may start.
+     *
+     * @param nowNanos the reading of the monotonic clock
+     * @return false while the wait after an abandoned proposal lasts
+     */
+    public boolean mayPropose(long nowNanos) {
+        return !waiting || nowNanos - notBeforeNanos >= 0;
+    }
+}
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/PromotionProposal.java
@@ -0,0 +1,301 @@
+package org.banyanhook.core.primary;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkState;
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.ToIntFunction;
+import org.banyanhook.core.configuration.BackendServer;
+import org.banyanhook.core.configuration.Database;
+
+/**
+ * One attempt to give a database group a primary in one term.
+ *
+ * <p>It fences a majority of the members at its term, promotes the fenced member with the latest log, and tells the
+ * others to follow. A member accepts a term once, so only the proposal that was itself told so counts the member, and
+ * at most one proposal wins a term. A proposal that is in doubt about its promotion never names another member in the
+ * same term. Not safe for use by several threads.
+ */
+public final class PromotionProposal {
+
+    private static final long FENCE_GRACE_NANOS = Duration.ofMillis(150).toNanos();
+    private static final long FENCE_TIMEOUT_NANOS = Duration.ofMillis(2500).toNanos();
+    private static final long PROMOTE_TIMEOUT_NANOS = Duration.ofSeconds(4).toNanos();
+    private static final long FOLLOW_TIMEOUT_NANOS = Duration.ofSeconds(5).toNanos();
+    private static final int MAXIMUM_PROMOTE_ATTEMPTS = 3;
+
+    private final Database database;
+    private final long term;
+    private final ToIntFunction<BackendServer> penalty;
+    private final Map<String, MemberStatus> fenced = new LinkedHashMap<>();
+    private final Set<String> failed = new HashSet<>();
+    private final Set<String> following = new HashSet<>();
+
+    private PromotionState state = PromotionState.FENCING;
+    private String reason = "collecting a majority";
+    private String successor = "";
+    private long highestTermSeen;
+    private long startedNanos;
+    private long majorityNanos;
+    private long promotingNanos;
+    private long promotedNanos;
+    private int promoteAttempts;
+
+    /**
+     * Creates a proposal.
+     *
+     * @param database the group as configured
+     * @param term the term, higher than any seen
+     * @param penalty ranks members with equal logs, the lowest first, as for one that is leaving
+     */
+    public PromotionProposal(Database database, long term, ToIntFunction<BackendServer> penalty) {
+        checkArgument(term > 0, "term must be positive, was %s", term);
+        this.database = requireNonNull(database, "database");
+        this.term = term;
+        this.penalty = requireNonNull(penalty, "penalty");
+        this.highestTermSeen = term;
+    }
+
+    /** Returns how far the proposal came. */
+    public PromotionState state() {
+        return state;
+    }
+
+    /** Returns the term of the proposal. */
+    public long term() {
+        return term;
+    }
+
+    /** Returns why the proposal is in its state, for the log. */
+    public String reason() {
+        return reason;
+    }
+
+    /** Returns the member that was chosen, or empty before one was. */
+    public Optional<String> successor() {
+        return successor.isEmpty() ? Optional.empty() : Optional.of(successor);
+    }
+
+    /** Returns the highest term that any answer named, at least the proposal's own. */
+    public long highestTermSeen() {
+        return highestTermSeen;
+    }
+
+    /**
+     * Starts the proposal.
+     *
+     * @param nowNanos the reading of the monotonic clock
+     * @return the steps to carry out
+     */
+    public List<PromotionCommand> start(long nowNanos) {
+        checkState(startedNanos == 0 && fenced.isEmpty(), "proposal for %s was started before", database.name());
+        startedNanos = nowNanos;
+        return database.members().stream()
+                .map(member -> PromotionCommand.fence(member.name(), term))
+                .toList();
+    }
+
+    /**
+     * Takes in that a member accepted the term when this proposal asked.
+     *
+     * @param status the status in the answer
+     * @param nowNanos the reading of the monotonic clock
+     * @return the steps to carry out
+     */
+    public List<PromotionCommand> onFenced(MemberStatus status, long nowNanos) {
+        if (state != PromotionState.FENCING || status.term() != term || isNoMember(status.member())) {
+            return List.of();
+        }
+        fenced.put(status.member(), status);
+        failed.remove(status.member());
+        if (fenced.size() == database.majority()) {
+            majorityNanos = nowNanos;
+        }
+        return promoteIfReady(nowNanos);
+    }
+
+    /**
+     * Takes in that a member refused the term, or that no answer came. Either way the member does not count, even if it
+     * accepted the term: the answer that said so was not received.
+     *
+     * @param member the name of the backend server
+     * @param termSeen the term that the refusal named, 0 if none
+     * @param nowNanos the reading of the monotonic clock
+     * @return the steps to carry out
+     */
+    public List<PromotionCommand> onFenceFailed(String member, long termSeen, long nowNanos) {
+        highestTermSeen = Math.max(highestTermSeen, termSeen);
+        if (state != PromotionState.FENCING || isNoMember(member) || fenced.containsKey(member)) {
+            return List.of();
+        }
+        failed.add(member);
+        int stillPossible = database.members().size() - failed.size();
+        if (stillPossible < database.majority()) {
+            abandon("only " + stillPossible + " of " + database.members().size()
+                    + " members can still accept the term");
+            return List.of();
+        }
+        return promoteIfReady(nowNanos);
+    }
+
+    private List<PromotionCommand> promoteIfReady(long nowNanos) {
+        if (fenced.size() < database.majority()) {
+            return List.of();
+        }
+        boolean allAnswered =
+                fenced.size() + failed.size() == database.members().size();
+        if (!allAnswered && nowNanos - majorityNanos < FENCE_GRACE_NANOS) {
+            return List.of();
+        }
+        MemberStatus chosen = chooseSuccessor();
+        successor = chosen.member();
+        state = PromotionState.PROMOTING;
+        reason = "latest log " + chosen.position() + " of " + fenced.size() + " fenced members";
+        promotingNanos = nowNanos;
+        promoteAttempts = 1;
+        return ImmutableList.of(PromotionCommand.promote(successor, term));
+    }
+
+    private MemberStatus chooseSuccessor() {
+        Comparator<MemberStatus> latestLog = Comparator.comparing(MemberStatus::position);
+        return fenced.values().stream()
+                .max(latestLog
+                        .thenComparing(
+                                status -> database.member(status.member())
+                                        .map(penalty::applyAsInt)
+                                        .orElse(Integer.MAX_VALUE),
+                                Comparator.reverseOrder())
+                        .thenComparing(MemberStatus::member, Comparator.reverseOrder()))
+                .orElseThrow();
+    }
+
+    /**
+     * Takes in that the chosen member became primary.
+     *
+     * @param status the status in the answer
+     * @param nowNanos the reading of the monotonic clock
+     * @return the steps to carry out
+     */
+    public List<PromotionCommand> onPromoted(MemberStatus status, long nowNanos) {
+        boolean mine = status.member().equals(successor) && status.term() == term;
+        if (state != PromotionState.PROMOTING || !mine || status.role() != MemberRole.PRIMARY) {
+            return List.of();
+        }
+        state = PromotionState.FOLLOWING;
+        reason = successor + " is primary of term " + term + " at " + status.position();
+        promotedNanos = nowNanos;
+        following.add(successor);
+        ImmutableList.Builder<PromotionCommand> commands = ImmutableList.builder();
+        commands.add(PromotionCommand.publish(successor, term));
+        commands.addAll(followCommands());
+        completeIfMajorityFollows();
+        return commands.build();
+    }
+
+    /**
+     * Takes in that the promotion was refused or that no answer came.
+     *
+     * @param refused true if the member refused, so that it will not become primary of the term by this call
+     * @param termSeen the term that the refusal named, 0 if none
+     * @return the steps to carry out
+     */
+    public List<PromotionCommand> onPromoteFailed(boolean refused, long termSeen) {
+        highestTermSeen = Math.max(highestTermSeen, termSeen);
+        if (state != PromotionState.PROMOTING) {
+            return List.of();
+        }
+        if (refused || promoteAttempts >= MAXIMUM_PROMOTE_ATTEMPTS) {
+            abandon(successor + (refused ? " refused" : " did not answer") + " the promotion");
+            return List.of();
+        }
+        promoteAttempts++;
+        return ImmutableList.of(PromotionCommand.promote(successor, term));
+    }
+
+    /**
+     * Takes in that a member follows the new primary.
+     *
+     * @param member the name of the backend server
+     */
+    public void onFollowed(String member) {
+        if (state == PromotionState.FOLLOWING && !isNoMember(member)) {
+            following.add(member);
+            completeIfMajorityFollows();
+        }
+    }
+
+    /**
+     * Takes in that a member did not follow.
+     *
+     * @param termSeen the term that a refusal named, 0 if no answer came
+     */
+    public void onFollowFailed(long termSeen) {
+        highestTermSeen = Math.max(highestTermSeen, termSeen);
+        if (state == PromotionState.FOLLOWING && termSeen > term) {
+            abandon("a member accepted the later term " + termSeen);
+        }
+    }
+
+    /**
+     * Takes in that time passed.
+     *
+     * @param nowNanos the reading of the monotonic clock
+     * @return the steps to carry out
+     */
+    public List<PromotionCommand> onTick(long nowNanos) {
+        if (state == PromotionState.FENCING) {
+            List<PromotionCommand> commands = promoteIfReady(nowNanos);
+            if (commands.isEmpty() && nowNanos - startedNanos > FENCE_TIMEOUT_NANOS) {
+                abandon("only " + fenced.size() + " of " + database.members().size() + " members accepted the term");
+            }
+            return commands;
+        }
+        if (state == PromotionState.PROMOTING && nowNanos - promotingNanos > PROMOTE_TIMEOUT_NANOS) {
+            abandon(successor + " did not answer the promotion in time");
+        }
+        if (state != PromotionState.FOLLOWING) {
+            return List.of();
+        }
+        if (nowNanos - promotedNanos > FOLLOW_TIMEOUT_NANOS) {
+            abandon("no majority follows " + successor);
+            return List.of();
+        }
+        return followCommands();
+    }
+
+    private List<PromotionCommand> followCommands() {
+        List<PromotionCommand> commands = new ArrayList<>();
+        for (BackendServer member : database.members()) {
+            if (!following.contains(member.name())) {
+                commands.add(PromotionCommand.follow(member.name(), term, successor));
+            }
+        }
+        return commands;
+    }
+
+    private void completeIfMajorityFollows() {
+        if (following.size() >= database.majority()) {
+            state = PromotionState.PUBLISHED;
+            reason = following.size() + " of " + database.members().size() + " members follow " + successor;
+        }
+    }
+
+    private boolean isNoMember(String member) {
+        return database.member(member).isEmpty();
+    }
+
+    private void abandon(String cause) {
+        state = PromotionState.ABANDONED;
+        reason = cause;
+    }
+}
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/ProposerRanking.java
@@ -0,0 +1,114 @@
+package org.banyanhook.core.primary;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hashing;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * Ranks the entry VMs that watch a database and may propose a primary, by rendezvous hashing.
+ *
+ * <p>The first of every failure domain goes before the second of any, so that candidates are left when one failure
+ * domain is cut off. Safety never rests on the ranking; daemons may rank differently for a while. Immutable.
+ */
+public final class ProposerRanking {
+
+    /** How many candidates a database has. */
+    public static final int MAXIMUM_CANDIDATES = 6;
+
+    private static final int CANDIDATES_PER_FAILURE_DOMAIN = 2;
+    private static final long MULTIPLIER = 0x9E3779B97F4A7C15L;
+    private static final HashFunction NAME_HASH = Hashing.farmHashFingerprint64();
+
+    private final ImmutableList<Candidate> candidates;
+    private final int failureDomainCount;
+
+    private ProposerRanking(ImmutableList<Candidate> candidates, int failureDomainCount) {
+        this.candidates = candidates;
+        this.failureDomainCount = failureDomainCount;
+    }
+
+    /**
+     * Creates a ranking.
+     *
+     * @param failureDomains the failure domain of each live entry VM, by the name of the entry VM
+     * @return the ranking
+     */
+    public static ProposerRanking of(Map<String, String> failureDomains) {
+        ImmutableList.Builder<Candidate> candidates = ImmutableList.builder();
+        Map<String, Integer> domainNumbers = new LinkedHashMap<>();
+        failureDomains.forEach((entryVm, failureDomain) -> {
+            Integer known = domainNumbers.putIfAbsent(failureDomain, domainNumbers.size());
+            int domain = known == null ? domainNumbers.size() - 1 : known;
+            candidates.add(new Candidate(entryVm, domain, hash(entryVm)));
+        });
+        return new ProposerRanking(candidates.build(), domainNumbers.size());
+    }
+
+    /**
+     * Returns the candidates of a database.
+     *
+     * @param database the name of the database
+     * @return the names of at most {@value #MAXIMUM_CANDIDATES} entry VMs, the first to act first
+     */
+    public List<String> candidates(String database) {
+        long databaseHash = hash(database);
+        Scored[][] best = new Scored[failureDomainCount][CANDIDATES_PER_FAILURE_DOMAIN];
+        for (Candidate candidate : candidates) {
+            insert(best[candidate.domain()], candidate.entryVm(), mix(databaseHash ^ candidate.hash()));
+        }
+        List<String> ranked = new ArrayList<>();
+        for (int place = 0; place < CANDIDATES_PER_FAILURE_DOMAIN; place++) {
+            int column = place;
+            Arrays.stream(best)
+                    .map(bestOfDomain -> bestOfDomain[column])
+                    .filter(Objects::nonNull)
+                    .sorted(Comparator.comparingLong(Scored::score).reversed())
+                    .forEach(scored -> ranked.add(scored.entryVm()));
+        }
+        return ImmutableList.copyOf(ranked.subList(0, Math.min(MAXIMUM_CANDIDATES, ranked.size())));
+    }
+
+    /**
+     * Returns the rank of an entry VM for a database.
+     *
+     * @param database the name of the database
+     * @param entryVm the name of the entry VM
+     * @return the rank, 0 for the first to act, -1 if it is no candidate
+     */
+    public int rank(String database, String entryVm) {
+        checkArgument(!entryVm.isEmpty(), "name of an entry VM must not be empty");
+        return candidates(database).indexOf(entryVm);
+    }
+
+    private static void insert(Scored[] best, String entryVm, long score) {
+        if (best[0] == null || score > best[0].score()) {
+            best[1] = best[0];
+            best[0] = new Scored(entryVm, score);
+        } else if (best[1] == null || score > best[1].score()) {
+            best[1] = new Scored(entryVm, score);
+        }
+    }
+
+    private static long hash(String name) {
+        return NAME_HASH.hashString(name, UTF_8).asLong();
+    }
+
+    private static long mix(long value) {
+        long mixed = (value ^ (value >>> 32)) * MULTIPLIER;
+        return (mixed ^ (mixed >>> 29)) * MULTIPLIER;
+    }
+
+    private record Candidate(String entryVm, int domain, long hash) {}
+
+    private record Scored(String entryVm, long score) {}
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/EvidenceExchange.java
@@ -0,0 +1,138 @@
+package org.banyanhook.daemon.primary;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.banyanhook.core.configuration.BackendServer;
+import org.banyanhook.core.primary.MemberStatus;
+import org.banyanhook.daemon.membership.EntryVm;
+import org.banyanhook.daemon.peer.PeerMessenger;
+import org.banyanhook.protocol.generated.PeerEnvelope;
+import org.banyanhook.protocol.generated.PrimaryEvidence;
+import org.banyanhook.protocol.generated.PrimaryEvidenceRequest;
+import org.jspecify.annotations.Nullable;
+
+/** Asks peers whether they reach a primary, and finds out for peers that ask. Safe for use by several threads. */
+final class EvidenceExchange {
+
+    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration REQUEST_TIMEOUT = Duration.ofMillis(1300);
+    private static final int PEERS_PER_FAILURE_DOMAIN = 2;
+    private static final int MAXIMUM_FAILURE_DOMAINS = 5;
+
+    private final PeerMessenger messenger;
+    private final ControllerContext context;
+
+    EvidenceExchange(PeerMessenger messenger, ControllerContext context) {
+        this.messenger = messenger;
+        this.context = context;
+    }
+
+    /** Takes the answer of one peer. */
+    @FunctionalInterface
+    interface AnswerListener {
+        /**
+         * Handles an answer.
+         *
+         * @param peer the peer that answered
+         * @param evidence what it says
+         */
+        void onAnswer(EntryVm peer, PrimaryEvidence evidence);
+    }
+
+    /**
+     * Asks peers for their evidence.
+     *
+     * @param database the name of the database
+     * @param term the term of the primary in doubt
+     * @param peers the peers to ask
+     * @param listener called on the controller's thread for each answer
+     */
+    void ask(String database, long term, List<EntryVm> peers, AnswerListener listener) {
+        PeerEnvelope request = PeerEnvelope.newBuilder()
+                .setPrimaryEvidenceRequest(PrimaryEvidenceRequest.newBuilder()
+                        .setDatabase(database)
+                        .setTerm(term))
+                .build();
+        for (EntryVm peer : peers) {
+            messenger.request(peer.peerAddress(), request, REQUEST_TIMEOUT).whenComplete((reply, failure) -> {
+                if (failure != null) {
+                    context.metrics().evidence("no-answer");
+                } else if (reply.hasPrimaryEvidence()) {
+                    context.metrics()
+                            .evidence(reply.getPrimaryEvidence().getPrimaryUnreachable() ? "unreachable" : "reachable");
+                    context.duty().execute(() -> listener.onAnswer(peer, reply.getPrimaryEvidence()));
+                }
+            });
+        }
+    }
+
+    /**
+     * Tells peers that a request to a primary failed, so that they probe it.
+     *
+     * @param database the name of the database
+     * @param term the term of the primary
+     * @param peers the peers to tell
+     */
+    void notify(String database, long term, List<EntryVm> peers) {
+        PeerEnvelope notice = evidence(database, term, true);
+        peers.forEach(peer -> messenger.send(peer.peerAddress(), notice));
+    }
+
+    /**
+     * Chooses peers to ask, some of each failure domain, others at each attempt.
+     *
+     * @param peers the live entry VMs without this one
+     * @param attempt how often was asked before
+     * @return the peers
+     */
+    static List<EntryVm> choosePeers(List<EntryVm> peers, int attempt) {
+        Map<String, List<EntryVm>> byFailureDomain = new TreeMap<>();
+        peers.stream()
+                .sorted(Comparator.comparing(EntryVm::name))
+                .forEach(peer -> byFailureDomain
+                        .computeIfAbsent(peer.failureDomain(), domain -> new ArrayList<>())
+                        .add(peer));
+        List<EntryVm> chosen = new ArrayList<>();
+        byFailureDomain.values().stream().limit(MAXIMUM_FAILURE_DOMAINS).forEach(ofDomain -> {
+            int count = Math.min(PEERS_PER_FAILURE_DOMAIN, ofDomain.size());
+            for (int index = 0; index < count; index++) {
+                chosen.add(ofDomain.get((attempt * count + index) % ofDomain.size()));
+            }
+        });
+        return chosen;
+    }
+
+    /**
+     * Probes a primary for a peer. A second try uses a new connection, so a silent one does not pass for a dead
+     * primary.
+     *
+     * @param database the name of the database
+     * @param term the term that the peer asked about
+     * @param server the primary
+     * @return the evidence
+     */
+    CompletableFuture<PeerEnvelope> probe(String database, long term, BackendServer server) {
+        return context.control()
+                .status(server, PROBE_TIMEOUT)
+                .exceptionallyCompose(failure -> context.control().status(server, PROBE_TIMEOUT))
+                .handle((status, failure) -> evidence(database, termOf(status, term), failure != null));
+    }
+
+    private static long termOf(@Nullable MemberStatus status, long askedTerm) {
+        return status == null ? askedTerm : Math.max(askedTerm, status.term());
+    }
+
+    private static PeerEnvelope evidence(String database, long term, boolean unreachable) {
+        return PeerEnvelope.newBuilder()
+                .setPrimaryEvidence(PrimaryEvidence.newBuilder()
+                        .setDatabase(database)
+                        .setTerm(term)
+                        .setPrimaryUnreachable(unreachable))
+                .build();
+    }
+}
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/PositionConfirmer.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/PositionConfirmer.java
@@ -17,4 +17,16 @@
      * @return completed when confirmed; failed with a {@link org.banyanhook.core.error.RefusalException} otherwise
      */
     CompletableFuture<Void> confirm(String database, LogPosition position, Duration timeout);
+
+    /**
+     * Tells whether a position is already known to be on a majority, so that it can no longer be lost. It says nothing
+     * about later primaries, so it serves reads that may have an age, and neither writes nor current reads.
+     *
+     * @param database the name of the database
+     * @param position the position of the data read
+     * @return true if known, without asking any member
+     */
+    default boolean isDurable(String database, LogPosition position) {
+        return false;
+    }
 }
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/PrimaryController.java
@@ -0,0 +1,433 @@
+package org.banyanhook.daemon.primary;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableList;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ForkJoinPool;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.banyanhook.core.configuration.BackendServer;
+import org.banyanhook.core.configuration.Database;
+import org.banyanhook.core.configuration.FleetConfiguration;
+import org.banyanhook.core.error.Execution;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+import org.banyanhook.core.primary.AgeHistory;
+import org.banyanhook.core.primary.BelievedPrimary;
+import org.banyanhook.core.primary.ReplicaSelection;
+import org.banyanhook.core.replication.LogPosition;
+import org.banyanhook.daemon.configuration.ConfigurationSource;
+import org.banyanhook.daemon.duty.Duty;
+import org.banyanhook.daemon.membership.EntryVm;
+import org.banyanhook.daemon.membership.MembershipSource;
+import org.banyanhook.daemon.peer.PeerMessenger;
+import org.banyanhook.daemon.platform.PlatformClient;
+import org.banyanhook.protocol.generated.PeerEnvelope;
+import org.banyanhook.protocol.generated.PrimaryAnnouncement;
+import org.banyanhook.protocol.generated.PrimaryEvidence;
+import org.banyanhook.protocol.generated.PrimaryEvidenceRequest;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Knows and changes the primaries of the database groups.
+ *
+ * <p>It watches the databases that this daemon is a proposer candidate for, and looks at others only while requests use
+ * them. The state lives on one thread; other threads read immutable snapshots. Safe for use by several threads.
+ */
+public final class PrimaryController implements PrimaryDirectory, PositionConfirmer, AutoCloseable {
+
+    private static final Logger LOGGER = LogManager.getLogger(PrimaryController.class);
+    private static final Duration TICK = Duration.ofMillis(50);
+    private static final long MINIMUM_PLAN_INTERVAL_NANOS =
+            Duration.ofMillis(200).toNanos();
+    private static final long PLAN_INTERVAL_PER_COST = 100;
+    private static final int ANNOUNCE_TO_ALL_LIMIT = 32;
+
+    private final String entryVm;
+    private final String failureDomain;
+    private final ConfigurationSource configuration;
+    private final MembershipSource membership;
+    private final PeerMessenger messenger;
+    private final LongSupplier nanoClock;
+    private final DoubleSupplier random;
+    private final ControllerContext context;
+    private final EvidenceExchange evidence;
+    private final PrimaryPublisher publisher;
+    private final ConcurrentHashMap<String, GroupSnapshot> snapshots = new ConcurrentHashMap<>();
+    private final ConcurrentHashMap<String, DatabaseInterest> interests = new ConcurrentHashMap<>();
+    private final Map<String, WatchedGroup> groups = new HashMap<>();
+
+    private volatile @Nullable Duty duty;
+    private volatile WatchPlan plan;
+    private long planMadeNanos;
+    private long planCostNanos;
+
+    private PrimaryController(Builder builder) {
+        this.entryVm = required(builder.entryVm, "entryVm");
+        this.failureDomain = required(builder.failureDomain, "failureDomain");
+        this.configuration = required(builder.configuration, "configuration");
+        this.membership = required(builder.membership, "membership");
+        this.messenger = required(builder.messenger, "messenger");
+        this.nanoClock = builder.nanoClock;
+        this.random = builder.random;
+        BackendControl control = required(builder.control, "control");
+        PrimaryMetrics metrics = new PrimaryMetrics(builder.meterRegistry);
+        this.context = new ControllerContext(control, this::execute, builder.callbacks, nanoClock, metrics);
+        this.evidence = new EvidenceExchange(messenger, context);
+        this.publisher = new PrimaryPublisher(required(builder.platform, "platform"), messenger);
+        this.plan = WatchPlan.of(FleetConfiguration.EMPTY, List.of(), entryVm, failureDomain);
+    }
+
+    private static <T> T required(@Nullable T value, String name) {
+        return requireNonNull(value, () -> name + " must be set");
+    }
+
+    /** Starts the description of a controller. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Registers the handlers of peer messages and starts the controller's thread. Call once. */
+    public void start() {
+        messenger.handle(
+                PeerEnvelope.BodyCase.PRIMARY_EVIDENCE_REQUEST,
+                message -> onEvidenceRequest(message.getPrimaryEvidenceRequest()));
+        messenger.handle(PeerEnvelope.BodyCase.PRIMARY_EVIDENCE, message -> {
+            onEvidenceNotice(message);
+            return CompletableFuture.completedFuture(PeerEnvelope.getDefaultInstance());
+        });
+        messenger.handle(PeerEnvelope.BodyCase.PRIMARY_ANNOUNCEMENT, message -> {
+            onAnnouncement(message.getPrimaryAnnouncement());
+            return CompletableFuture.completedFuture(PeerEnvelope.getDefaultInstance());
+        });
+        duty = Duty.builder("primary-controller").tick(TICK, this::tick).start();
+    }
+
+    @Override
+    public void close() {
+        Duty running = duty;
+        if (running != null) {
+            running.close();
+        }
+    }
+
+    private void execute(Runnable task) {
+        Duty running = duty;
+        if (running == null || !running.submit(task)) {
+            LOGGER.warn("the ring of the primary controller is full; dropped a task");
+        }
+    }
+
+    @Override
+    public Optional<PrimaryView> primary(String database) {
+        interest(database).use(nanoClock.getAsLong());
+        GroupSnapshot snapshot = snapshots.get(database);
+        if (snapshot == null) {
+            return Optional.empty();
+        }
+        return snapshot.primary().map(primary -> new PrimaryView(database, primary.term(), primary.member()));
+    }
+
+    @Override
+    public Optional<String> replicaForRead(String database, LogPosition sessionPosition, long maximumAgeMillis) {
+        long now = nanoClock.getAsLong();
+        interest(database).replicaRead(now, maximumAgeMillis);
+        GroupSnapshot snapshot = snapshots.get(database);
+        if (snapshot == null) {
+            return Optional.empty();
+        }
+        ReplicaSelection.Demand demand = new ReplicaSelection.Demand(
+                sessionPosition, maximumAgeMillis, failureDomain, plan.takenOutFailureDomains());
+        return ReplicaSelection.choose(snapshot.view(), snapshot.ages(), demand, now);
+    }
+
+    @Override
+    public long ageBoundMillis(String database, LogPosition position) {
+        GroupSnapshot snapshot = snapshots.get(database);
+        return snapshot == null
+                ? AgeHistory.UNBOUNDED_MILLIS
+                : snapshot.ages().ageBoundMillis(position, nanoClock.getAsLong());
+    }
+
+    @Override
+    public boolean isDurable(String database, LogPosition position) {
+        GroupSnapshot snapshot = snapshots.get(database);
+        return snapshot != null && snapshot.isDurable(position);
+    }
+
+    @Override
+    public long confirmationDelayMillis(String database) {
+        GroupSnapshot snapshot = snapshots.get(database);
+        if (snapshot == null) {
+            return 0;
+        }
+        return snapshot.oldestWaitNanos()
+                .map(since -> Math.max(0, nanoClock.getAsLong() - since) / 1_000_000)
+                .orElse(0L);
+    }
+
+    @Override
+    public CompletableFuture<Void> confirm(String database, LogPosition position, Duration timeout) {
+        CompletableFuture<Void> result = new CompletableFuture<>();
+        long now = nanoClock.getAsLong();
+        interest(database).use(now);
+        ConfirmationQueue.Waiter waiter = new ConfirmationQueue.Waiter(position, now, now + timeout.toNanos(), result);
+        Duty running = duty;
+        boolean taken = running != null && running.submit(() -> confirm(database, waiter));
+        if (!taken) {
+            result.completeExceptionally(unconfirmed("the controller of primaries is overloaded"));
+        }
+        return result;
+    }
+
+    private void confirm(String database, ConfirmationQueue.Waiter waiter) {
+        Optional<WatchedGroup> group = group(database);
+        if (group.isEmpty()) {
+            waiter.future().completeExceptionally(unconfirmed("database " + database + " is not configured"));
+            return;
+        }
+        group.get().monitor().confirm(waiter);
+    }
+
+    private static RefusalException unconfirmed(String detail) {
+        return RefusalException.builder(RefusalKind.OUTCOME_UNKNOWN)
+                .execution(Execution.UNKNOWN)
+                .detail(detail)
+                .build();
+    }
+
+    @Override
+    public void reportOutcome(String database, String member, boolean reachable, long observedTerm) {
+        GroupSnapshot snapshot = snapshots.get(database);
+        long knownTerm = snapshot == null ? 0 : snapshot.view().highestTerm();
+        if (reachable && observedTerm <= knownTerm) {
+            return;
+        }
+        execute(() -> group(database).ifPresent(group -> {
+            if (!reachable) {
+                group.onRequestFailed(plan, member);
+            }
+            group.monitor().readAll();
+        }));
+    }
+
+    private DatabaseInterest interest(String database) {
+        DatabaseInterest known = interests.get(database);
+        if (known != null) {
+            return known;
+        }
+        DatabaseInterest created = new DatabaseInterest(nanoClock.getAsLong());
+        if (interests.putIfAbsent(database, created) == null) {
+            execute(() -> group(database)
+                    .ifPresentOrElse(group -> group.monitor().readAll(), () -> interests.remove(database)));
+        }
+        return created;
+    }
+
+    private Optional<WatchedGroup> group(String database) {
+        WatchedGroup known = groups.get(database);
+        if (known != null) {
+            return Optional.of(known);
+        }
+        Database configured = plan.databases().get(database);
+        if (configured == null) {
+            configured = configuration.current().database(database).orElse(null);
+        }
+        if (configured == null) {
+            return Optional.empty();
+        }
+        WatchedGroup created = newGroup(configured);
+        groups.put(database, created);
+        return Optional.of(created);
+    }
+
+    private WatchedGroup newGroup(Database database) {
+        GroupMonitor monitor =
+                new GroupMonitor(context, database, snapshot -> snapshots.put(database.name(), snapshot));
+        PromotionDriver driver = new PromotionDriver(context, monitor, random, this::publish);
+        return new WatchedGroup(context, monitor, driver, new EvidenceExchange(messenger, context));
+    }
+
+    private void tick() {
+        long now = context.now();
+        renewPlan(now);
+        plan.ranks().forEach((database, rank) -> {
+            if (rank < WatchedGroup.PROBING_RANKS) {
+                group(database);
+            }
+        });
+        groups.values().removeIf(group -> dropIfIdle(group, now));
+        for (WatchedGroup group : List.copyOf(groups.values())) {
+            group.tick(plan, interests.get(group.name()), now);
+        }
+    }
+
+    private boolean dropIfIdle(WatchedGroup group, long now) {
+        boolean idle = group.isIdle(plan, interests.get(group.name()), now);
+        if (idle) {
+            interests.remove(group.name());
+            snapshots.remove(group.name());
+        }
+        return idle;
+    }
+
+    private void renewPlan(long now) {
+        long interval = Math.max(MINIMUM_PLAN_INTERVAL_NANOS, planCostNanos * PLAN_INTERVAL_PER_COST);
+        if (now - planMadeNanos < interval) {
+            return;
+        }
+        FleetConfiguration current = configuration.current();
+        List<EntryVm> live = membership.liveEntryVms();
+        if (plan.isFor(current, live)) {
+            return;
+        }
+        plan = WatchPlan.of(current, live, entryVm, failureDomain);
+        planMadeNanos = now;
+        planCostNanos = context.now() - now;
+        groups.keySet().removeIf(database -> !plan.databases().containsKey(database));
+        snapshots.keySet().removeIf(database -> !plan.databases().containsKey(database));
+        groups.values()
+                .forEach(group -> group.monitor()
+                        .configure(requireNonNull(
+                                plan.databases().get(group.monitor().database().name()))));
+    }
+
+    private CompletableFuture<PeerEnvelope> onEvidenceRequest(PrimaryEvidenceRequest request) {
+        String database = request.getDatabase();
+        Optional<BackendServer> primary = Optional.ofNullable(snapshots.get(database))
+                .flatMap(snapshot -> snapshot.view()
+                        .primary()
+                        .flatMap(known -> snapshot.view().database().member(known.member())));
+        if (primary.isPresent()) {
+            return evidence.probe(database, request.getTerm(), primary.get());
+        }
+        interest(database).use(nanoClock.getAsLong());
+        return CompletableFuture.failedFuture(RefusalException.notRun(
+                RefusalKind.PRIMARY_UNAVAILABLE, "this entry VM does not know the primary of " + database + " yet"));
+    }
+
+    private void onEvidenceNotice(PeerEnvelope message) {
+        PrimaryEvidence notice = message.getPrimaryEvidence();
+        execute(() -> group(notice.getDatabase())
+                .ifPresent(group ->
+                        group.onPeerEvidence(message.getSenderEntryVm(), message.getSenderFailureDomain(), notice)));
+    }
+
+    private void onAnnouncement(PrimaryAnnouncement announcement) {
+        String database = announcement.getDatabase();
+        execute(() -> Optional.ofNullable(groups.get(database))
+                .ifPresent(group -> group.monitor()
+                        .announce(new BelievedPrimary(announcement.getTerm(), announcement.getPrimaryMember()))));
+    }
+
+    private void publish(String database, BelievedPrimary primary) {
+        List<EntryVm> recipients =
+                plan.peers().size() <= ANNOUNCE_TO_ALL_LIMIT ? plan.peers() : plan.candidatePeers(database);
+        publisher.announce(
+                database,
+                primary,
+                recipients.stream().map(EntryVm::peerAddress).collect(ImmutableList.toImmutableList()));
+        publisher.writeHint(database, primary);
+    }
+
+    /** Builds a {@link PrimaryController}. Not safe for use by several threads. */
+    public static final class Builder {
+        private @Nullable String entryVm;
+        private @Nullable String failureDomain;
+        private @Nullable ConfigurationSource configuration;
+        private @Nullable MembershipSource membership;
+        private @Nullable PeerMessenger messenger;
+        private @Nullable PlatformClient platform;
+        private @Nullable BackendControl control;
+        private MeterRegistry meterRegistry = new SimpleMeterRegistry();
+        private Executor callbacks = ForkJoinPool.commonPool();
+        private LongSupplier nanoClock = System::nanoTime;
+        private DoubleSupplier random = () -> ThreadLocalRandom.current().nextDouble();
+
+        private Builder() {}
+
+        /** Sets the name of this entry VM. */
+        public Builder entryVm(String value) {
+            this.entryVm = value;
+            return this;
+        }
+
+        /** Sets the failure domain of this entry VM. */
+        public Builder failureDomain(String value) {
+            this.failureDomain = value;
+            return this;
+        }
+
+        /** Sets where the configuration in force comes from. */
+        public Builder configuration(ConfigurationSource value) {
+            this.configuration = value;
+            return this;
+        }
+
+        /** Sets where the live entry VMs come from. */
+        public Builder membership(MembershipSource value) {
+            this.membership = value;
+            return this;
+        }
+
+        /** Sets the peer links. */
+        public Builder messenger(PeerMessenger value) {
+            this.messenger = value;
+            return this;
+        }
+
+        /** Sets the platform's service, which gets the hints. */
+        public Builder platform(PlatformClient value) {
+            this.platform = value;
+            return this;
+        }
+
+        /** Sets the control calls of backend servers; its owner closes it after the controller. */
+        public Builder control(BackendControl value) {
+            this.control = value;
+            return this;
+        }
+
+        /** Sets where meters are registered; a registry of its own unless set. */
+        public Builder meterRegistry(MeterRegistry value) {
+            this.meterRegistry = requireNonNull(value, "meterRegistry");
+            return this;
+        }
+
+        /** Sets what runs the continuations of confirmations; the common pool unless set. */
+        public Builder callbacks(Executor value) {
+            this.callbacks = requireNonNull(value, "callbacks");
+            return this;
+        }
+
+        /** Sets the monotonic clock in nanoseconds; {@link System#nanoTime} unless set. */
+        public Builder nanoClock(LongSupplier value) {
+            this.nanoClock = requireNonNull(value, "nanoClock");
+            return this;
+        }
+
+        /** Sets the source of random numbers from 0 to below 1. */
+        public Builder random(DoubleSupplier value) {
+            this.random = requireNonNull(value, "random");
+            return this;
+        }
+
+        /** Creates the controller, not started. */
+        public PrimaryController build() {
+            return new PrimaryController(this);
+        }
+    }
+}
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/PrimaryDirectory.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/PrimaryDirectory.java
@@ -36,4 +36,14 @@
      * @param observedTerm the term that the member answered with, 0 if none
      */
     void reportOutcome(String database, String member, boolean reachable, long observedTerm);
+
+    /**
+     * Tells how long the oldest commit has been waiting for its majority, as a measure for admission.
+     *
+     * @param database the name of the database
+     * @return the wait in milliseconds, 0 if no commit waits
+     */
+    default long confirmationDelayMillis(String database) {
+        return 0;
+    }
 }
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/PrimaryMetrics.java
@@ -0,0 +1,46 @@
+package org.banyanhook.daemon.primary;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+
+/** The meters of the primary controller. Safe for use by several threads. */
+final class PrimaryMetrics {
+
+    private final MeterRegistry registry;
+    private final Counter statusReads;
+    private final Counter statusReadFailures;
+    private final Timer confirmationTime;
+
+    PrimaryMetrics(MeterRegistry registry) {
+        this.registry = registry;
+        this.statusReads = registry.counter("banyanhook.primary.status.reads");
+        this.statusReadFailures = registry.counter("banyanhook.primary.status.read.failures");
+        this.confirmationTime = registry.timer("banyanhook.primary.confirmation.time");
+    }
+
+    void statusRead() {
+        statusReads.increment();
+    }
+
+    void statusReadFailed() {
+        statusReadFailures.increment();
+    }
+
+    void confirmed(long waitNanos) {
+        confirmationTime.record(waitNanos, java.util.concurrent.TimeUnit.NANOSECONDS);
+    }
+
+    void notConfirmed(String cause) {
+        registry.counter("banyanhook.primary.confirmation.failures", "cause", cause)
+                .increment();
+    }
+
+    void promotion(String result) {
+        registry.counter("banyanhook.primary.promotions", "result", result).increment();
+    }
+
+    void evidence(String result) {
+        registry.counter("banyanhook.primary.evidence", "result", result).increment();
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/PrimaryPublisher.java
@@ -0,0 +1,82 @@
+package org.banyanhook.daemon.primary;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.banyanhook.core.primary.BelievedPrimary;
+import org.banyanhook.daemon.peer.PeerMessenger;
+import org.banyanhook.daemon.platform.PlatformClient;
+import org.banyanhook.daemon.platform.StoredValue;
+import org.banyanhook.protocol.generated.PeerEnvelope;
+import org.banyanhook.protocol.generated.PrimaryAnnouncement;
+
+/**
+ * Tells the platform and the peers who is primary. Only a hint, so nothing waits for it and a failure is only logged.
+ * Safe for use by several threads.
+ */
+final class PrimaryPublisher {
+
+    private static final Logger LOGGER = LogManager.getLogger(PrimaryPublisher.class);
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String KEY_PREFIX = "primary/";
+
+    private final PlatformClient platform;
+    private final PeerMessenger messenger;
+
+    PrimaryPublisher(PlatformClient platform, PeerMessenger messenger) {
+        this.platform = platform;
+        this.messenger = messenger;
+    }
+
+    void announce(String database, BelievedPrimary primary, Iterable<String> peerAddresses) {
+        PeerEnvelope envelope = PeerEnvelope.newBuilder()
+                .setPrimaryAnnouncement(PrimaryAnnouncement.newBuilder()
+                        .setDatabase(database)
+                        .setTerm(primary.term())
+                        .setPrimaryMember(primary.member()))
+                .build();
+        peerAddresses.forEach(address -> messenger.send(address, envelope));
+    }
+
+    void writeHint(String database, BelievedPrimary primary) {
+        String key = KEY_PREFIX + database;
+        platform.read(key)
+                .thenCompose(stored -> replaceIfNewer(key, stored, primary))
+                .whenComplete((revision, failure) -> {
+                    if (failure != null) {
+                        LOGGER.info(
+                                "database {}: the hint of term {} was not written to the platform: {}",
+                                database,
+                                primary.term(),
+                                failure.getMessage());
+                    }
+                });
+    }
+
+    private CompletableFuture<Long> replaceIfNewer(String key, Optional<StoredValue> stored, BelievedPrimary primary) {
+        long storedTerm = stored.map(PrimaryPublisher::term).orElse(-1L);
+        long revision = stored.map(StoredValue::revision).orElse(0L);
+        if (storedTerm >= primary.term()) {
+            return CompletableFuture.completedFuture(revision);
+        }
+        String value = MAPPER.createObjectNode()
+                .put("term", primary.term())
+                .put("primaryMember", primary.member())
+                .toString();
+        return platform.compareAndSwap(key, value, revision);
+    }
+
+    private static long term(StoredValue stored) {
+        try {
+            JsonNode node = MAPPER.readTree(stored.value());
+            return node.path("term").asLong(-1);
+        } catch (JsonProcessingException exception) {
+            LOGGER.warn("the value of {} is no JSON and will be replaced", stored.key());
+            return -1;
+        }
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/WatchPlan.java
@@ -0,0 +1,114 @@
+package org.banyanhook.daemon.primary;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.banyanhook.core.configuration.Database;
+import org.banyanhook.core.configuration.FailureDomain;
+import org.banyanhook.core.configuration.FleetConfiguration;
+import org.banyanhook.core.configuration.Service;
+import org.banyanhook.core.primary.ProposerPosition;
+import org.banyanhook.core.primary.ProposerRanking;
+import org.banyanhook.daemon.membership.EntryVm;
+
+/**
+ * Which databases this daemon is a proposer candidate for, by one configuration and one list of live entry VMs.
+ * Immutable.
+ */
+final class WatchPlan {
+
+    private final FleetConfiguration configuration;
+    private final List<EntryVm> live;
+    private final ImmutableList<EntryVm> peers;
+    private final ImmutableMap<String, String> peerFailureDomains;
+    private final ProposerRanking ranking;
+    private final ImmutableMap<String, Integer> ranks;
+    private final ImmutableMap<String, Database> databases;
+    private final Set<String> takenOutFailureDomains;
+    private final String failureDomain;
+
+    private WatchPlan(FleetConfiguration configuration, List<EntryVm> live, String entryVm, String failureDomain) {
+        this.configuration = configuration;
+        this.live = live;
+        this.failureDomain = failureDomain;
+        this.peers =
+                live.stream().filter(peer -> !peer.name().equals(entryVm)).collect(ImmutableList.toImmutableList());
+        this.peerFailureDomains =
+                peers.stream().collect(ImmutableMap.toImmutableMap(EntryVm::name, EntryVm::failureDomain));
+        this.ranking = ProposerRanking.of(eligible(live, entryVm, failureDomain));
+        this.databases = configuration.services().stream()
+                .map(Service::databases)
+                .flatMap(List::stream)
+                .collect(ImmutableMap.toImmutableMap(Database::name, database -> database));
+        this.ranks = rank(databases.keySet(), ranking, entryVm);
+        this.takenOutFailureDomains = configuration.failureDomains().stream()
+                .filter(FailureDomain::takenOut)
+                .map(FailureDomain::name)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    static WatchPlan of(FleetConfiguration configuration, List<EntryVm> live, String entryVm, String failureDomain) {
+        return new WatchPlan(configuration, ImmutableList.copyOf(live), entryVm, failureDomain);
+    }
+
+    private static Map<String, String> eligible(List<EntryVm> live, String entryVm, String failureDomain) {
+        Map<String, String> eligible = new HashMap<>();
+        for (EntryVm peer : live) {
+            if (!peer.leaving()) {
+                eligible.put(peer.name(), peer.failureDomain());
+            }
+        }
+        if (eligible.isEmpty()) {
+            eligible.put(entryVm, failureDomain);
+        }
+        return new TreeMap<>(eligible);
+    }
+
+    private static ImmutableMap<String, Integer> rank(
+            Iterable<String> databases, ProposerRanking ranking, String entryVm) {
+        ImmutableMap.Builder<String, Integer> ranks = ImmutableMap.builder();
+        for (String database : databases) {
+            int rank = ranking.rank(database, entryVm);
+            if (rank >= 0) {
+                ranks.put(database, rank);
+            }
+        }
+        return ranks.buildOrThrow();
+    }
+
+    boolean isFor(FleetConfiguration current, List<EntryVm> currentLive) {
+        return configuration == current && live.equals(currentLive);
+    }
+
+    /** Returns the ranks of this daemon, by the name of the database; a database without a rank is absent. */
+    ImmutableMap<String, Integer> ranks() {
+        return ranks;
+    }
+
+    ImmutableMap<String, Database> databases() {
+        return databases;
+    }
+
+    List<EntryVm> peers() {
+        return peers;
+    }
+
+    Set<String> takenOutFailureDomains() {
+        return takenOutFailureDomains;
+    }
+
+    ProposerPosition position(int rank) {
+        return new ProposerPosition(rank, failureDomain, peerFailureDomains);
+    }
+
+    /** Returns the peers that are candidates for a database. */
+    List<EntryVm> candidatePeers(String database) {
+        List<String> candidates = ranking.candidates(database);
+        return peers.stream().filter(peer -> candidates.contains(peer.name())).toList();
+    }
+}
