Add peer links over Netty

The daemons need one bounded way to reach each other. A link keeps one connection for each peer, opened when first needed; a failed attempt is followed by a growing delay during which requests fail at once as not sent. Open connections can go silent for good while new ones work, so a connection on which a request timed out and nothing arrived since it was written is retired, and the next request opens a new one. Ruled out: a pool (one connection multiplexes by correlation id) and blocking sends.

Test: NettyPeerMessengerTest, 11 tests green. With the retirement disabled requestAfterSilenceUsesNewConnection failed; restored. Not tested yet: mutual TLS with real certificates.

--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/peer/NettyPeerMessenger.java
@@ -0,0 +1,279 @@
+package org.banyanhook.daemon.peer;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.net.HostAndPort;
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.ssl.SslContext;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.banyanhook.protocol.generated.PeerEnvelope;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Peer links over Netty: length-prefixed protobuf envelopes on one connection to each peer, optionally with TLS.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class NettyPeerMessenger implements PeerMessenger, AutoCloseable {
+
+    private static final Logger LOGGER = LogManager.getLogger(NettyPeerMessenger.class);
+    private static final long SHUTDOWN_TIMEOUT_MILLIS = 2_000;
+    private static final int MAXIMUM_CONCURRENT_REQUESTS = 1_024;
+
+    private final String entryVm;
+    private final String failureDomain;
+    private final int maximumFrameBytes;
+    private final int maximumOutstanding;
+    private final Map<PeerEnvelope.BodyCase, PeerHandler> handlers = new ConcurrentHashMap<>();
+    private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
+    private final AtomicLong lastCorrelationId = new AtomicLong();
+    private final EventLoopGroup eventLoops;
+    private final Bootstrap clientBootstrap;
+    private final ServerBootstrap serverBootstrap;
+    private final InetSocketAddress listenAddress;
+    private final Counter failedRequests;
+    private @Nullable Channel serverChannel;
+
+    private NettyPeerMessenger(Builder builder) {
+        this.entryVm = builder.entryVm;
+        this.failureDomain = builder.failureDomain;
+        this.maximumFrameBytes = builder.maximumFrameBytes;
+        this.maximumOutstanding = builder.maximumOutstanding;
+        this.listenAddress = builder.listenAddress;
+        this.failedRequests = builder.meterRegistry.counter("banyanhook.peer.failed.requests");
+        this.eventLoops = new MultiThreadIoEventLoopGroup(builder.threads, NioIoHandler.newFactory());
+        WriteBufferWaterMark writeBuffer =
+                new WriteBufferWaterMark(builder.writeBufferBytes / 2, builder.writeBufferBytes);
+        this.clientBootstrap = new Bootstrap()
+                .group(eventLoops)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) builder.connectTimeout.toMillis())
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, writeBuffer)
+                .handler(new PeerPipeline(builder.clientSslContext, maximumFrameBytes, PeerChannelHandler::new));
+        this.serverBootstrap = new ServerBootstrap()
+                .group(eventLoops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, writeBuffer)
+                .childHandler(new PeerPipeline(
+                        builder.serverSslContext,
+                        maximumFrameBytes,
+                        () -> new PeerServerHandler(handlers, this::withSender, MAXIMUM_CONCURRENT_REQUESTS)));
+    }
+
+    /**
+     * Starts the description of a messenger.
+     *
+     * @param entryVm the name of this entry VM
+     * @param failureDomain the failure domain of this entry VM
+     * @return a new builder
+     */
+    public static Builder builder(String entryVm, String failureDomain) {
+        return new Builder(entryVm, failureDomain);
+    }
+
+    /**
+     * Opens the port for peers. Register the handlers first.
+     *
+     * @return the address listened on
+     * @throws IOException if the port cannot be opened
+     */
+    public InetSocketAddress start() throws IOException {
+        var binding = serverBootstrap.bind(listenAddress).awaitUninterruptibly();
+        if (!binding.isSuccess()) {
+            throw new IOException(
+                    "cannot listen on " + listenAddress + "; set a free peer port", requireNonNull(binding.cause()));
+        }
+        Channel channel = binding.channel();
+        serverChannel = channel;
+        LOGGER.info("listening for peers on {}", channel.localAddress());
+        return (InetSocketAddress) channel.localAddress();
+    }
+
+    @Override
+    public CompletableFuture<PeerEnvelope> request(String peerAddress, PeerEnvelope body, Duration timeout) {
+        requireNonNull(body, "body");
+        checkArgument(!timeout.isNegative() && !timeout.isZero(), "timeout must be positive, was %s", timeout);
+        PeerEnvelope envelope = body.toBuilder()
+                .setCorrelationId(lastCorrelationId.incrementAndGet())
+                .build();
+        CompletableFuture<PeerEnvelope> reply = sendChecked(peerAddress, envelope, timeout);
+        reply.whenComplete((message, failure) -> {
+            if (failure != null) {
+                failedRequests.increment();
+            }
+        });
+        return reply;
+    }
+
+    @Override
+    public void send(String peerAddress, PeerEnvelope body) {
+        requireNonNull(body, "body");
+        CompletableFuture<PeerEnvelope> unused = sendChecked(
+                        peerAddress, body.toBuilder().setCorrelationId(0).build(), Duration.ZERO)
+                .whenComplete((reply, failure) -> LOGGER.debug("lost a one-way message", failure));
+    }
+
+    @Override
+    public void handle(PeerEnvelope.BodyCase kind, PeerHandler handler) {
+        handlers.put(requireNonNull(kind, "kind"), requireNonNull(handler, "handler"));
+    }
+
+    /** Closes all connections and the port; outstanding requests fail. */
+    @Override
+    public void close() {
+        Channel channel = serverChannel;
+        if (channel != null) {
+            channel.close().awaitUninterruptibly(SHUTDOWN_TIMEOUT_MILLIS);
+        }
+        links.values().forEach(PeerLink::close);
+        eventLoops
+                .shutdownGracefully(0, SHUTDOWN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .awaitUninterruptibly(SHUTDOWN_TIMEOUT_MILLIS);
+    }
+
+    private CompletableFuture<PeerEnvelope> sendChecked(String peerAddress, PeerEnvelope envelope, Duration timeout) {
+        PeerEnvelope complete = withSender(envelope);
+        if (complete.getSerializedSize() > maximumFrameBytes) {
+            return CompletableFuture.failedFuture(new PeerException(
+                    "a message of " + complete.getSerializedSize() + " bytes is over the limit of " + maximumFrameBytes
+                            + "; send a smaller one",
+                    false));
+        }
+        try {
+            return links.computeIfAbsent(peerAddress, this::newLink).send(complete, timeout);
+        } catch (IllegalArgumentException | IllegalStateException exception) {
+            return CompletableFuture.failedFuture(
+                    new PeerException("no link to '" + peerAddress + "': " + exception.getMessage(), false));
+        }
+    }
+
+    private PeerEnvelope withSender(PeerEnvelope envelope) {
+        return envelope.toBuilder()
+                .setSenderEntryVm(entryVm)
+                .setSenderFailureDomain(failureDomain)
+                .build();
+    }
+
+    private PeerLink newLink(String peerAddress) {
+        HostAndPort parsed = HostAndPort.fromString(peerAddress);
+        InetSocketAddress socketAddress = new InetSocketAddress(parsed.getHost(), parsed.getPort());
+        return new PeerLink(peerAddress, socketAddress, eventLoops.next(), clientBootstrap, maximumOutstanding);
+    }
+
+    /** Builds a {@link NettyPeerMessenger}. Not safe for use by several threads. */
+    public static final class Builder {
+        private static final int DEFAULT_THREADS = 2;
+        private static final int DEFAULT_MAXIMUM_FRAME_BYTES = 8 << 20;
+        private static final int DEFAULT_WRITE_BUFFER_BYTES = 16 << 20;
+        private static final int DEFAULT_MAXIMUM_OUTSTANDING = 1_024;
+        private static final Duration DEFAULT_CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+        private final String entryVm;
+        private final String failureDomain;
+        private InetSocketAddress listenAddress = new InetSocketAddress("127.0.0.1", 0);
+        private Supplier<@Nullable SslContext> clientSslContext = () -> null;
+        private Supplier<@Nullable SslContext> serverSslContext = () -> null;
+        private int threads = DEFAULT_THREADS;
+        private int maximumFrameBytes = DEFAULT_MAXIMUM_FRAME_BYTES;
+        private int writeBufferBytes = DEFAULT_WRITE_BUFFER_BYTES;
+        private int maximumOutstanding = DEFAULT_MAXIMUM_OUTSTANDING;
+        private Duration connectTimeout = DEFAULT_CONNECT_TIMEOUT;
+        private MeterRegistry meterRegistry = new SimpleMeterRegistry();
+
+        private Builder(String entryVm, String failureDomain) {
+            this.entryVm = requireNonNull(entryVm, "entryVm");
+            this.failureDomain = requireNonNull(failureDomain, "failureDomain");
+        }
+
+        /** Sets the address to listen on; port 0 takes a free one. */
+        public Builder listenAddress(InetSocketAddress value) {
+            this.listenAddress = requireNonNull(value, "listenAddress");
+            return this;
+        }
+
+        /**
+         * Sets where each new connection gets its TLS context from, so that keys can be replaced at runtime.
+         *
+         * @param client gives the context of outgoing connections, or null for plain TCP
+         * @param server gives the context of incoming connections, or null for plain TCP
+         * @return this builder
+         */
+        public Builder sslContexts(Supplier<@Nullable SslContext> client, Supplier<@Nullable SslContext> server) {
+            this.clientSslContext = requireNonNull(client, "client");
+            this.serverSslContext = requireNonNull(server, "server");
+            return this;
+        }
+
+        /** Sets the number of network threads. */
+        public Builder threads(int value) {
+            checkArgument(value > 0, "threads must be positive, was %s", value);
+            this.threads = value;
+            return this;
+        }
+
+        /** Sets the largest frame in bytes, sent or accepted. */
+        public Builder maximumFrameBytes(int value) {
+            checkArgument(value > 0, "maximumFrameBytes must be positive, was %s", value);
+            this.maximumFrameBytes = value;
+            return this;
+        }
+
+        /** Sets how many bytes may wait to be written on a connection before requests on it fail. */
+        public Builder writeBufferBytes(int value) {
+            checkArgument(value > 1, "writeBufferBytes must be over 1, was %s", value);
+            this.writeBufferBytes = value;
+            return this;
+        }
+
+        /** Sets how many requests to one peer may be outstanding. */
+        public Builder maximumOutstanding(int value) {
+            checkArgument(value > 0, "maximumOutstanding must be positive, was %s", value);
+            this.maximumOutstanding = value;
+            return this;
+        }
+
+        /** Sets how long opening a connection may take. */
+        public Builder connectTimeout(Duration value) {
+            checkArgument(value.toMillis() > 0, "connectTimeout must be at least 1 ms, was %s", value);
+            this.connectTimeout = value;
+            return this;
+        }
+
+        /** Sets where metrics are registered. */
+        public Builder meterRegistry(MeterRegistry value) {
+            this.meterRegistry = requireNonNull(value, "meterRegistry");
+            return this;
+        }
+
+        /** Creates the messenger, not yet listening. */
+        public NettyPeerMessenger build() {
+            return new NettyPeerMessenger(this);
+        }
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/peer/PeerChannelHandler.java
@@ -0,0 +1,118 @@
+package org.banyanhook.daemon.peer;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleStateEvent;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.banyanhook.protocol.generated.PeerEnvelope;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Matches the replies of one outgoing connection to their requests. Used on the connection's event loop only.
+ *
+ * <p>A retired connection takes no new request and closes itself when its last request has ended. An idle one closes.
+ */
+final class PeerChannelHandler extends SimpleChannelInboundHandler<PeerEnvelope> {
+
+    private static final Logger LOGGER = LogManager.getLogger(PeerChannelHandler.class);
+
+    private final Map<Long, PendingRequest> outstanding = new HashMap<>();
+    private @Nullable Channel channel;
+    private boolean retired;
+    private long lastReadNanos = System.nanoTime();
+
+    /** Returns whether a request can be written without growing the write buffer over its limit. */
+    boolean isWritable() {
+        return channel != null && channel.isActive() && channel.isWritable() && !retired;
+    }
+
+    /** Returns whether anything was received after a moment of {@link System#nanoTime()}. */
+    boolean receivedSince(long nanos) {
+        return lastReadNanos - nanos > 0;
+    }
+
+    void write(PendingRequest request) {
+        Channel open = channel;
+        if (open == null) {
+            request.fail("the connection is not open");
+            return;
+        }
+        if (request.expectsReply()) {
+            outstanding.put(request.correlationId(), request);
+        }
+        request.markWritten(this);
+        open.writeAndFlush(request.envelope()).addListener(written -> {
+            if (!written.isSuccess()) {
+                end(request);
+                request.fail("writing failed: " + written.cause());
+            }
+        });
+    }
+
+    void end(PendingRequest request) {
+        outstanding.remove(request.correlationId(), request);
+        closeIfRetired();
+    }
+
+    void retire() {
+        retired = true;
+        closeIfRetired();
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext channelContext) {
+        channel = channelContext.channel();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext channelContext, PeerEnvelope message) {
+        lastReadNanos = System.nanoTime();
+        PendingRequest request = outstanding.remove(message.getCorrelationId());
+        if (request == null || !message.getReply()) {
+            LOGGER.debug("dropped a reply of {} to no outstanding request", message.getSenderEntryVm());
+            return;
+        }
+        request.complete(message);
+        closeIfRetired();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext channelContext) {
+        failAll("the connection was closed");
+        channelContext.fireChannelInactive();
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext channelContext, Object event) {
+        if (event instanceof IdleStateEvent && outstanding.isEmpty()) {
+            channelContext.close();
+        }
+        channelContext.fireUserEventTriggered(event);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext channelContext, Throwable cause) {
+        LOGGER.warn(
+                "closing the peer connection to {}: {}",
+                channelContext.channel().remoteAddress(),
+                cause.toString());
+        channelContext.close();
+    }
+
+    private void failAll(String reason) {
+        List<PendingRequest> requests = List.copyOf(outstanding.values());
+        outstanding.clear();
+        requests.forEach(request -> request.fail(reason));
+    }
+
+    private void closeIfRetired() {
+        if (retired && outstanding.isEmpty() && channel != null) {
+            channel.close();
+        }
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/peer/PeerLink.java
@@ -0,0 +1,206 @@
+package org.banyanhook.daemon.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.handler.ssl.SslHandler;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.banyanhook.protocol.generated.PeerEnvelope;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The outgoing link to one peer: at most one connection in use, opened when first needed.
+ *
+ * <p>After a failed connection attempt, requests fail at once until a growing delay has passed. A connection on which a
+ * request timed out and nothing arrived meanwhile is retired: later requests open a new one. State is kept on one event
+ * loop; {@link #send} is safe for use by several threads.
+ */
+final class PeerLink {
+
+    private static final Logger LOGGER = LogManager.getLogger(PeerLink.class);
+    private static final long MINIMUM_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    private static final long MAXIMUM_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    private final String peerAddress;
+    private final InetSocketAddress socketAddress;
+    private final EventLoop eventLoop;
+    private final Bootstrap bootstrap;
+    private final int maximumOutstanding;
+    private final AtomicInteger outstanding = new AtomicInteger();
+    private final Deque<PendingRequest> waitingForConnection = new ArrayDeque<>();
+    private @Nullable PeerChannelHandler current;
+    private boolean connecting;
+    private boolean closed;
+    private long backoffNanos;
+    private long nextAttemptNanos = System.nanoTime();
+
+    PeerLink(
+            String peerAddress,
+            InetSocketAddress socketAddress,
+            EventLoop eventLoop,
+            Bootstrap bootstrap,
+            int maximumOutstanding) {
+        this.peerAddress = peerAddress;
+        this.socketAddress = socketAddress;
+        this.eventLoop = eventLoop;
+        this.bootstrap = bootstrap.clone(eventLoop);
+        this.maximumOutstanding = maximumOutstanding;
+    }
+
+    /**
+     * Sends a message.
+     *
+     * @param envelope the complete envelope; one with correlation id 0 gets no reply and its future completes never
+     * @param timeout how long to wait for the reply
+     * @return the reply, as {@link PeerMessenger#request} describes
+     */
+    CompletableFuture<PeerEnvelope> send(PeerEnvelope envelope, Duration timeout) {
+        PendingRequest request = new PendingRequest(peerAddress, envelope);
+        if (outstanding.incrementAndGet() > maximumOutstanding) {
+            outstanding.decrementAndGet();
+            request.fail(maximumOutstanding + " messages are outstanding already");
+            return request.reply();
+        }
+        eventLoop.execute(() -> start(request, timeout));
+        return request.reply();
+    }
+
+    void close() {
+        eventLoop.execute(() -> {
+            closed = true;
+            failWaiting("the messenger was closed");
+            if (current != null) {
+                current.retire();
+            }
+        });
+    }
+
+    private void start(PendingRequest request, Duration timeout) {
+        if (request.expectsReply()) {
+            var timer = eventLoop.schedule(() -> expire(request, timeout), timeout.toNanos(), TimeUnit.NANOSECONDS);
+            request.reply().whenComplete((reply, failure) -> timer.cancel(false));
+            request.reply().whenComplete((reply, failure) -> outstanding.decrementAndGet());
+        }
+        dispatch(request);
+        if (!request.expectsReply()) {
+            outstanding.decrementAndGet();
+        }
+    }
+
+    private void dispatch(PendingRequest request) {
+        PeerChannelHandler handler = current;
+        if (closed) {
+            request.fail("the messenger was closed");
+        } else if (handler != null) {
+            writeIfRoom(handler, request);
+        } else if (System.nanoTime() - nextAttemptNanos < 0) {
+            request.fail("unreachable at the last attempt; not tried again yet");
+        } else if (waitingForConnection.size() >= maximumOutstanding) {
+            request.fail("too many messages wait for the connection");
+        } else {
+            waitingForConnection.add(request);
+            connect();
+        }
+    }
+
+    private static void writeIfRoom(PeerChannelHandler handler, PendingRequest request) {
+        if (handler.isWritable()) {
+            handler.write(request);
+        } else {
+            request.fail("the write buffer is full");
+        }
+    }
+
+    private void expire(PendingRequest request, Duration timeout) {
+        if (request.reply().isDone()) {
+            return;
+        }
+        waitingForConnection.remove(request);
+        request.fail("no reply within " + timeout.toMillis() + " ms");
+        PeerChannelHandler connection = request.connection();
+        if (connection == null) {
+            return;
+        }
+        connection.end(request);
+        if (connection == current && !connection.receivedSince(request.writtenNanos())) {
+            LOGGER.info("retired the connection to {}: nothing arrived for {} ms", peerAddress, timeout.toMillis());
+            current = null;
+            connection.retire();
+        }
+    }
+
+    private void connect() {
+        if (connecting) {
+            return;
+        }
+        connecting = true;
+        ChannelFuture attempt = bootstrap.connect(socketAddress);
+        attempt.addListener(connected -> {
+            if (connected.isSuccess()) {
+                awaitHandshake(attempt.channel());
+            } else {
+                connectionFailed(String.valueOf(connected.cause()));
+            }
+        });
+    }
+
+    private void awaitHandshake(Channel channel) {
+        SslHandler sslHandler = channel.pipeline().get(SslHandler.class);
+        if (sslHandler == null) {
+            connectionReady(channel);
+            return;
+        }
+        sslHandler.handshakeFuture().addListener(handshake -> {
+            if (handshake.isSuccess()) {
+                connectionReady(channel);
+            } else {
+                channel.close();
+                connectionFailed("TLS handshake failed: " + handshake.cause());
+            }
+        });
+    }
+
+    private void connectionReady(Channel channel) {
+        connecting = false;
+        backoffNanos = 0;
+        PeerChannelHandler handler = channel.pipeline().get(PeerChannelHandler.class);
+        if (closed || handler == null) {
+            channel.close();
+            failWaiting("the connection was closed");
+            return;
+        }
+        current = handler;
+        channel.closeFuture().addListener(ended -> forget(handler));
+        while (!waitingForConnection.isEmpty()) {
+            writeIfRoom(handler, waitingForConnection.remove());
+        }
+    }
+
+    private void connectionFailed(String reason) {
+        connecting = false;
+        backoffNanos = Math.min(MAXIMUM_BACKOFF_NANOS, Math.max(MINIMUM_BACKOFF_NANOS, backoffNanos * 2));
+        nextAttemptNanos = System.nanoTime() + backoffNanos;
+        failWaiting("not reachable: " + reason);
+    }
+
+    private void forget(PeerChannelHandler handler) {
+        if (current == handler) {
+            current = null;
+        }
+    }
+
+    private void failWaiting(String reason) {
+        while (!waitingForConnection.isEmpty()) {
+            waitingForConnection.remove().fail(reason);
+        }
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/peer/PendingRequest.java
@@ -0,0 +1,64 @@
+package org.banyanhook.daemon.peer;
+
+import java.util.concurrent.CompletableFuture;
+import org.banyanhook.protocol.generated.PeerEnvelope;
+import org.jspecify.annotations.Nullable;
+
+/** A message on its way to a peer. Used on the event loop of its link, but for the future. */
+final class PendingRequest {
+
+    private final String peerAddress;
+    private final PeerEnvelope envelope;
+    private final CompletableFuture<PeerEnvelope> reply = new CompletableFuture<>();
+    private @Nullable PeerChannelHandler connection;
+    private long writtenNanos;
+
+    PendingRequest(String peerAddress, PeerEnvelope envelope) {
+        this.peerAddress = peerAddress;
+        this.envelope = envelope;
+    }
+
+    PeerEnvelope envelope() {
+        return envelope;
+    }
+
+    long correlationId() {
+        return envelope.getCorrelationId();
+    }
+
+    boolean expectsReply() {
+        return envelope.getCorrelationId() != 0;
+    }
+
+    CompletableFuture<PeerEnvelope> reply() {
+        return reply;
+    }
+
+    /** Returns the connection that it was written to, or null if it was not written. */
+    @Nullable
+    PeerChannelHandler connection() {
+        return connection;
+    }
+
+    long writtenNanos() {
+        return writtenNanos;
+    }
+
+    void markWritten(PeerChannelHandler handler) {
+        connection = handler;
+        writtenNanos = System.nanoTime();
+    }
+
+    void complete(PeerEnvelope message) {
+        if (message.hasFailure()) {
+            reply.completeExceptionally(PeerFailures.toRefusal(message.getFailure()));
+        } else {
+            reply.complete(message);
+        }
+    }
+
+    void fail(String reason) {
+        reply.completeExceptionally(new PeerException(
+                "peer " + peerAddress + ": " + reason + "; retry or use another peer", connection != null));
+    }
+}
