--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/membership/ProbeRing.java
@@ -0,0 +1,55 @@
+package org.banyanhook.core.membership;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * The members that one member probes: those that follow it in the order of the hashes of their names.
+ *
+ * <p>The number of connections of a member stays bounded while the fleet grows, and every member is probed by as many
+ * as it probes. Not safe for use by several threads.
+ */
+final class ProbeRing {
+
+    private static final int SUCCESSORS = 16;
+
+    private final TreeMap<Long, String> names = new TreeMap<>();
+    private final long ownHash;
+
+    ProbeRing(String ownName) {
+        this.ownHash = hash(ownName);
+    }
+
+    void add(String name) {
+        names.put(hash(name), name);
+    }
+
+    void remove(String name) {
+        names.remove(hash(name), name);
+    }
+
+    /** Returns the members to probe, the nearest first. */
+    List<String> successors() {
+        List<String> result = new ArrayList<>(SUCCESSORS);
+        addUntilFull(result, names.tailMap(ownHash, false));
+        addUntilFull(result, names.headMap(ownHash, false));
+        return result;
+    }
+
+    private static void addUntilFull(List<String> result, Map<Long, String> part) {
+        for (String name : part.values()) {
+            if (result.size() >= SUCCESSORS) {
+                return;
+            }
+            result.add(name);
+        }
+    }
+
+    private static long hash(String name) {
+        return Hashing.murmur3_128().hashString(name, StandardCharsets.UTF_8).asLong();
+    }
+}
