Add the settings of a daemon, checked against a schema and for meaning

Cause: a daemon learns its addresses and failure domain from its settings, and operators need to hear at once which line is wrong. Ruled out: checking by binding alone, which names neither all errors nor the remedy; a schema alone, which cannot tell ports used twice or missing files. Change: DaemonSettings and its parts as records, SettingsLoader (YAML, schema, meaning, defaults), SettingsException with one SettingsError for each fault: file and line, path, value, remedy. Unknown keys and keys given twice are refused.

--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/key/package-info.java
@@ -0,0 +1,5 @@
+/** Granted and withdrawn keys of client accounts. */
+@NullMarked
+package org.banyanhook.core.key;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/settings/PeerTlsSettings.java
@@ -0,0 +1,10 @@
+package org.banyanhook.daemon.settings;
+
+/**
+ * The certificates by which daemons authenticate each other.
+ *
+ * @param certificateChain the path of a PEM file with the certificate chain
+ * @param privateKey the path of a PEM file with the private key in PKCS #8
+ * @param trustedCertificates the path of a PEM file with the certificates that sign those of peers
+ */
+public record PeerTlsSettings(String certificateChain, String privateKey, String trustedCertificates) {}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/settings/ServerTlsSettings.java
@@ -0,0 +1,9 @@
+package org.banyanhook.daemon.settings;
+
+/**
+ * The certificate that a server shows.
+ *
+ * @param certificateChain the path of a PEM file with the certificate chain
+ * @param privateKey the path of a PEM file with the private key in PKCS #8
+ */
+public record ServerTlsSettings(String certificateChain, String privateKey) {}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/settings/SettingsChecks.java
@@ -0,0 +1,93 @@
+package org.banyanhook.daemon.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Checks the meaning of settings whose form is right. Not safe for use by several threads. */
+final class SettingsChecks {
+
+    private static final String ADDRESS_REMEDY = "write an IP number and port, as in 127.0.0.1:9000";
+    private static final int ANY_FREE_PORT = 0;
+
+    private final String file;
+    private final JsonNode settings;
+    private final YamlLines lines;
+    private final List<SettingsError> errors = new ArrayList<>();
+
+    SettingsChecks(String file, JsonNode settings, YamlLines lines) {
+        this.file = file;
+        this.settings = settings;
+        this.lines = lines;
+    }
+
+    List<SettingsError> run() {
+        checkAddresses();
+        checkDistinctPorts();
+        checkOperatorNames();
+        checkFiles("/callers/tls");
+        checkFiles("/peers/tls");
+        return errors;
+    }
+
+    private void checkAddresses() {
+        checkAddress("/callers/address", true);
+        checkAddress("/administration/address", true);
+        checkAddress("/peers/address", false);
+        checkAddress("/platform/address", false);
+        for (int index = 0; index < settings.at("/peers/seeds").size(); index++) {
+            checkAddress("/peers/seeds/" + index, false);
+        }
+    }
+
+    private void checkAddress(String path, boolean freePortAllowed) {
+        String address = settings.at(path).asText();
+        if (!Addresses.isValid(address)) {
+            report(path, "not an IP number and port", ADDRESS_REMEDY);
+            return;
+        }
+        if (!freePortAllowed && Addresses.parse(address).getPort() == ANY_FREE_PORT) {
+            report(path, "others connect to this port, so it must be fixed", "write a port from 1 to 65535");
+        }
+    }
+
+    private void checkDistinctPorts() {
+        Set<String> seen = new HashSet<>();
+        for (String path : List.of("/callers/address", "/peers/address", "/administration/address")) {
+            String address = settings.at(path).asText();
+            boolean fixedPort =
+                    Addresses.isValid(address) && Addresses.parse(address).getPort() != ANY_FREE_PORT;
+            if (fixedPort && !seen.add(address)) {
+                report(path, "another setting listens on the same address", "write another port");
+            }
+        }
+    }
+
+    private void checkOperatorNames() {
+        Set<String> seen = new HashSet<>();
+        JsonNode keys = settings.at("/administration/operatorKeys");
+        for (int index = 0; index < keys.size(); index++) {
+            String path = "/administration/operatorKeys/" + index + "/name";
+            if (!seen.add(settings.at(path).asText())) {
+                report(path, "another operator key has the same name", "write a name of its own");
+            }
+        }
+    }
+
+    private void checkFiles(String path) {
+        for (JsonNode name : settings.at(path)) {
+            if (!Files.isReadable(Path.of(name.asText()))) {
+                report(path, "cannot read the file " + name.asText(), "write the path of a readable PEM file");
+            }
+        }
+    }
+
+    private void report(String path, String problem, String remedy) {
+        String value = SettingsSchema.shownValue(settings, path);
+        errors.add(new SettingsError(file, lines.lineOf(path), path, value, problem, remedy));
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/settings/SettingsLoader.java
@@ -0,0 +1,96 @@
+package org.banyanhook.daemon.settings;
+
+import com.fasterxml.jackson.core.JacksonException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import com.google.common.io.Resources;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/** Reads the settings of a daemon from a YAML file and checks them. Safe for use by several threads. */
+public final class SettingsLoader {
+
+    private static final String DEFAULTS_RESOURCE = "settings-defaults.yaml";
+
+    private final YAMLFactory factory = YAMLFactory.builder()
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .build();
+    private final YAMLMapper mapper = YAMLMapper.builder(factory)
+            .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
+            .build();
+    private final SettingsSchema schema = new SettingsSchema();
+
+    /**
+     * Reads and checks a settings file.
+     *
+     * @param path the path of the file
+     * @return the settings, with defaults filled in
+     * @throws SettingsException if the file cannot be read or any value cannot be used; names all errors found
+     */
+    public DaemonSettings load(Path path) throws SettingsException {
+        try {
+            return parse(path.toString(), Files.readString(path));
+        } catch (IOException exception) {
+            String problem = "the file cannot be read (" + exception.getClass().getSimpleName() + ")";
+            throw wholeFile(path.toString(), 0, problem, "name a readable UTF-8 file with --settings");
+        }
+    }
+
+    /**
+     * Reads and checks the text of a settings file.
+     *
+     * @param file the name of the file, used in messages
+     * @param text its text
+     * @return the settings, with defaults filled in
+     * @throws SettingsException if any value cannot be used; names all errors found
+     */
+    public DaemonSettings parse(String file, String text) throws SettingsException {
+        try {
+            JsonNode given = mapper.readTree(text);
+            YamlLines lines = YamlLines.of(factory, text);
+            failIfAny(schema.check(file, given, lines));
+            failIfAny(new SettingsChecks(file, given, lines).run());
+            return bind(given);
+        } catch (JacksonException exception) {
+            int line = exception.getLocation() == null
+                    ? 0
+                    : exception.getLocation().getLineNr();
+            throw wholeFile(file, line, exception.getOriginalMessage(), "write valid YAML, each key once");
+        } catch (IOException exception) {
+            throw new UncheckedIOException("reading from memory failed", exception);
+        }
+    }
+
+    private DaemonSettings bind(JsonNode given) throws IOException {
+        JsonNode defaults = mapper.readTree(Resources.getResource(SettingsLoader.class, DEFAULTS_RESOURCE));
+        return mapper.treeToValue(merge((ObjectNode) defaults, (ObjectNode) given), DaemonSettings.class);
+    }
+
+    private static ObjectNode merge(ObjectNode defaults, ObjectNode given) {
+        ObjectNode merged = defaults.deepCopy();
+        given.properties().forEach(entry -> {
+            JsonNode below = merged.get(entry.getKey());
+            boolean both = below instanceof ObjectNode && entry.getValue() instanceof ObjectNode;
+            JsonNode value = both ? merge((ObjectNode) below, (ObjectNode) entry.getValue()) : entry.getValue();
+            merged.set(entry.getKey(), value);
+        });
+        return merged;
+    }
+
+    private static void failIfAny(List<SettingsError> errors) throws SettingsException {
+        if (!errors.isEmpty()) {
+            throw new SettingsException(errors);
+        }
+    }
+
+    private static SettingsException wholeFile(String file, int line, String problem, String remedy) {
+        return new SettingsException(List.of(new SettingsError(file, line, "", "", problem, remedy)));
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/settings/YamlLines.java
@@ -0,0 +1,42 @@
+package org.banyanhook.daemon.settings;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+
+/** The line of each value of a YAML text. Immutable. */
+final class YamlLines {
+
+    private final Map<String, Integer> linesByPath;
+
+    private YamlLines(Map<String, Integer> linesByPath) {
+        this.linesByPath = linesByPath;
+    }
+
+    static YamlLines of(YAMLFactory factory, String text) throws IOException {
+        Map<String, Integer> lines = new HashMap<>();
+        try (JsonParser parser = factory.createParser(text)) {
+            for (JsonToken token = parser.nextToken(); token != null; token = parser.nextToken()) {
+                String path = parser.getParsingContext().pathAsPointer().toString();
+                lines.putIfAbsent(path, parser.currentTokenLocation().getLineNr());
+            }
+        }
+        return new YamlLines(lines);
+    }
+
+    /** Returns the line of a value, or of the nearest value around it that the text holds, counted from 1. */
+    int lineOf(String path) {
+        String candidate = path;
+        while (!candidate.isEmpty()) {
+            Integer line = linesByPath.get(candidate);
+            if (line != null) {
+                return line;
+            }
+            candidate = candidate.substring(0, candidate.lastIndexOf('/'));
+        }
+        return 1;
+    }
+}
