Add the configuration codec and the first configuration controller

Ruled out: binding records with Jackson (a kind of route that a newer daemon knows would fail the whole document); writing the known part only (drops unknown fields); every daemon watching the platform (2,200 waiting calls of about 2,000 reads a second). Change: ConfigurationCodec reads what it knows, keeps the tree, and writes a change as the difference of the known trees applied to the kept one. ConfigurationState never goes below the highest version seen and only adds withdrawals. ConfigurationController watches the platform if WatcherElection chose this entry VM (two in a failure domain), answers and asks peers, and announces news along SpreadTree (four children each; the children of an entry VM that does not answer are told directly; two entrances of every other domain). FleetConfiguration gains drainedEntryVms and a history of applied commands in place of ids alone, so that conflicts can be told; the constructor with seven parameters stays.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/configuration/FleetConfiguration.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/configuration/FleetConfiguration.java
@@ -15,7 +15,8 @@
  * @param services all services
  * @param withdrawnKeyHashes hashes of withdrawn keys; only ever grows
  * @param sessionSecrets secrets for session tokens, the newest first
- * @param recentCommandIds ids of the latest commands applied, oldest first, to apply none twice
+ * @param recentCommands the latest commands applied, oldest first, to apply none twice and to find conflicts
+ * @param drainedEntryVms names of entry VMs that operators drain; they get no new work
  */
 public record FleetConfiguration(
         long version,
@@ -24,19 +25,38 @@
         List<Service> services,
         Set<String> withdrawnKeyHashes,
         List<SessionSecret> sessionSecrets,
-        List<String> recentCommandIds) {
+        List<AppliedCommand> recentCommands,
+        Set<String> drainedEntryVms) {
 
     /** The configuration of a daemon that has read none yet. */
     public static final FleetConfiguration EMPTY =
             new FleetConfiguration(0, List.of(), List.of(), List.of(), Set.of(), List.of(), List.of());
 
+    /** Creates a configuration that drains no entry VM. */
+    public FleetConfiguration(
+            long version,
+            List<FailureDomain> failureDomains,
+            List<ClientAccount> accounts,
+            List<Service> services,
+            Set<String> withdrawnKeyHashes,
+            List<SessionSecret> sessionSecrets,
+            List<AppliedCommand> recentCommands) {
+        this(version, failureDomains, accounts, services, withdrawnKeyHashes, sessionSecrets, recentCommands, Set.of());
+    }
+
     public FleetConfiguration {
         failureDomains = ImmutableList.copyOf(failureDomains);
         accounts = ImmutableList.copyOf(accounts);
         services = ImmutableList.copyOf(services);
         withdrawnKeyHashes = ImmutableSet.copyOf(withdrawnKeyHashes);
         sessionSecrets = ImmutableList.copyOf(sessionSecrets);
-        recentCommandIds = ImmutableList.copyOf(recentCommandIds);
+        recentCommands = ImmutableList.copyOf(recentCommands);
+        drainedEntryVms = ImmutableSet.copyOf(drainedEntryVms);
+    }
+
+    /** Starts a changed copy of this configuration. */
+    public FleetConfigurationBuilder toBuilder() {
+        return new FleetConfigurationBuilder(this);
     }
 
     /** Finds a service by name, or returns empty. */
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/configuration/SpreadTree.java
@@ -0,0 +1,76 @@
+package org.banyanhook.core.configuration;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * The order in which the entry VMs of one failure domain pass news on: a tree with a bounded number of children,
+ * shuffled anew by every news so that the work is spread. Immutable.
+ */
+public final class SpreadTree {
+
+    /** How many entry VMs one entry VM passes news on to. */
+    public static final int FAN_OUT = 4;
+
+    private final List<String> order;
+
+    private SpreadTree(List<String> order) {
+        this.order = order;
+    }
+
+    /**
+     * Builds a tree.
+     *
+     * @param entryVms the names of the live entry VMs of one failure domain, in any order
+     * @param news a number that stands for the news, as a version
+     * @return the tree; the same for the same arguments on every entry VM
+     */
+    public static SpreadTree of(Collection<String> entryVms, long news) {
+        Comparator<String> byRank = Comparator.comparingLong(name -> rank(name, news));
+        return new SpreadTree(entryVms.stream()
+                .sorted(byRank.thenComparing(Comparator.naturalOrder()))
+                .collect(ImmutableList.toImmutableList()));
+    }
+
+    /**
+     * Returns whom an entry VM passes news on to.
+     *
+     * @param entryVm the name of an entry VM
+     * @return its children, empty if it has none or is not in the tree
+     */
+    public List<String> children(String entryVm) {
+        int position = order.indexOf(entryVm);
+        if (position < 0) {
+            return ImmutableList.of();
+        }
+        int first = Math.min(position * FAN_OUT + 1, order.size());
+        int end = Math.min(first + FAN_OUT, order.size());
+        return order.subList(first, end);
+    }
+
+    /**
+     * Returns the first entry VMs of the tree.
+     *
+     * @param count how many, at least 1
+     * @return the root and those after it; fewer if the tree is smaller
+     */
+    public List<String> first(int count) {
+        checkArgument(count > 0, "count must be positive, was %s", count);
+        return order.subList(0, Math.min(count, order.size()));
+    }
+
+    private static long rank(String entryVm, long news) {
+        return Hashing.sipHash24()
+                .newHasher()
+                .putString(entryVm, StandardCharsets.UTF_8)
+                .putLong(news)
+                .hash()
+                .asLong();
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/configuration/ConfigurationController.java
@@ -0,0 +1,286 @@
+package org.banyanhook.daemon.configuration;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.banyanhook.core.configuration.ConfigurationState;
+import org.banyanhook.core.configuration.DocumentDecision;
+import org.banyanhook.core.configuration.FleetConfiguration;
+import org.banyanhook.core.configuration.PeerVersions;
+import org.banyanhook.core.configuration.WatcherElection;
+import org.banyanhook.daemon.duty.Duty;
+import org.banyanhook.daemon.membership.EntryVm;
+import org.banyanhook.daemon.membership.MembershipSource;
+import org.banyanhook.daemon.membership.PeerVersionListener;
+import org.banyanhook.daemon.peer.PeerMessenger;
+import org.banyanhook.daemon.platform.StoredValue;
+import org.banyanhook.protocol.generated.Acknowledgement;
+import org.banyanhook.protocol.generated.ConfigurationReply;
+import org.banyanhook.protocol.generated.ConfigurationRequest;
+import org.banyanhook.protocol.generated.KeyWithdrawal;
+import org.banyanhook.protocol.generated.PeerEnvelope;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Owns the configuration in force on this entry VM: takes it from the platform or from peers, never goes back, and
+ * passes news on. Safe for use by several threads.
+ */
+public final class ConfigurationController implements ConfigurationSource, PeerVersionListener, AutoCloseable {
+
+    private static final Logger LOGGER = LogManager.getLogger(ConfigurationController.class);
+    private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
+    private static final Duration SEEK_INTERVAL = Duration.ofMillis(300);
+
+    private final EntryVm self;
+    private final MembershipSource membership;
+    private final PeerMessenger messenger;
+    private final ImmutableList<String> seeds;
+    private final ConfigurationCodec codec = new ConfigurationCodec();
+    private final ConfigurationState state = new ConfigurationState();
+    private final PeerVersions peerVersions = new PeerVersions();
+    private final List<Consumer<FleetConfiguration>> listeners = new CopyOnWriteArrayList<>();
+    private final Duty duty;
+    private final PlatformWatch watch;
+    private final ConfigurationFetcher fetcher;
+    private final NewsSpreader spreader;
+    private FleetView fleet;
+    private long lastSeekNanos;
+    private volatile FleetConfiguration current = FleetConfiguration.EMPTY;
+    private volatile @Nullable ConfigurationDocument document;
+    private volatile long withdrawalDigest;
+    private volatile boolean started;
+
+    ConfigurationController(ConfigurationControllerBuilder builder) {
+        this.self = builder.self();
+        this.membership = builder.membership();
+        this.messenger = builder.messenger();
+        this.seeds = builder.seeds();
+        this.fleet = new FleetView(self, membership.liveEntryVms());
+        this.lastSeekNanos = System.nanoTime() - SEEK_INTERVAL.toNanos();
+        this.duty =
+                Duty.builder("configuration").tick(TICK_INTERVAL, this::tick).start();
+        this.watch = new PlatformWatch(builder.platform(), duty, this::observeStored, () -> {});
+        this.fetcher = new ConfigurationFetcher(messenger, duty, state::version, this::observeReply);
+        this.spreader = new NewsSpreader(messenger, duty, () -> fleet, self.name(), self.failureDomain());
+        builder.meterRegistry()
+                .gauge("banyanhook.configuration.version", this, controller -> controller.current.version());
+    }
+
+    /**
+     * Starts the description of a controller.
+     *
+     * @param self this entry VM
+     * @return a new builder
+     */
+    public static ConfigurationControllerBuilder builder(EntryVm self) {
+        return new ConfigurationControllerBuilder(self);
+    }
+
+    /** Registers with the messenger and begins to look for the configuration. */
+    public void start() {
+        messenger.handle(PeerEnvelope.BodyCase.CONFIGURATION_REQUEST, this::handleRequest);
+        messenger.handle(PeerEnvelope.BodyCase.KEY_WITHDRAWAL, this::handleWithdrawal);
+        started = true;
+    }
+
+    @Override
+    public FleetConfiguration current() {
+        return current;
+    }
+
+    /** Returns the document in force with all its fields, or empty before the first. */
+    public Optional<ConfigurationDocument> document() {
+        return Optional.ofNullable(document);
+    }
+
+    /** Returns a number that differs between different sets of withdrawals; heartbeats carry it. */
+    public long withdrawalDigest() {
+        return withdrawalDigest;
+    }
+
+    /**
+     * Adds a listener that learns of every change of what is in force.
+     *
+     * @param listener called on the thread of this controller; must not block
+     */
+    public void addListener(Consumer<FleetConfiguration> listener) {
+        listeners.add(requireNonNull(listener, "listener"));
+    }
+
+    /**
+     * Puts a document in force if its version is the highest seen, and passes it on.
+     *
+     * @param accepted a document that the platform accepted
+     * @return done once it is in force here
+     */
+    public CompletableFuture<DocumentDecision> adopt(ConfigurationDocument accepted) {
+        return duty.call(() -> observeDocument(accepted, "this entry VM", true));
+    }
+
+    /**
+     * Puts withdrawals in force, and passes them on.
+     *
+     * @param hashes the hashes of the keys
+     * @return done once they are in force here
+     */
+    public CompletableFuture<Void> withdraw(Set<String> hashes) {
+        return duty.call(() -> {
+            observeWithdrawals(ImmutableSet.copyOf(hashes), "an operator", true);
+            return null;
+        });
+    }
+
+    @Override
+    public void onPeerVersion(String peerAddress, long configurationVersion, long withdrawalCount) {
+        duty.submit(() -> {
+            fleet.nameAt(peerAddress).ifPresent(name -> peerVersions.note(name, configurationVersion, withdrawalCount));
+            boolean ahead = configurationVersion > state.version();
+            boolean differs = configurationVersion == state.version() && withdrawalCount != state.withdrawalDigest();
+            if (ahead || differs) {
+                fetcher.fetchFrom(peerAddress);
+            }
+        });
+    }
+
+    @Override
+    public void close() {
+        duty.close();
+    }
+
+    private void tick() {
+        if (!started) {
+            return;
+        }
+        long now = System.nanoTime();
+        fleet = new FleetView(self, membership.liveEntryVms());
+        peerVersions.retain(fleet.others());
+        if (WatcherElection.watchers(fleet.ownDomain()).contains(self.name())) {
+            watch.watchIfDue(now);
+        }
+        if (state.version() == 0) {
+            watch.readIfDue(now);
+            seekIfDue(now);
+        }
+    }
+
+    private void seekIfDue(long nowNanos) {
+        if (nowNanos - lastSeekNanos < SEEK_INTERVAL.toNanos()) {
+            return;
+        }
+        lastSeekNanos = nowNanos;
+        List<String> addresses = knownAddresses();
+        if (!addresses.isEmpty()) {
+            fetcher.fetchFrom(addresses.get(ThreadLocalRandom.current().nextInt(addresses.size())));
+        }
+    }
+
+    private List<String> knownAddresses() {
+        ImmutableSet.Builder<String> addresses = ImmutableSet.builder();
+        addresses.addAll(seeds);
+        fleet.others().forEach(name -> fleet.addressOf(name).ifPresent(addresses::add));
+        return addresses.build().stream()
+                .filter(address -> !address.equals(self.peerAddress()))
+                .toList();
+    }
+
+    private void observeStored(StoredValue value) {
+        observeText(value.value(), "the platform", true);
+    }
+
+    private void observeReply(String address, ConfigurationReply reply) {
+        fleet.nameAt(address).ifPresent(name -> peerVersions.note(name, reply.getVersion(), state.withdrawalDigest()));
+        if (!reply.getDocumentJson().isEmpty()) {
+            observeText(reply.getDocumentJson(), address, false);
+        }
+        observeWithdrawals(ImmutableSet.copyOf(reply.getWithdrawnKeyHashesList()), address, false);
+    }
+
+    private void observeText(String text, String source, boolean origin) {
+        try {
+            observeDocument(codec.decode(text), source, origin);
+        } catch (ConfigurationFormatException exception) {
+            LOGGER.error("configuration from {} not adopted: {}", source, exception.getMessage());
+        }
+    }
+
+    private DocumentDecision observeDocument(ConfigurationDocument seen, String source, boolean origin) {
+        DocumentDecision decision = state.observeDocument(seen.configuration());
+        if (decision == DocumentDecision.ADOPTED) {
+            document = seen;
+        }
+        if (decision.changesWhatIsInForce()) {
+            LOGGER.info(
+                    "configuration version {} from {}: {}, {}", seen.version(), source, decision, decision.reason());
+            publish();
+            spreader.spread(state.version(), announcement(), origin);
+        } else if (decision == DocumentDecision.DIFFERENT_CONTENT) {
+            LOGGER.warn("configuration version {} from {}: {}", seen.version(), source, decision.reason());
+        }
+        return decision;
+    }
+
+    private void observeWithdrawals(Set<String> hashes, String source, boolean origin) {
+        if (!state.observeWithdrawals(hashes)) {
+            return;
+        }
+        LOGGER.info("{} withdrawn keys from {}: in force now, passing them on", hashes.size(), source);
+        publish();
+        PeerEnvelope message = PeerEnvelope.newBuilder()
+                .setKeyWithdrawal(KeyWithdrawal.newBuilder().addAllKeyHashes(hashes))
+                .build();
+        spreader.spread(state.withdrawalDigest(), message, origin);
+    }
+
+    private void publish() {
+        FleetConfiguration effective = state.effective();
+        withdrawalDigest = state.withdrawalDigest();
+        current = effective;
+        listeners.forEach(listener -> listener.accept(effective));
+    }
+
+    private PeerEnvelope announcement() {
+        return PeerEnvelope.newBuilder()
+                .setConfigurationRequest(ConfigurationRequest.newBuilder().setKnownVersion(state.version()))
+                .build();
+    }
+
+    private CompletableFuture<PeerEnvelope> handleRequest(PeerEnvelope message) {
+        return duty.call(() -> answerRequest(message));
+    }
+
+    private PeerEnvelope answerRequest(PeerEnvelope message) {
+        long knownVersion = message.getConfigurationRequest().getKnownVersion();
+        String sender = message.getSenderEntryVm();
+        if (knownVersion > state.version()) {
+            fleet.addressOf(sender).ifPresent(fetcher::fetchFrom);
+        }
+        ConfigurationReply.Builder reply = ConfigurationReply.newBuilder().setVersion(state.version());
+        ConfigurationDocument newest = document;
+        if (newest != null && newest.version() > knownVersion) {
+            reply.setDocumentJson(newest.text());
+        }
+        reply.addAllWithdrawnKeyHashes(state.unwrittenWithdrawals());
+        return PeerEnvelope.newBuilder().setConfigurationReply(reply).build();
+    }
+
+    private CompletableFuture<PeerEnvelope> handleWithdrawal(PeerEnvelope message) {
+        return duty.call(() -> {
+            Set<String> hashes = ImmutableSet.copyOf(message.getKeyWithdrawal().getKeyHashesList());
+            observeWithdrawals(hashes, message.getSenderEntryVm(), false);
+            return PeerEnvelope.newBuilder()
+                    .setAcknowledgement(Acknowledgement.getDefaultInstance())
+                    .build();
+        });
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/configuration/ConfigurationControllerBuilder.java
@@ -0,0 +1,97 @@
+package org.banyanhook.daemon.configuration;
+
+import static com.google.common.base.Preconditions.checkState;
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableList;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.util.List;
+import org.banyanhook.daemon.membership.EntryVm;
+import org.banyanhook.daemon.membership.MembershipSource;
+import org.banyanhook.daemon.peer.PeerMessenger;
+import org.banyanhook.daemon.platform.PlatformClient;
+import org.jspecify.annotations.Nullable;
+
+/** Builds a {@link ConfigurationController}. Not safe for use by several threads. */
+public final class ConfigurationControllerBuilder {
+
+    private final EntryVm self;
+    private ImmutableList<String> seeds = ImmutableList.of();
+    private MeterRegistry meterRegistry = new SimpleMeterRegistry();
+    private @Nullable PlatformClient platform;
+    private @Nullable PeerMessenger messenger;
+    private @Nullable MembershipSource membership;
+
+    ConfigurationControllerBuilder(EntryVm self) {
+        this.self = requireNonNull(self, "self");
+    }
+
+    /** Sets the platform's service. Required. */
+    public ConfigurationControllerBuilder platform(PlatformClient value) {
+        this.platform = requireNonNull(value, "platform");
+        return this;
+    }
+
+    /** Sets the links to peers. Required. */
+    public ConfigurationControllerBuilder messenger(PeerMessenger value) {
+        this.messenger = requireNonNull(value, "messenger");
+        return this;
+    }
+
+    /** Sets where live entry VMs are learned from. Required. */
+    public ConfigurationControllerBuilder membership(MembershipSource value) {
+        this.membership = requireNonNull(value, "membership");
+        return this;
+    }
+
+    /** Sets the addresses of peers to ask before membership knows any. */
+    public ConfigurationControllerBuilder seeds(List<String> value) {
+        this.seeds = ImmutableList.copyOf(value);
+        return this;
+    }
+
+    /** Sets where the version in force is shown. */
+    public ConfigurationControllerBuilder meterRegistry(MeterRegistry value) {
+        this.meterRegistry = requireNonNull(value, "meterRegistry");
+        return this;
+    }
+
+    /**
+     * Creates the controller, not started.
+     *
+     * @throws IllegalStateException if a required part is not set
+     */
+    public ConfigurationController build() {
+        return new ConfigurationController(this);
+    }
+
+    EntryVm self() {
+        return self;
+    }
+
+    ImmutableList<String> seeds() {
+        return seeds;
+    }
+
+    MeterRegistry meterRegistry() {
+        return meterRegistry;
+    }
+
+    PlatformClient platform() {
+        return required(platform, "platform");
+    }
+
+    PeerMessenger messenger() {
+        return required(messenger, "messenger");
+    }
+
+    MembershipSource membership() {
+        return required(membership, "membership");
+    }
+
+    private static <T> T required(@Nullable T value, String name) {
+        checkState(value != null, "%s must be set before build()", name);
+        return requireNonNull(value);
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/configuration/ConfigurationFetcher.java
@@ -0,0 +1,85 @@
+package org.banyanhook.daemon.configuration;
+
+import java.time.Duration;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.banyanhook.daemon.duty.Duty;
+import org.banyanhook.daemon.peer.PeerMessenger;
+import org.banyanhook.protocol.generated.ConfigurationReply;
+import org.banyanhook.protocol.generated.ConfigurationRequest;
+import org.banyanhook.protocol.generated.PeerEnvelope;
+import org.jspecify.annotations.Nullable;
+
+/** Asks peers that know more for the configuration, few at a time. Runs on the thread of one duty. */
+final class ConfigurationFetcher {
+
+    private static final Logger LOGGER = LogManager.getLogger(ConfigurationFetcher.class);
+    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(800);
+    private static final int MAXIMUM_OPEN_REQUESTS = 2;
+    private static final int MAXIMUM_CANDIDATES = 16;
+
+    private final PeerMessenger messenger;
+    private final Duty duty;
+    private final LongSupplier knownVersion;
+    private final BiConsumer<String, ConfigurationReply> onReply;
+    private final Set<String> candidates = new LinkedHashSet<>();
+    private int openRequests;
+
+    /**
+     * Creates a fetcher.
+     *
+     * @param onReply receives the address and every reply, on the thread of the duty
+     */
+    ConfigurationFetcher(
+            PeerMessenger messenger,
+            Duty duty,
+            LongSupplier knownVersion,
+            BiConsumer<String, ConfigurationReply> onReply) {
+        this.messenger = messenger;
+        this.duty = duty;
+        this.knownVersion = knownVersion;
+        this.onReply = onReply;
+    }
+
+    /** Asks a peer now, or as soon as fewer requests are open. */
+    void fetchFrom(String address) {
+        if (candidates.size() < MAXIMUM_CANDIDATES) {
+            candidates.add(address);
+        }
+        sendNext();
+    }
+
+    private void sendNext() {
+        Iterator<String> next = candidates.iterator();
+        while (openRequests < MAXIMUM_OPEN_REQUESTS && next.hasNext()) {
+            String address = next.next();
+            next.remove();
+            send(address);
+        }
+    }
+
+    private void send(String address) {
+        openRequests++;
+        PeerEnvelope request = PeerEnvelope.newBuilder()
+                .setConfigurationRequest(ConfigurationRequest.newBuilder().setKnownVersion(knownVersion.getAsLong()))
+                .build();
+        messenger.request(address, request, ANSWER_TIMEOUT).whenComplete((reply, problem) -> {
+            duty.submit(() -> finish(address, reply, problem));
+        });
+    }
+
+    private void finish(String address, @Nullable PeerEnvelope reply, @Nullable Throwable problem) {
+        openRequests--;
+        if (problem != null || reply == null) {
+            LOGGER.debug("peer {} did not answer a configuration request", address);
+        } else {
+            onReply.accept(address, reply.getConfigurationReply());
+        }
+        sendNext();
+    }
+}
