--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/routing/PartitionTable.java
@@ -0,0 +1,30 @@
+package org.banyanhook.core.routing;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import org.banyanhook.core.configuration.Database;
+import org.banyanhook.core.configuration.Service;
+
+/** Maps partition keys to the databases of a service. */
+public final class PartitionTable {
+
+    private PartitionTable() {}
+
+    /**
+     * Finds the database of a partition key.
+     *
+     * @param service the service, with at least one database
+     * @param partitionKey the key that the caller sent, hashed as UTF-8
+     * @return the database numbered {@code murmur3_32(partitionKey) mod databases}, the hash taken as unsigned
+     */
+    public static Database databaseFor(Service service, String partitionKey) {
+        int count = service.databases().size();
+        checkArgument(count > 0, "service %s must have databases", service.name());
+        int hash = Hashing.murmur3_32_fixed()
+                .hashString(partitionKey, StandardCharsets.UTF_8)
+                .asInt();
+        return service.databases().get(Integer.remainderUnsigned(hash, count));
+    }
+}
