--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/backend/BackendAnswerParser.java
@@ -0,0 +1,88 @@
+package org.banyanhook.daemon.backend;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import org.banyanhook.core.replication.LogPosition;
+import org.jspecify.annotations.Nullable;
+
+/** Reads a backend server's answer and tells whether it is whole and belongs to the request. */
+final class BackendAnswerParser {
+
+    private static final int OK = 200;
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+
+    private BackendAnswerParser() {}
+
+    /**
+     * Reads an answer.
+     *
+     * @param status the HTTP status
+     * @param content the body
+     * @param answerId the id that the answer must repeat, or null for a request without a body
+     * @return the answer
+     * @throws BackendException of kind {@code REFUSED} if the server says that it did not run the request, or of kind
+     *     {@code MAYBE_SENT} if the answer is broken or belongs to another request
+     */
+    static BackendAnswer parse(int status, byte[] content, @Nullable String answerId) throws BackendException {
+        JsonNode body = readObject(content);
+        if (status == OK) {
+            requireAnswerId(body, answerId);
+            return answer(body);
+        }
+        throw refusal(status, body, answerId);
+    }
+
+    private static JsonNode readObject(byte[] content) throws BackendException {
+        try {
+            JsonNode body = MAPPER.readTree(content);
+            if (body.isObject()) {
+                return body;
+            }
+            throw BackendException.maybeSent("the backend server's answer is no JSON object", null);
+        } catch (JsonProcessingException exception) {
+            exception.clearLocation();
+            throw BackendException.maybeSent("the backend server's answer is no whole JSON text", exception);
+        } catch (IOException exception) {
+            throw BackendException.maybeSent("the backend server's answer is not readable", exception);
+        }
+    }
+
+    private static void requireAnswerId(JsonNode body, @Nullable String answerId) throws BackendException {
+        if (answerId != null && !answerId.equals(body.path("answerId").asText())) {
+            throw BackendException.maybeSent("the backend server's answer belongs to another request", null);
+        }
+    }
+
+    private static BackendAnswer answer(JsonNode body) throws BackendException {
+        long position = body.path("position").asLong(0);
+        long lastTerm = body.path("lastTerm").asLong(0);
+        if (position < 0 || lastTerm < 0) {
+            throw BackendException.maybeSent("the backend server's answer names a negative position", null);
+        }
+        return new BackendAnswer(
+                body.path("term").asLong(0),
+                new LogPosition(lastTerm, position),
+                body.path("result").isMissingNode()
+                        ? "null"
+                        : body.path("result").toString(),
+                body.path("replayed").asBoolean(false),
+                body.path("found").asBoolean(true));
+    }
+
+    private static BackendException refusal(int status, JsonNode body, @Nullable String answerId)
+            throws BackendException {
+        if (body.has("answerId")) {
+            requireAnswerId(body, answerId);
+        }
+        String errorCode = body.path("error").asText("");
+        if (!BackendErrors.NOT_RUN.contains(errorCode)) {
+            throw BackendException.maybeSent("the backend server answered status " + status, null);
+        }
+        String detail = body.path("detail").asText(errorCode);
+        return BackendException.refused(detail, errorCode, body.path("term").asLong(0));
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/backend/BackendHttpClients.java
@@ -0,0 +1,36 @@
+package org.banyanhook.daemon.backend;
+
+import java.util.concurrent.Executor;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.io.ClientConnector;
+
+/** Creates the HTTP client towards backend servers. */
+public final class BackendHttpClients {
+
+    private static final long CONNECT_TIMEOUT_MILLIS = 2_000;
+    private static final long IDLE_TIMEOUT_MILLIS = 60_000;
+
+    private BackendHttpClients() {}
+
+    /**
+     * Creates a client that adds nothing of its own to requests and follows no redirect.
+     *
+     * @param executor runs the client's callbacks
+     * @return the client, not started
+     */
+    public static HttpClient create(Executor executor) {
+        ClientConnector connector = new ClientConnector();
+        connector.setSelectors(1);
+        connector.setExecutor(executor);
+        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        client.setExecutor(executor);
+        client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+        client.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
+        client.setFollowRedirects(false);
+        client.setUserAgentField(null);
+        client.setHttpCookieStore(new HttpCookieStore.Empty());
+        return client;
+    }
+}
