--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/retry/RetryBudget.java
@@ -0,0 +1,63 @@
+package org.banyanhook.core.retry;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Bounds retries to a share of each client account's recent traffic, so that retries cannot multiply an overload.
+ *
+ * <p>Every request adds a fraction of a retry, up to a maximum; every retry takes a whole one. Not safe for use by
+ * several threads.
+ */
+public final class RetryBudget {
+
+    private final double retriesPerRequest;
+    private final double maximumRetries;
+    private final Map<String, Double> balances = new HashMap<>();
+
+    /**
+     * Creates a budget.
+     *
+     * @param retriesPerRequest the share of requests that may be retried, from 0 to 1
+     * @param maximumRetries how many retries an account may save up, at least 1; also what it starts with
+     */
+    public RetryBudget(double retriesPerRequest, double maximumRetries) {
+        checkArgument(
+                retriesPerRequest >= 0 && retriesPerRequest <= 1,
+                "retriesPerRequest must be from 0 to 1, was %s",
+                retriesPerRequest);
+        checkArgument(maximumRetries >= 1, "maximumRetries must be at least 1, was %s", maximumRetries);
+        this.retriesPerRequest = retriesPerRequest;
+        this.maximumRetries = maximumRetries;
+    }
+
+    /**
+     * Counts a request that is no retry.
+     *
+     * @param account the name of the client account
+     */
+    public void countRequest(String account) {
+        balances.put(account, Math.min(maximumRetries, balance(account) + retriesPerRequest));
+    }
+
+    /**
+     * Takes a retry out of the budget.
+     *
+     * @param account the name of the client account
+     * @return true if the request may be sent again
+     */
+    public boolean tryRetry(String account) {
+        double balance = balance(account);
+        if (balance < 1) {
+            return false;
+        }
+        balances.put(account, balance - 1);
+        return true;
+    }
+
+    private double balance(String account) {
+        return balances.getOrDefault(account, maximumRetries);
+    }
+}
--- /dev/null
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/retry/RetryBudgetTest.java
@@ -0,0 +1,37 @@
+package org.banyanhook.core.retry;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class RetryBudgetTest {
+
+    @Test
+    void retriesStayWithinTheShareOfRequests() {
+        for (long seed = 1; seed <= 100; seed++) {
+            Random random = new Random(seed);
+            RetryBudget budget = new RetryBudget(0.1, 10);
+            int requests = 0;
+            int retries = 0;
+            for (int step = 0; step < 2000; step++) {
+                if (random.nextBoolean()) {
+                    budget.countRequest("acme");
+                    requests++;
+                } else if (budget.tryRetry("acme")) {
+                    retries++;
+                }
+                assertWithMessage("seed %s", seed).that((double) retries).isAtMost(10 + 0.1 * requests + 1e-6);
+            }
+        }
+    }
+
+    @Test
+    void accountsDoNotShareABudget() {
+        RetryBudget budget = new RetryBudget(0, 1);
+        assertThat(budget.tryRetry("acme")).isTrue();
+        assertThat(budget.tryRetry("acme")).isFalse();
+        assertThat(budget.tryRetry("other")).isTrue();
+    }
+}
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/backend/BackendConnection.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/backend/BackendConnection.java
@@ -75,6 +75,11 @@
         return exchange.result;
     }
 
+    /** Returns whether a failed request got no answer in time, although its connection stayed open. */
+    static boolean isSilence(Throwable failure) {
+        return failure instanceof BackendException && failure.getCause() instanceof TimeoutException;
+    }
+
     private Request build(BackendRequest request, @Nullable String answerId) {
         Request outgoing =
                 client.newRequest("http://" + address + request.path()).method(request.method());
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/backend/BackendConnectionPool.java
@@ -0,0 +1,132 @@
+package org.banyanhook.daemon.backend;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+import org.banyanhook.daemon.duty.Duty;
+import org.eclipse.jetty.client.HttpClient;
+
+/**
+ * The connections of this daemon to backend servers, leased one request or transaction at a time.
+ *
+ * <p>Its state belongs to one duty thread. Requests for a connection enter through the bounded ring; reports about
+ * leased connections, of which there are no more than connections, are never refused. Safe for use by several threads.
+ */
+public final class BackendConnectionPool implements AutoCloseable {
+
+    private static final Duration TICK = Duration.ofMillis(20);
+
+    private final HttpClient client;
+    private final MeterRegistry meters;
+    private final Map<String, MemberPool> members = new HashMap<>();
+    private final Queue<Runnable> reports = new ConcurrentLinkedQueue<>();
+    private final ExecutorService callbacks;
+    private final Duty duty;
+    private long lastConnectionId;
+
+    /**
+     * Creates a pool and starts its duty thread.
+     *
+     * @param client a started client from {@link BackendHttpClients}, which the pool does not close
+     * @param meters receives the pool's metrics
+     */
+    public BackendConnectionPool(HttpClient client, MeterRegistry meters) {
+        this.client = requireNonNull(client, "client");
+        this.meters = requireNonNull(meters, "meters");
+        this.callbacks = Executors.newFixedThreadPool(
+                Math.max(2, Runtime.getRuntime().availableProcessors() / 2),
+                new ThreadFactoryBuilder()
+                        .setNameFormat("backend-callback-%d")
+                        .setDaemon(true)
+                        .build());
+        this.duty = Duty.builder("backend-connections").tick(TICK, this::tick).start();
+    }
+
+    /**
+     * Leases a connection, after a fair wait while the daemon's share is in use.
+     *
+     * @param request what is asked for
+     * @return the connection, to be released; failed with a {@link RefusalException} if the request did not get its
+     *     turn, or with a {@link BackendException} of kind {@code NOT_SENT} if the server could not be reached
+     */
+    public CompletableFuture<LeasedConnection> lease(LeaseRequest request) {
+        CompletableFuture<LeasedConnection> result = new CompletableFuture<>();
+        MemberPool.Waiter waiter = new MemberPool.Waiter(request, result, nowNanos());
+        if (!duty.submit(() -> offer(waiter))) {
+            waiter.refuse(RefusalKind.QUEUE_FULL, "this entry VM has too many requests in its queue");
+        }
+        return result;
+    }
+
+    @Override
+    public void close() {
+        onDuty(() -> members.values().forEach(MemberPool::closeAllConnections));
+        duty.close();
+        callbacks.shutdown();
+    }
+
+    long nowNanos() {
+        return System.nanoTime();
+    }
+
+    long nextConnectionId() {
+        return ++lastConnectionId;
+    }
+
+    /** Runs a report on the duty thread; the periodic tick takes it if the ring is full. */
+    void onDuty(Runnable report) {
+        reports.add(report);
+        duty.submit(this::takeReports);
+    }
+
+    void complete(CompletableFuture<LeasedConnection> result, LeasedConnection connection) {
+        callbacks.execute(() -> {
+            if (!result.complete(connection)) {
+                connection.release();
+            }
+        });
+    }
+
+    void recordWait(String database, long waitNanos) {
+        meters.timer("banyanhook.queue.wait", "database", database).record(waitNanos, TimeUnit.NANOSECONDS);
+    }
+
+    CompletableFuture<BackendConnection> open(String address) {
+        return client.resolveDestination(client.newRequest("http://" + address))
+                .newConnection()
+                .thenApply(connection -> new BackendConnection(client, address, connection));
+    }
+
+    private void offer(MemberPool.Waiter waiter) {
+        takeReports();
+        String name = waiter.request().member().name();
+        String key = name + "@" + waiter.request().member().address();
+        members.computeIfAbsent(key, absent -> new MemberPool(this, name)).offer(waiter, nowNanos());
+    }
+
+    private void takeReports() {
+        Runnable report = reports.poll();
+        while (report != null) {
+            report.run();
+            report = reports.poll();
+        }
+    }
+
+    private void tick() {
+        takeReports();
+        members.values().forEach(member -> member.tick(nowNanos()));
+        members.values().removeIf(MemberPool::isUnused);
+    }
+}
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/backend/BackendHttpClients.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/backend/BackendHttpClients.java
@@ -9,18 +9,19 @@
 /** Creates the HTTP client towards backend servers. */
 public final class BackendHttpClients {
 
-    private static final long CONNECT_TIMEOUT_MILLIS = 2_000;
+    private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final long IDLE_TIMEOUT_MILLIS = 60_000;
 
     private BackendHttpClients() {}
 
     /**
-     * Creates a client that adds nothing of its own to requests and follows no redirect.
+     * Starts a client that adds nothing of its own to requests and follows no redirect.
      *
      * @param executor runs the client's callbacks
-     * @return the client, not started
+     * @return the client, started
+     * @throws Exception if it could not start
      */
-    public static HttpClient create(Executor executor) {
+    public static HttpClient start(Executor executor) throws Exception {
         ClientConnector connector = new ClientConnector();
         connector.setSelectors(1);
         connector.setExecutor(executor);
@@ -31,6 +32,9 @@
         client.setFollowRedirects(false);
         client.setUserAgentField(null);
         client.setHttpCookieStore(new HttpCookieStore.Empty());
+        client.start();
+        client.getContentDecoderFactories().clear();
+        client.getProtocolHandlers().clear();
         return client;
     }
 }
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/backend/LeasedConnection.java
@@ -0,0 +1,58 @@
+package org.banyanhook.daemon.backend;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/** A connection to a backend server that belongs to one request or transaction until it is released. */
+public final class LeasedConnection {
+
+    private final BackendConnectionPool pool;
+    private final MemberPool member;
+    private final long id;
+    private final BackendConnection connection;
+    private final AtomicBoolean released = new AtomicBoolean();
+
+    LeasedConnection(BackendConnectionPool pool, MemberPool member, long id, BackendConnection connection) {
+        this.pool = pool;
+        this.member = member;
+        this.id = id;
+        this.connection = connection;
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param request the request
+     * @param timeout how long the answer may take
+     * @return the whole answer; failed with a {@link BackendException}
+     */
+    public CompletableFuture<BackendAnswer> send(BackendRequest request, Duration timeout) {
+        long sentNanos = pool.nowNanos();
+        return connection.send(request, timeout).whenComplete((answer, failure) -> {
+            if (failure == null || connection.isUsable()) {
+                pool.onDuty(() -> member.answered(id, sentNanos, pool.nowNanos()));
+            } else if (BackendConnection.isSilence(failure)) {
+                pool.onDuty(() -> member.silent(id, sentNanos));
+            }
+        });
+    }
+
+    /** Returns whether the connection can take another request. */
+    public boolean isUsable() {
+        return connection.isUsable();
+    }
+
+    /** Gives the connection back; it is closed if there is any doubt about it. Later calls change nothing. */
+    public void release() {
+        if (released.compareAndSet(false, true)) {
+            pool.onDuty(() -> member.release(id, pool.nowNanos()));
+        }
+    }
+
+    /** Closes the connection, which rolls back a transaction on it, and gives up the lease. */
+    public void discard() {
+        connection.close();
+        release();
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/execution/BackendOutcomes.java
@@ -0,0 +1,38 @@
+package org.banyanhook.daemon.execution;
+
+import org.banyanhook.core.error.RefusalKind;
+import org.banyanhook.core.retry.AttemptOutcome;
+import org.banyanhook.daemon.backend.BackendErrors;
+import org.banyanhook.daemon.backend.BackendException;
+
+/** Translates failures of backend servers into outcomes of attempts and kinds of refusal. */
+final class BackendOutcomes {
+
+    private BackendOutcomes() {}
+
+    static AttemptOutcome of(BackendException failure) {
+        return switch (failure.kind()) {
+            case NOT_SENT -> AttemptOutcome.NOT_SENT;
+            case MAYBE_SENT -> AttemptOutcome.MAYBE_SENT;
+            case REFUSED -> ofRefusal(failure);
+        };
+    }
+
+    static RefusalKind refusalKind(AttemptOutcome outcome) {
+        return switch (outcome) {
+            case NOT_SENT, NO_ROOM -> RefusalKind.BACKEND_UNAVAILABLE;
+            case PRIMARY_CHANGED -> RefusalKind.PRIMARY_CHANGED;
+            case STATEMENT_REJECTED -> RefusalKind.STATEMENT_REJECTED;
+            case MAYBE_SENT -> RefusalKind.OUTCOME_UNKNOWN;
+        };
+    }
+
+    private static AttemptOutcome ofRefusal(BackendException failure) {
+        if (failure.primaryChanged()) {
+            return AttemptOutcome.PRIMARY_CHANGED;
+        }
+        return failure.errorCode().equals(BackendErrors.TOO_MANY_CONNECTIONS)
+                ? AttemptOutcome.NO_ROOM
+                : AttemptOutcome.STATEMENT_REJECTED;
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/execution/MemberChoice.java
@@ -0,0 +1,15 @@
+package org.banyanhook.daemon.execution;
+
+import org.banyanhook.core.configuration.BackendServer;
+import org.banyanhook.core.configuration.Database;
+
+/**
+ * The member chosen to run a statement.
+ *
+ * @param database the database group
+ * @param member the backend server
+ * @param term the term that the request will name
+ * @param replica true if the member is chosen as a replica
+ * @param reason why, for the log
+ */
+record MemberChoice(Database database, BackendServer member, long term, boolean replica, String reason) {}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/execution/MemberChooser.java
@@ -0,0 +1,83 @@
+package org.banyanhook.daemon.execution;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.banyanhook.core.configuration.BackendServer;
+import org.banyanhook.core.configuration.Database;
+import org.banyanhook.core.configuration.Route;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+import org.banyanhook.core.replication.LogPosition;
+import org.banyanhook.daemon.configuration.ConfigurationSource;
+import org.banyanhook.daemon.primary.PrimaryDirectory;
+import org.banyanhook.daemon.primary.PrimaryView;
+
+/** Chooses the member of a database group that runs a statement. Safe for use by several threads. */
+public final class MemberChooser {
+
+    private final ConfigurationSource configuration;
+    private final PrimaryDirectory directory;
+    private final Predicate<BackendServer> takesWork;
+
+    /**
+     * Creates a chooser.
+     *
+     * @param configuration gives the members
+     * @param directory gives the primary and the replicas that may serve
+     * @param takesWork tells whether a backend server may get new work
+     */
+    public MemberChooser(
+            ConfigurationSource configuration, PrimaryDirectory directory, Predicate<BackendServer> takesWork) {
+        this.configuration = requireNonNull(configuration, "configuration");
+        this.directory = requireNonNull(directory, "directory");
+        this.takesWork = requireNonNull(takesWork, "takesWork");
+    }
+
+    /**
+     * Finds a database.
+     *
+     * @param name the name of the database
+     * @return the database
+     * @throws RefusalException of kind {@code DATABASE_UNKNOWN} if the configuration has none of that name
+     */
+    public Database database(String name) throws RefusalException {
+        return configuration
+                .current()
+                .database(name)
+                .orElseThrow(() -> RefusalException.notRun(
+                        RefusalKind.DATABASE_UNKNOWN, "The configuration has no database named '" + name + "'."));
+    }
+
+    /**
+     * Chooses the member for a statement.
+     *
+     * @param database the database group
+     * @param route the route of the statement
+     * @param sessionPosition the place that the answer must cover
+     * @param replicaAllowed false if a replica failed to serve the statement already
+     * @return the choice, or empty while no primary that takes work is known
+     */
+    Optional<MemberChoice> choose(Database database, Route route, LogPosition sessionPosition, boolean replicaAllowed) {
+        Optional<PrimaryView> primary = directory.primary(database.name());
+        if (primary.isEmpty()) {
+            return Optional.empty();
+        }
+        long term = primary.get().term();
+        if (replicaAllowed && !route.kind().writes() && route.maximumAgeMillis() > 0) {
+            Optional<MemberChoice> replica = directory
+                    .replicaForRead(database.name(), sessionPosition, route.maximumAgeMillis())
+                    .flatMap(database::member)
+                    .filter(takesWork)
+                    .map(member -> new MemberChoice(
+                            database, member, term, true, "replica covers the session within the age"));
+            if (replica.isPresent()) {
+                return replica;
+            }
+        }
+        return database.member(primary.get().primaryMember())
+                .filter(takesWork)
+                .map(member -> new MemberChoice(database, member, term, false, "primary of the believed term"));
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/backend/ScriptedBackendServer.java
@@ -0,0 +1,173 @@
+package org.banyanhook.daemon.backend;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** A backend server whose answers, and the faults in them, a test scripts. */
+public final class ScriptedBackendServer implements AutoCloseable {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final Pattern LENGTH = Pattern.compile("(?i)content-length: (\\d+)");
+
+    private final ServerSocket serverSocket;
+    private final List<String> received = new CopyOnWriteArrayList<>();
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+    private final AtomicInteger connections = new AtomicInteger();
+    private volatile Function<Received, Reply> script = request -> Reply.ok(request.body());
+
+    public ScriptedBackendServer() throws IOException {
+        serverSocket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        startThread(this::accept);
+    }
+
+    /** A request as it arrived: its number over all connections from 1, its connection from 1, and its body. */
+    public record Received(int number, int connection, String head, ObjectNode body) {
+        public boolean isFor(String path) {
+            return head.startsWith("POST " + path + " ");
+        }
+    }
+
+    /** Bytes to send, and whether to close the connection after them; no bytes and no close is silence. */
+    public record Reply(byte[] bytes, boolean close) {
+        public static Reply ok(ObjectNode request) {
+            return ok(request, 1, 1, "{\"n\":1}");
+        }
+
+        public static Reply ok(ObjectNode request, long term, long position, String result) {
+            return json(
+                    200,
+                    "{\"answerId\":" + request.path("answerId") + ",\"term\":" + term + ",\"lastTerm\":" + term
+                            + ",\"position\":" + position + ",\"result\":" + result + ",\"replayed\":false}");
+        }
+
+        public static Reply json(int status, String body) {
+            return new Reply(http(status, body, body.length()), false);
+        }
+
+        public static Reply halfOf(Reply whole) {
+            return new Reply(java.util.Arrays.copyOf(whole.bytes, whole.bytes.length - 5), true);
+        }
+
+        public static Reply silence() {
+            return new Reply(new byte[0], false);
+        }
+
+        public static Reply cut() {
+            return new Reply(new byte[0], true);
+        }
+
+        public static byte[] http(int status, String body, int declaredLength) {
+            return ("HTTP/1.1 " + status + " X\r\nContent-Type: application/json\r\nContent-Length: " + declaredLength
+                            + "\r\n\r\n" + body)
+                    .getBytes(StandardCharsets.UTF_8);
+        }
+    }
+
+    public String address() {
+        return "127.0.0.1:" + serverSocket.getLocalPort();
+    }
+
+    public void script(Function<Received, Reply> value) {
+        script = value;
+    }
+
+    /** Returns heads and bodies of all requests, as they arrived. */
+    public List<String> received() {
+        return received;
+    }
+
+    public int connections() {
+        return connections.get();
+    }
+
+    @Override
+    public void close() throws IOException {
+        serverSocket.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
+    private void accept() {
+        while (!serverSocket.isClosed()) {
+            try {
+                Socket socket = serverSocket.accept();
+                sockets.add(socket);
+                int connection = connections.incrementAndGet();
+                startThread(() -> serve(socket, connection));
+            } catch (IOException exception) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket, int connection) {
+        try (socket) {
+            InputStream input = new BufferedInputStream(socket.getInputStream());
+            OutputStream output = socket.getOutputStream();
+            String head = readHead(input);
+            while (!head.isEmpty()) {
+                Reply reply = answer(head, input, connection);
+                output.write(reply.bytes());
+                output.flush();
+                if (reply.close()) {
+                    return;
+                }
+                head = readHead(input);
+            }
+        } catch (IOException exception) {
+            received.add("connection lost: " + exception.getMessage());
+        }
+    }
+
+    private Reply answer(String head, InputStream input, int connection) throws IOException {
+        Matcher length = LENGTH.matcher(head);
+        byte[] body = input.readNBytes(length.find() ? Integer.parseInt(length.group(1)) : 0);
+        received.add(head + new String(body, StandardCharsets.UTF_8));
+        ObjectNode json = body.length == 0 ? MAPPER.createObjectNode() : (ObjectNode) MAPPER.readTree(body);
+        return script.apply(new Received(received.size(), connection, head, json));
+    }
+
+    private static String readHead(InputStream input) throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        int next = input.read();
+        while (next >= 0) {
+            head.write(next);
+            if (next == '\n' && head.toString(StandardCharsets.UTF_8).endsWith("\r\n\r\n")) {
+                return head.toString(StandardCharsets.UTF_8);
+            }
+            next = input.read();
+        }
+        return "";
+    }
+
+    private static void startThread(Runnable task) {
+        Thread thread = new Thread(
+                () -> {
+                    try {
+                        task.run();
+                    } catch (UncheckedIOException exception) {
+                        throw new AssertionError(exception);
+                    }
+                },
+                "scripted-backend");
+        thread.setDaemon(true);
+        thread.start();
+    }
+}
