Add the membership controller

The controller runs it on a duty thread, answers probes, tries seeds and the platform's list as hints (once a minute, so 2,200 daemons read 37 times a second), sends a joining member the whole table once, and reports the versions that peers carry to a listener. A send after the messenger closed failed with an unchecked exception in the duty; it is now a PeerException.

Tests: MembershipControllerTest 2 green (three members by one seed, one seed down; announced shutdown), NettyPeerMessengerTest 11 green.

--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/membership/MembershipController.java
@@ -0,0 +1,405 @@
+package org.banyanhook.daemon.membership;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+import org.banyanhook.core.membership.Member;
+import org.banyanhook.core.membership.MemberChange;
+import org.banyanhook.core.membership.MemberState;
+import org.banyanhook.core.membership.MembershipState;
+import org.banyanhook.core.membership.MembershipTimings;
+import org.banyanhook.daemon.duty.Duty;
+import org.banyanhook.daemon.peer.PeerMessenger;
+import org.banyanhook.daemon.platform.PlatformClient;
+import org.banyanhook.daemon.platform.VirtualMachine;
+import org.banyanhook.protocol.generated.Acknowledgement;
+import org.banyanhook.protocol.generated.Heartbeat;
+import org.banyanhook.protocol.generated.HeartbeatAcknowledgement;
+import org.banyanhook.protocol.generated.IndirectProbe;
+import org.banyanhook.protocol.generated.PeerEnvelope;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Keeps this entry VM's view of the fleet: probes peers, answers their probes, and publishes an immutable snapshot.
+ *
+ * <p>The state lives on one thread. {@link #liveEntryVms} is safe for use by several threads and never blocks.
+ */
+public final class MembershipController implements MembershipSource, AutoCloseable {
+
+    private static final Logger LOGGER = LogManager.getLogger(MembershipController.class);
+    private static final int NEWS_PER_MESSAGE = 8;
+    private static final int HELPERS = 3;
+    private static final int TICKS_BETWEEN_RECONNECTIONS = 5;
+    private static final int TICKS_BETWEEN_PLATFORM_READS = 60;
+
+    private final MembershipState state;
+    private final PeerMessenger messenger;
+    private final @Nullable PlatformClient platform;
+    private final Duration probeInterval;
+    private final Duration probeTimeout;
+    private final List<String> seeds;
+    private final LongSupplier configurationVersion;
+    private final LongSupplier withdrawalCount;
+    private final PeerVersionListener versionListener;
+    private final SplittableRandom random;
+    private final Counter sentBytes;
+    private final Counter changeCount;
+    private Set<String> platformAddresses = ImmutableSet.of();
+    private long ticks;
+    private volatile List<EntryVm> snapshot;
+    private @Nullable Duty duty;
+
+    private MembershipController(Builder builder) {
+        this.state = new MembershipState(builder.self, builder.timings, NEWS_PER_MESSAGE);
+        this.messenger = builder.messenger;
+        this.platform = builder.platform;
+        this.probeInterval = builder.probeInterval;
+        this.probeTimeout = builder.probeTimeout;
+        this.seeds = builder.seeds;
+        this.configurationVersion = builder.configurationVersion;
+        this.withdrawalCount = builder.withdrawalCount;
+        this.versionListener = builder.versionListener;
+        this.random = new SplittableRandom(builder.self.name().hashCode() ^ builder.self.incarnation());
+        this.sentBytes = builder.meterRegistry.counter("banyanhook.membership.sent.bytes");
+        this.changeCount = builder.meterRegistry.counter("banyanhook.membership.changes");
+        this.snapshot = snapshotOf(state);
+        builder.meterRegistry.gauge("banyanhook.membership.live", this, self -> self.snapshot.size());
+    }
+
+    /**
+     * Starts the description of a controller.
+     *
+     * @param self this entry VM, alive, with its start time in milliseconds as incarnation
+     * @param messenger the links to peers
+     * @return a new builder
+     */
+    public static Builder builder(Member self, PeerMessenger messenger) {
+        return new Builder(self, messenger);
+    }
+
+    /** Registers the handlers with the messenger and starts probing. Call once, before the messenger listens. */
+    public void start() {
+        Duty started =
+                Duty.builder("membership").tick(probeInterval, this::onTick).start();
+        duty = started;
+        messenger.handle(PeerEnvelope.BodyCase.HEARTBEAT, message -> started.call(() -> answerHeartbeat(message)));
+        messenger.handle(PeerEnvelope.BodyCase.INDIRECT_PROBE, this::answerIndirectProbe);
+    }
+
+    @Override
+    public List<EntryVm> liveEntryVms() {
+        return snapshot;
+    }
+
+    /** Announces to peers that this entry VM shuts down; it goes on answering them. */
+    public void leave() {
+        submit(() -> {
+            state.leave();
+            publish();
+            probeAll(state.running());
+        });
+    }
+
+    @Override
+    public void close() {
+        Duty started = duty;
+        if (started != null) {
+            started.close();
+        }
+    }
+
+    private void submit(Runnable task) {
+        Duty started = duty;
+        if (started != null && !started.submit(task)) {
+            LOGGER.warn("the ring of the membership duty is full; dropped a task");
+        }
+    }
+
+    private void onTick() {
+        ticks++;
+        apply(state.onTick(nowMillis()));
+        if (ticks % TICKS_BETWEEN_PLATFORM_READS == 1) {
+            readPlatform();
+        }
+        boolean alone = state.running().size() == 1;
+        if (alone || ticks % TICKS_BETWEEN_RECONNECTIONS == 0) {
+            probeHint();
+            state.chooseReconnection(random.nextLong()).ifPresent(dead -> heartbeat(dead.name(), dead.peerAddress()));
+        }
+        state.chooseProbe(random.nextLong()).ifPresent(this::probe);
+    }
+
+    /** Probes an address from the settings or the platform's list that no running member has. */
+    private void probeHint() {
+        List<String> hints = new ArrayList<>(seeds);
+        hints.addAll(platformAddresses);
+        hints.remove(state.self().peerAddress());
+        for (Member member : state.running()) {
+            hints.remove(member.peerAddress());
+        }
+        if (!hints.isEmpty()) {
+            heartbeat("", hints.get(random.nextInt(hints.size())));
+        }
+    }
+
+    private void probe(Member target) {
+        heartbeat(target.name(), target.peerAddress()).whenComplete((reply, failure) -> {
+            if (failure != null) {
+                submit(() -> probeIndirectly(target));
+            }
+        });
+    }
+
+    private void probeAll(List<Member> targets) {
+        for (Member target : targets) {
+            if (!target.name().equals(state.self().name()) && targets.size() <= TICKS_BETWEEN_PLATFORM_READS) {
+                heartbeat(target.name(), target.peerAddress());
+            }
+        }
+    }
+
+    private void probeIndirectly(Member target) {
+        PeerEnvelope body = PeerEnvelope.newBuilder()
+                .setIndirectProbe(IndirectProbe.newBuilder()
+                        .setTargetEntryVm(target.name())
+                        .setTargetPeerAddress(target.peerAddress()))
+                .build();
+        List<CompletableFuture<Boolean>> answers = new ArrayList<>();
+        for (Member helper : state.chooseHelpers(target.name(), HELPERS, random.nextLong())) {
+            sentBytes.increment(body.getSerializedSize());
+            answers.add(messenger
+                    .request(helper.peerAddress(), body, probeTimeout.multipliedBy(2))
+                    .handle((reply, failure) -> failure == null));
+        }
+        CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new)).whenComplete((none, failure) -> {
+            if (answers.stream().noneMatch(CompletableFuture::join)) {
+                submit(() -> apply(state.onProbeUnanswered(target, nowMillis())));
+            }
+        });
+    }
+
+    private CompletableFuture<PeerEnvelope> heartbeat(String name, String address) {
+        Heartbeat.Builder heartbeat = Heartbeat.newBuilder()
+                .setIncarnation(state.self().incarnation())
+                .setPeerAddress(state.self().peerAddress())
+                .setConfigurationVersion(configurationVersion.getAsLong())
+                .setWithdrawalCount(withdrawalCount.getAsLong())
+                .addAllNews(MemberNewsCodec.encode(state.newsFor(name)));
+        PeerEnvelope body = PeerEnvelope.newBuilder().setHeartbeat(heartbeat).build();
+        sentBytes.increment(body.getSerializedSize());
+        CompletableFuture<PeerEnvelope> reply = messenger.request(address, body, probeTimeout);
+        return reply.whenComplete((message, failure) -> {
+            if (failure == null) {
+                submit(() -> onAcknowledgement(address, message));
+            }
+        });
+    }
+
+    private void onAcknowledgement(String address, PeerEnvelope message) {
+        HeartbeatAcknowledgement acknowledgement = message.getHeartbeatAcknowledgement();
+        if (message.getSenderEntryVm().isEmpty()) {
+            return;
+        }
+        apply(state.onNews(MemberNewsCodec.decode(acknowledgement.getNewsList()), nowMillis()));
+        contact(message, address, acknowledgement.getIncarnation());
+        versionListener.onPeerVersion(
+                address, acknowledgement.getConfigurationVersion(), acknowledgement.getWithdrawalCount());
+    }
+
+    private PeerEnvelope answerHeartbeat(PeerEnvelope message) {
+        Heartbeat heartbeat = message.getHeartbeat();
+        String sender = message.getSenderEntryVm();
+        boolean joins = state.find(sender)
+                .filter(known -> known.isRunning() && known.incarnation() >= heartbeat.getIncarnation())
+                .isEmpty();
+        apply(state.onNews(MemberNewsCodec.decode(heartbeat.getNewsList()), nowMillis()));
+        if (!sender.isEmpty() && !heartbeat.getPeerAddress().isEmpty()) {
+            contact(message, heartbeat.getPeerAddress(), heartbeat.getIncarnation());
+            versionListener.onPeerVersion(
+                    heartbeat.getPeerAddress(), heartbeat.getConfigurationVersion(), heartbeat.getWithdrawalCount());
+        }
+        List<Member> news = joins ? state.everything() : state.newsFor(sender);
+        PeerEnvelope reply = PeerEnvelope.newBuilder()
+                .setHeartbeatAcknowledgement(HeartbeatAcknowledgement.newBuilder()
+                        .setIncarnation(state.self().incarnation())
+                        .setConfigurationVersion(configurationVersion.getAsLong())
+                        .setWithdrawalCount(withdrawalCount.getAsLong())
+                        .addAllNews(MemberNewsCodec.encode(news)))
+                .build();
+        sentBytes.increment(reply.getSerializedSize());
+        return reply;
+    }
+
+    private CompletableFuture<PeerEnvelope> answerIndirectProbe(PeerEnvelope message) {
+        IndirectProbe probe = message.getIndirectProbe();
+        CompletableFuture<PeerEnvelope> answer = new CompletableFuture<>();
+        submit(() -> heartbeat(probe.getTargetEntryVm(), probe.getTargetPeerAddress())
+                .whenComplete((reply, failure) -> {
+                    if (failure == null && reply.getSenderEntryVm().equals(probe.getTargetEntryVm())) {
+                        answer.complete(PeerEnvelope.newBuilder()
+                                .setAcknowledgement(Acknowledgement.getDefaultInstance())
+                                .build());
+                    } else {
+                        answer.completeExceptionally(RefusalException.notRun(
+                                RefusalKind.PEER_UNAVAILABLE, "no answer from " + probe.getTargetEntryVm()));
+                    }
+                }));
+        return answer;
+    }
+
+    private void contact(PeerEnvelope message, String address, long incarnation) {
+        Member sender = new Member(
+                message.getSenderEntryVm(),
+                message.getSenderFailureDomain(),
+                address,
+                Math.max(0, incarnation),
+                MemberState.ALIVE);
+        apply(state.onContact(sender, nowMillis()));
+    }
+
+    private void apply(List<MemberChange> changes) {
+        for (MemberChange change : changes) {
+            Member member = change.member();
+            LOGGER.info(
+                    "entry VM {} of {} at {} incarnation {} is {}: {}",
+                    member.name(),
+                    member.failureDomain(),
+                    member.peerAddress(),
+                    member.incarnation(),
+                    member.state(),
+                    change.reason());
+        }
+        if (!changes.isEmpty()) {
+            changeCount.increment(changes.size());
+            publish();
+        }
+    }
+
+    private void publish() {
+        snapshot = snapshotOf(state);
+    }
+
+    private void readPlatform() {
+        PlatformClient client = platform;
+        if (client == null) {
+            return;
+        }
+        client.virtualMachines().whenComplete((machines, failure) -> {
+            if (failure == null) {
+                submit(() -> platformAddresses = entryVmAddresses(machines));
+            } else {
+                LOGGER.debug("no list of virtual machines from the platform", failure);
+            }
+        });
+    }
+
+    private static Set<String> entryVmAddresses(List<VirtualMachine> machines) {
+        return machines.stream()
+                .filter(machine ->
+                        machine.kind().equals("entry") && machine.state().equals("live"))
+                .map(VirtualMachine::address)
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
+    private static List<EntryVm> snapshotOf(MembershipState state) {
+        return state.running().stream()
+                .map(member -> new EntryVm(
+                        member.name(),
+                        member.failureDomain(),
+                        member.peerAddress(),
+                        member.state() == MemberState.LEAVING))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    /** Builds a {@link MembershipController}. Not safe for use by several threads. */
+    public static final class Builder {
+        private final Member self;
+        private final PeerMessenger messenger;
+        private @Nullable PlatformClient platform;
+        private Duration probeInterval = Duration.ofSeconds(1);
+        private Duration probeTimeout = Duration.ofMillis(500);
+        private MembershipTimings timings = MembershipTimings.DEFAULT;
+        private List<String> seeds = ImmutableList.of();
+        private LongSupplier configurationVersion = () -> 0;
+        private LongSupplier withdrawalCount = () -> 0;
+        private PeerVersionListener versionListener = (address, version, count) -> {};
+        private MeterRegistry meterRegistry = new SimpleMeterRegistry();
+
+        private Builder(Member self, PeerMessenger messenger) {
+            this.self = requireNonNull(self, "self");
+            this.messenger = requireNonNull(messenger, "messenger");
+        }
+
+        /** Sets the platform client whose list of virtual machines gives hints; none if not set. */
+        public Builder platform(PlatformClient value) {
+            this.platform = requireNonNull(value, "platform");
+            return this;
+        }
+
+        /** Sets how often a member is probed and how long its answer may take. */
+        public Builder probes(Duration interval, Duration timeout) {
+            checkArgument(!interval.isNegative() && !interval.isZero(), "interval must be positive, was %s", interval);
+            checkArgument(!timeout.isNegative() && !timeout.isZero(), "timeout must be positive, was %s", timeout);
+            this.probeInterval = interval;
+            this.probeTimeout = timeout;
+            return this;
+        }
+
+        /** Sets how long beliefs last. */
+        public Builder timings(MembershipTimings value) {
+            this.timings = requireNonNull(value, "timings");
+            return this;
+        }
+
+        /** Sets peer addresses to try first, from the settings. */
+        public Builder seeds(List<String> value) {
+            this.seeds = ImmutableList.copyOf(value);
+            return this;
+        }
+
+        /** Sets where the versions that heartbeats carry come from. */
+        public Builder versions(LongSupplier configuration, LongSupplier withdrawals) {
+            this.configurationVersion = requireNonNull(configuration, "configuration");
+            this.withdrawalCount = requireNonNull(withdrawals, "withdrawals");
+            return this;
+        }
+
+        /** Sets who is told the versions that peers have. */
+        public Builder versionListener(PeerVersionListener value) {
+            this.versionListener = requireNonNull(value, "versionListener");
+            return this;
+        }
+
+        /** Sets where metrics are registered. */
+        public Builder meterRegistry(MeterRegistry value) {
+            this.meterRegistry = requireNonNull(value, "meterRegistry");
+            return this;
+        }
+
+        /** Creates the controller, not yet started. */
+        public MembershipController build() {
+            return new MembershipController(this);
+        }
+    }
+}
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/peer/NettyPeerMessenger.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/peer/NettyPeerMessenger.java
@@ -24,6 +24,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
@@ -167,7 +168,7 @@
         }
         try {
             return links.computeIfAbsent(peerAddress, this::newLink).send(complete, timeout);
-        } catch (IllegalArgumentException | IllegalStateException exception) {
+        } catch (IllegalArgumentException | IllegalStateException | RejectedExecutionException exception) {
             return CompletableFuture.failedFuture(
                     new PeerException("no link to '" + peerAddress + "': " + exception.getMessage(), false));
         }
