--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/BanyanhookDaemon.java
@@ -0,0 +1,78 @@
+package org.banyanhook.daemon;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.banyanhook.daemon.settings.DaemonSettings;
+import org.banyanhook.daemon.settings.SettingsException;
+import org.banyanhook.daemon.settings.SettingsLoader;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** The command {@code banyanhookd}: runs the daemon of one entry VM until it is told to stop. */
+@Command(
+        name = "banyanhookd",
+        description = "Runs the daemon of one entry VM.",
+        mixinStandardHelpOptions = true,
+        version = "banyanhookd " + BanyanhookDaemon.VERSION,
+        exitCodeListHeading = "Exit codes:%n",
+        exitCodeList = {"0:stopped as told", "1:could not start", "2:wrong arguments or settings"})
+public final class BanyanhookDaemon implements Callable<Integer> {
+
+    /** The version of this daemon. */
+    public static final String VERSION = "0.1.0";
+
+    private static final Logger LOGGER = LogManager.getLogger(BanyanhookDaemon.class);
+    private static final int EXIT_STOPPED = 0;
+    private static final int EXIT_COULD_NOT_START = 1;
+    private static final int EXIT_WRONG_SETTINGS = 2;
+
+    @Option(names = "--settings", required = true, paramLabel = "FILE", description = "The YAML file with the settings.")
+    @SuppressWarnings("NullAway.Init")
+    private Path settingsFile;
+
+    /**
+     * Runs the command.
+     *
+     * @param arguments the command line
+     */
+    public static void main(String[] arguments) {
+        System.exit(new CommandLine(new BanyanhookDaemon()).execute(arguments));
+    }
+
+    @Override
+    public Integer call() throws InterruptedException {
+        DaemonSettings settings;
+        try {
+            settings = new SettingsLoader().load(settingsFile);
+        } catch (SettingsException exception) {
+            LOGGER.error("the settings are wrong: {}", exception.getMessage());
+            return EXIT_WRONG_SETTINGS;
+        }
+        return run(settings);
+    }
+
+    private static int run(DaemonSettings settings) throws InterruptedException {
+        CountDownLatch stopped = new CountDownLatch(1);
+        try (DaemonAssembly assembly = DaemonAssembly.start(settings)) {
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(assembly, stopped), "shutdown"));
+            LOGGER.info("entry VM {} runs, version {}", settings.entryVm(), VERSION);
+            stopped.await();
+            return EXIT_STOPPED;
+        } catch (DaemonStartException exception) {
+            LOGGER.error("could not start", exception);
+            return EXIT_COULD_NOT_START;
+        }
+    }
+
+    private static void shutDown(DaemonAssembly assembly, CountDownLatch stopped) {
+        LOGGER.info("told to stop; finishing the work in progress");
+        assembly.close();
+        stopped.countDown();
+        LOGGER.info("stopped");
+        LogManager.shutdown();
+    }
+}
