--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/backend/BackendAnswerParser.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/backend/BackendAnswerParser.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.io.IOException;
 import org.banyanhook.core.replication.LogPosition;
 import org.jspecify.annotations.Nullable;
@@ -12,8 +13,10 @@
 final class BackendAnswerParser {
 
     private static final int OK = 200;
-    private static final ObjectMapper MAPPER =
-            new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+    private static final ObjectMapper MAPPER = new ObjectMapper()
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .enable(DeserializationFeature.USE_BIG_DECIMAL_FOR_FLOATS)
+            .setNodeFactory(JsonNodeFactory.withExactBigDecimals(true));
 
     private BackendAnswerParser() {}
 
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerHandler.java
@@ -0,0 +1,175 @@
+package org.banyanhook.daemon.caller;
+
+import static java.util.Objects.requireNonNull;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.io.EOFException;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.banyanhook.core.configuration.Route;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+import org.banyanhook.daemon.configuration.ConfigurationSource;
+import org.banyanhook.daemon.execution.Refusals;
+import org.banyanhook.daemon.execution.WorkGate;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
+
+/** Reads callers' requests, passes them through the filter chain and writes the replies. */
+final class CallerHandler extends Handler.Abstract.NonBlocking {
+
+    private static final Logger LOGGER = LogManager.getLogger(CallerHandler.class);
+    private static final String NO_ROUTE = "";
+
+    private final ConfigurationSource configuration;
+    private final FilterChain chain;
+    private final WorkGate gate;
+    private final MeterRegistry meters;
+    private volatile boolean closesConnections;
+
+    CallerHandler(ConfigurationSource configuration, FilterChain chain, WorkGate gate, MeterRegistry meters) {
+        this.configuration = requireNonNull(configuration, "configuration");
+        this.chain = requireNonNull(chain, "chain");
+        this.gate = requireNonNull(gate, "gate");
+        this.meters = requireNonNull(meters, "meters");
+    }
+
+    /** Asks callers from now on, with each reply, to use another connection. */
+    void closeConnections() {
+        closesConnections = true;
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        String requestId = UUID.randomUUID().toString();
+        long receivedNanos = System.nanoTime();
+        gate.run(() -> reply(request, requestId, receivedNanos).thenCompose(reply -> write(reply, requestId, response)))
+                .handle((written, failure) -> failure == null
+                        ? CompletableFuture.<Void>completedFuture(null)
+                        : refuseAtGate(failure, requestId, response))
+                .thenCompose(done -> done)
+                .whenComplete((written, failure) -> {
+                    if (failure == null) {
+                        callback.succeeded();
+                    } else {
+                        callback.failed(failure);
+                    }
+                });
+        return true;
+    }
+
+    private CompletableFuture<CallerReply> reply(Request request, String requestId, long receivedNanos) {
+        return Content.Source.asByteArrayAsync(request, CallerBodies.MAXIMUM_BYTES)
+                .handle((content, failure) -> run(request, requestId, receivedNanos, content, failure))
+                .thenCompose(reply -> reply)
+                .exceptionally(failure -> CallerReplies.problem(Refusals.from(failure), requestId));
+    }
+
+    /** Replies to a request that the closed gate refused; any other failure means that the reply was not written. */
+    private CompletableFuture<Void> refuseAtGate(Throwable failure, String requestId, Response response) {
+        if (!(Refusals.unwrap(failure) instanceof RefusalException refusal)) {
+            return CompletableFuture.failedFuture(failure);
+        }
+        return gate.runAlways(() -> write(CallerReplies.problem(refusal, requestId), requestId, response));
+    }
+
+    private CompletableFuture<CallerReply> run(
+            Request request,
+            String requestId,
+            long receivedNanos,
+            byte @Nullable [] content,
+            @Nullable Throwable failure) {
+        if (content == null) {
+            return CompletableFuture.failedFuture(unreadable(failure));
+        }
+        CallerExchange exchange;
+        try {
+            exchange = exchange(request, requestId, receivedNanos, content);
+        } catch (RefusalException refusal) {
+            return CompletableFuture.failedFuture(refusal);
+        }
+        return chain.proceed(exchange).whenComplete((reply, refused) -> record(exchange, refused, receivedNanos));
+    }
+
+    private CallerExchange exchange(Request request, String requestId, long receivedNanos, byte[] content)
+            throws RefusalException {
+        String path = requireNonNull(request.getHttpURI().getPath(), "path");
+        CallerTarget target = CallerTarget.parse(request.getMethod(), path);
+        CallerBody body = target.operation() == CallerOperation.OUTCOME
+                ? OutcomeQueries.parse(request)
+                : CallerBodies.parse(target.operation(), content);
+        return new CallerExchange(
+                requestId, target, headers(request.getHeaders()), body, configuration.current(), receivedNanos);
+    }
+
+    private static CallerHeaders headers(HttpFields fields) throws RefusalException {
+        for (String name :
+                new String[] {HttpHeader.AUTHORIZATION.asString(), CallerHeaders.SESSION, CallerHeaders.IDEMPOTENCY_KEY
+                }) {
+            if (fields.getValuesList(name).size() > 1) {
+                throw RefusalException.notRun(
+                        RefusalKind.MALFORMED_REQUEST, "The header " + name + " was sent more than once.");
+            }
+        }
+        return new CallerHeaders(
+                fields.get(HttpHeader.AUTHORIZATION),
+                fields.get(CallerHeaders.SESSION),
+                fields.get(CallerHeaders.IDEMPOTENCY_KEY));
+    }
+
+    private static RefusalException unreadable(@Nullable Throwable failure) {
+        Throwable cause = failure == null ? null : Refusals.unwrap(failure);
+        if (cause instanceof IOException && !(cause instanceof EOFException)) {
+            return RefusalException.notRun(
+                    RefusalKind.BODY_TOO_LARGE, "The body has more than " + CallerBodies.MAXIMUM_BYTES + " bytes.");
+        }
+        return RefusalException.notRun(RefusalKind.MALFORMED_REQUEST, "The body did not arrive whole.");
+    }
+
+    private CompletableFuture<Void> write(CallerReply reply, String requestId, Response response) {
+        response.setStatus(reply.status());
+        HttpFields.Mutable headers = response.getHeaders();
+        headers.put(HttpHeader.CONTENT_TYPE, reply.contentType());
+        headers.put(HttpHeader.CONTENT_LENGTH, reply.body().length);
+        headers.put(CallerHeaders.REQUEST_ID, requestId);
+        for (Map.Entry<String, String> header : reply.headers().entrySet()) {
+            headers.put(header.getKey(), header.getValue());
+        }
+        if (closesConnections || gate.isClosed()) {
+            headers.put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
+        }
+        Callback.Completable written = new Callback.Completable();
+        response.write(true, ByteBuffer.wrap(reply.body()), written);
+        return written;
+    }
+
+    private void record(CallerExchange exchange, @Nullable Throwable failure, long receivedNanos) {
+        String outcome = failure == null ? "ok" : Refusals.from(failure).kind().label();
+        String route = exchange.route().map(Route::name).orElse(NO_ROUTE);
+        long nanos = System.nanoTime() - receivedNanos;
+        meters.timer("banyanhook.requests", "account", exchange.accountOrOpen(), "route", route, "outcome", outcome)
+                .record(nanos, TimeUnit.NANOSECONDS);
+        LOGGER.info(
+                "request {} account {} service {} operation {} route {} ended as {} after {} ms",
+                exchange.requestId(),
+                exchange.accountOrOpen(),
+                exchange.serviceName(),
+                exchange.operation(),
+                route,
+                outcome,
+                TimeUnit.NANOSECONDS.toMillis(nanos));
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerReplies.java
@@ -0,0 +1,92 @@
+package org.banyanhook.daemon.caller;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.util.RawValue;
+import java.util.Map;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.daemon.execution.StatementOutcome;
+
+/** Writes replies to callers. */
+final class CallerReplies {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String JSON = "application/json";
+    private static final String PROBLEM_JSON = "application/problem+json";
+    private static final int OK = 200;
+    private static final long MILLIS_PER_SECOND = 1000;
+
+    private CallerReplies() {}
+
+    /**
+     * Writes the result of a statement.
+     *
+     * @param outcome what the statement returned
+     * @param database the name of the database
+     * @param session the session token to hand out
+     * @return the reply
+     */
+    static CallerReply result(StatementOutcome outcome, String database, String session) {
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.putRawValue("result", new RawValue(outcome.resultJson()));
+        body.put("database", database)
+                .put("term", outcome.position().term())
+                .put("position", outcome.position().position())
+                .put("servedBy", outcome.servedBy())
+                .put("replica", outcome.replica())
+                .put("replayed", outcome.replayed());
+        if (outcome.replica()) {
+            body.put("ageMillis", outcome.ageMillis());
+        }
+        return ok(body, session);
+    }
+
+    /**
+     * Writes any object.
+     *
+     * @param body the object
+     * @param session the session token to hand out
+     * @return the reply
+     */
+    static CallerReply ok(ObjectNode body, String session) {
+        return new CallerReply(OK, JSON, Map.of(CallerHeaders.SESSION, session), bytes(body));
+    }
+
+    /**
+     * Writes a refusal.
+     *
+     * @param refusal the refusal
+     * @param requestId the id of the request
+     * @return the reply
+     */
+    static CallerReply problem(RefusalException refusal, String requestId) {
+        ObjectNode body = JsonNodeFactory.instance
+                .objectNode()
+                .put("type", "urn:banyanhook:refusal:" + refusal.kind().label())
+                .put("title", refusal.kind().label().replace('-', ' '))
+                .put("status", refusal.kind().httpStatus())
+                .put("kind", refusal.kind().label())
+                .put("execution", refusal.execution().label())
+                .put("detail", refusal.detail())
+                .put("remedy", refusal.kind().remedy())
+                .put("requestId", requestId);
+        Map<String, String> headers = refusal.retryAfter()
+                .map(wait -> Map.of("Retry-After", Long.toString(wholeSeconds(wait.toMillis()))))
+                .orElse(Map.of());
+        return new CallerReply(refusal.kind().httpStatus(), PROBLEM_JSON, headers, bytes(body));
+    }
+
+    private static long wholeSeconds(long millis) {
+        return Math.max(1, (millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
+    }
+
+    private static byte[] bytes(ObjectNode body) {
+        try {
+            return MAPPER.writeValueAsBytes(body);
+        } catch (JsonProcessingException exception) {
+            throw new IllegalStateException("a reply could not be written as JSON", exception);
+        }
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerServer.java
@@ -0,0 +1,169 @@
+package org.banyanhook.daemon.caller;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableList;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import org.banyanhook.daemon.configuration.ConfigurationSource;
+import org.banyanhook.daemon.execution.StatementExecutor;
+import org.banyanhook.daemon.execution.WorkGate;
+import org.banyanhook.daemon.rate.RateLimiter;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.jspecify.annotations.Nullable;
+
+/** The HTTP server towards callers. */
+public final class CallerServer implements AutoCloseable {
+
+    private static final int MAXIMUM_HEADER_BYTES = 16 * 1024;
+    private static final int MAXIMUM_THREADS = 64;
+    private static final int MINIMUM_THREADS = 8;
+    private static final long IDLE_TIMEOUT_MILLIS = 75_000;
+
+    private final Server server;
+    private final ServerConnector connector;
+    private final CallerHandler handler;
+
+    private CallerServer(Builder builder) {
+        WorkGate gate = requireNonNull(builder.gate, "gate");
+        MeterRegistry meters = requireNonNull(builder.meters, "meters");
+        ConfigurationSource configuration = requireNonNull(builder.configuration, "configuration");
+        QueuedThreadPool threads = new QueuedThreadPool(MAXIMUM_THREADS, MINIMUM_THREADS);
+        threads.setName("caller");
+        this.server = new Server(threads);
+        this.connector = new ServerConnector(server, new HttpConnectionFactory(httpConfiguration()));
+        connector.setHost(builder.host);
+        connector.setPort(builder.port);
+        connector.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
+        server.addConnector(connector);
+        server.setErrorHandler(new ProblemErrorHandler());
+        this.handler = new CallerHandler(configuration, FilterChain.of(filters(builder)), gate, meters);
+        server.setHandler(handler);
+    }
+
+    /** Starts the description of a server. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @throws Exception if the address cannot be bound
+     */
+    public void start() throws Exception {
+        server.start();
+    }
+
+    /** Returns the port that the server listens on, once started. */
+    public int port() {
+        return connector.getLocalPort();
+    }
+
+    /** Asks callers from now on, with each reply, to use another connection. */
+    public void closeConnections() {
+        handler.closeConnections();
+    }
+
+    /**
+     * Stops listening and closes all connections. Wait for the work gate first, so that no request is cut.
+     *
+     * @throws Exception if the server does not stop
+     */
+    @Override
+    public void close() throws Exception {
+        server.stop();
+    }
+
+    private static HttpConfiguration httpConfiguration() {
+        HttpConfiguration http = new HttpConfiguration();
+        http.setRequestHeaderSize(MAXIMUM_HEADER_BYTES);
+        http.setSendServerVersion(false);
+        http.setSendDateHeader(false);
+        return http;
+    }
+
+    private static List<RequestFilter> filters(Builder builder) {
+        SessionFilter sessions = new SessionFilter();
+        StatementExecutor statements = requireNonNull(builder.statements, "statements");
+        List<RequestFilter> filters = new ArrayList<>(builder.firstFilters);
+        filters.add(new AuthenticationFilter());
+        filters.add(sessions);
+        filters.add(new TargetFilter());
+        filters.add(new RateFilter(requireNonNull(builder.rateLimiter, "rateLimiter")));
+        filters.add(new StatementFilter(statements, sessions));
+        return ImmutableList.copyOf(filters);
+    }
+
+    /** Builds a {@link CallerServer}. Not safe for use by several threads. */
+    public static final class Builder {
+        private String host = "127.0.0.1";
+        private int port;
+        private final List<RequestFilter> firstFilters = new ArrayList<>();
+        private @Nullable ConfigurationSource configuration;
+        private @Nullable RateLimiter rateLimiter;
+        private @Nullable StatementExecutor statements;
+        private @Nullable WorkGate gate;
+        private @Nullable MeterRegistry meters;
+
+        private Builder() {}
+
+        /** Sets the IP number to listen on. */
+        public Builder host(String value) {
+            this.host = value;
+            return this;
+        }
+
+        /** Sets the port to listen on, 0 for any free one. */
+        public Builder port(int value) {
+            this.port = value;
+            return this;
+        }
+
+        /** Adds a filter that runs before authentication. */
+        public Builder firstFilter(RequestFilter value) {
+            this.firstFilters.add(value);
+            return this;
+        }
+
+        /** Sets what gives the configuration. */
+        public Builder configuration(ConfigurationSource value) {
+            this.configuration = value;
+            return this;
+        }
+
+        /** Sets what holds accounts to their rate. */
+        public Builder rateLimiter(RateLimiter value) {
+            this.rateLimiter = value;
+            return this;
+        }
+
+        /** Sets what runs single statements. */
+        public Builder statements(StatementExecutor value) {
+            this.statements = value;
+            return this;
+        }
+
+        /** Sets what counts requests and refuses new ones while this entry VM drains. */
+        public Builder gate(WorkGate value) {
+            this.gate = value;
+            return this;
+        }
+
+        /** Sets what receives the metrics. */
+        public Builder meters(MeterRegistry value) {
+            this.meters = value;
+            return this;
+        }
+
+        /** Creates the server, not started. */
+        public CallerServer build() {
+            return new CallerServer(this);
+        }
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/ProblemErrorHandler.java
@@ -0,0 +1,58 @@
+package org.banyanhook.daemon.caller;
+
+import java.nio.ByteBuffer;
+import java.util.UUID;
+import org.banyanhook.core.error.Execution;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.handler.ErrorHandler;
+import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
+
+/** Answers requests that are no proper HTTP, or too large in their headers, with a refusal. */
+final class ProblemErrorHandler extends ErrorHandler {
+
+    private static final int SERVER_ERROR = 500;
+
+    @Override
+    public boolean errorPageForMethod(String method) {
+        return true;
+    }
+
+    @Override
+    protected void generateResponse(
+            Request request,
+            Response response,
+            int code,
+            @Nullable String message,
+            @Nullable Throwable cause,
+            Callback callback) {
+        CallerReply reply = reply(code);
+        response.setStatus(reply.status());
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, reply.contentType());
+        response.write(true, ByteBuffer.wrap(reply.body()), callback);
+    }
+
+    @Override
+    public ByteBuffer badMessageError(int status, @Nullable String reason, HttpFields.Mutable fields) {
+        CallerReply reply = reply(status);
+        fields.put(HttpHeader.CONTENT_TYPE, reply.contentType());
+        return ByteBuffer.wrap(reply.body());
+    }
+
+    private static CallerReply reply(int code) {
+        String requestId = UUID.randomUUID().toString();
+        RefusalException refusal = code >= SERVER_ERROR
+                ? RefusalException.builder(RefusalKind.INTERNAL_FAULT)
+                        .execution(Execution.UNKNOWN)
+                        .detail("The daemon met an unexpected fault.")
+                        .build()
+                : RefusalException.notRun(
+                        RefusalKind.MALFORMED_REQUEST, "The request is no proper HTTP/1.1 (status " + code + ").");
+        return CallerReplies.problem(refusal, requestId);
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/RateFilter.java
@@ -0,0 +1,34 @@
+package org.banyanhook.daemon.caller;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.daemon.rate.RateLimiter;
+
+/**
+ * Takes a token of the client account's fleet-wide rate for each request.
+ *
+ * <p>Requests without a key have no rate of their own; the fair queue holds them to one account's share.
+ */
+final class RateFilter implements RequestFilter {
+
+    private static final Duration MAXIMUM_WAIT = Duration.ofMillis(250);
+
+    private final RateLimiter limiter;
+
+    RateFilter(RateLimiter limiter) {
+        this.limiter = requireNonNull(limiter, "limiter");
+    }
+
+    @Override
+    public CompletableFuture<CallerReply> handle(CallerExchange exchange, FilterChain next) throws RefusalException {
+        if (exchange.account().isEmpty()) {
+            return next.proceed(exchange);
+        }
+        Duration remaining = exchange.remaining();
+        Duration wait = remaining.compareTo(MAXIMUM_WAIT) < 0 ? remaining : MAXIMUM_WAIT;
+        return limiter.acquire(exchange.accountOrOpen(), wait).thenCompose(taken -> next.proceed(exchange));
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/SessionFilter.java
@@ -0,0 +1,48 @@
+package org.banyanhook.daemon.caller;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.banyanhook.core.configuration.SessionSecret;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.session.SessionToken;
+import org.banyanhook.core.session.SessionTokenCodec;
+import org.jspecify.annotations.Nullable;
+
+/** Checks the session token of each request; a request without one starts a new session. */
+final class SessionFilter implements RequestFilter {
+
+    private volatile @Nullable Codec codec;
+
+    @Override
+    public CompletableFuture<CallerReply> handle(CallerExchange exchange, FilterChain next) throws RefusalException {
+        String account = exchange.account().orElse("");
+        String text = exchange.headers().session();
+        SessionTokenCodec current = codec(exchange);
+        exchange.session(text == null || text.isEmpty() ? SessionToken.start(account) : current.decode(text, account));
+        return next.proceed(exchange);
+    }
+
+    /**
+     * Encodes a session token with the secrets of the exchange's configuration.
+     *
+     * @param exchange the request
+     * @param session the token
+     * @return the text for the caller
+     * @throws RefusalException if the configuration holds no secret
+     */
+    String encode(CallerExchange exchange, SessionToken session) throws RefusalException {
+        return codec(exchange).encode(session);
+    }
+
+    private SessionTokenCodec codec(CallerExchange exchange) throws RefusalException {
+        List<SessionSecret> secrets = exchange.configuration().sessionSecrets();
+        Codec current = codec;
+        if (current == null || !current.secrets().equals(secrets)) {
+            current = new Codec(secrets, SessionTokenCodec.create(secrets));
+            codec = current;
+        }
+        return current.codec();
+    }
+
+    private record Codec(List<SessionSecret> secrets, SessionTokenCodec codec) {}
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/execution/WorkGate.java
@@ -0,0 +1,94 @@
+package org.banyanhook.daemon.execution;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+
+/**
+ * Counts the work in progress and refuses new work once this entry VM drains.
+ *
+ * <p>Work that entered before {@link #close} is counted until its future completes. Safe for use by several threads.
+ */
+public final class WorkGate {
+
+    private static final long CLOSED = Long.MIN_VALUE / 2;
+
+    /** The number of pieces of work in progress, plus {@link #CLOSED} once the gate is closed. */
+    private final AtomicLong state = new AtomicLong();
+
+    /**
+     * Work that may be refused when it starts.
+     *
+     * @param <T> the type of its result
+     */
+    @FunctionalInterface
+    public interface Work<T> {
+        /**
+         * Starts the work.
+         *
+         * @return its result
+         * @throws RefusalException if it is refused
+         */
+        CompletableFuture<T> start() throws RefusalException;
+    }
+
+    /**
+     * Runs work unless the gate is closed.
+     *
+     * @param work the work
+     * @param <T> the type of its result
+     * @return the result of the work; failed with a {@link RefusalException} of kind {@code ENTRY_VM_DRAINING} if the
+     *     gate is closed
+     */
+    public <T> CompletableFuture<T> run(Work<T> work) {
+        if (!enter()) {
+            return CompletableFuture.failedFuture(
+                    RefusalException.notRun(RefusalKind.ENTRY_VM_DRAINING, "This entry VM takes no new work."));
+        }
+        return start(work).whenComplete((result, failure) -> state.decrementAndGet());
+    }
+
+    /**
+     * Runs work also when the gate is closed, and counts it.
+     *
+     * @param work the work, which belongs to work that entered before
+     * @param <T> the type of its result
+     * @return the result of the work
+     */
+    public <T> CompletableFuture<T> runAlways(Work<T> work) {
+        state.incrementAndGet();
+        return start(work).whenComplete((result, failure) -> state.decrementAndGet());
+    }
+
+    /** Refuses all work that has not entered yet. Later calls change nothing. */
+    public void close() {
+        state.updateAndGet(value -> value < 0 ? value : value + CLOSED);
+    }
+
+    /** Returns whether the gate is closed. */
+    public boolean isClosed() {
+        return state.get() < 0;
+    }
+
+    /** Returns how many pieces of work are in progress. */
+    public long inProgress() {
+        long value = state.get();
+        return value < 0 ? value - CLOSED : value;
+    }
+
+    private boolean enter() {
+        long before = state.getAndUpdate(value -> value < 0 ? value : value + 1);
+        return before >= 0;
+    }
+
+    private static <T> CompletableFuture<T> start(Work<T> work) {
+        try {
+            return work.start();
+        } catch (RefusalException refusal) {
+            return CompletableFuture.failedFuture(refusal);
+        } catch (RuntimeException exception) {
+            return CompletableFuture.failedFuture(exception);
+        }
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/forwarding/ForwardedStatementHandler.java
@@ -0,0 +1,59 @@
+package org.banyanhook.daemon.forwarding;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.concurrent.CompletableFuture;
+import org.banyanhook.core.configuration.Route;
+import org.banyanhook.core.configuration.Service;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+import org.banyanhook.daemon.configuration.ConfigurationSource;
+import org.banyanhook.daemon.execution.StatementExecutor;
+import org.banyanhook.daemon.execution.WorkGate;
+import org.banyanhook.daemon.peer.PeerHandler;
+import org.banyanhook.protocol.generated.ForwardedStatement;
+import org.banyanhook.protocol.generated.PeerEnvelope;
+
+/** Runs the statements that other entry VMs forward to this one as a home. Safe for use by several threads. */
+public final class ForwardedStatementHandler implements PeerHandler {
+
+    private final ConfigurationSource configuration;
+    private final StatementExecutor local;
+    private final WorkGate gate;
+
+    /**
+     * Creates a handler.
+     *
+     * @param configuration gives the routes
+     * @param local runs the statements
+     * @param gate refuses work while this entry VM drains
+     */
+    public ForwardedStatementHandler(ConfigurationSource configuration, StatementExecutor local, WorkGate gate) {
+        this.configuration = requireNonNull(configuration, "configuration");
+        this.local = requireNonNull(local, "local");
+        this.gate = requireNonNull(gate, "gate");
+    }
+
+    @Override
+    public CompletableFuture<PeerEnvelope> handle(PeerEnvelope message) {
+        ForwardedStatement statement = message.getForwardedStatement();
+        return gate.run(() -> local.execute(ForwardedMessages.command(statement, route(statement), System.nanoTime())))
+                .thenApply(ForwardedMessages::result);
+    }
+
+    private Route route(ForwardedStatement statement) throws RefusalException {
+        Service service = configuration
+                .current()
+                .service(statement.getService())
+                .orElseThrow(() -> RefusalException.notRun(
+                        RefusalKind.SERVICE_UNKNOWN, "This home knows no service " + statement.getService() + "."));
+        if (service.database(statement.getDatabase()).isEmpty()) {
+            throw RefusalException.notRun(
+                    RefusalKind.DATABASE_UNKNOWN,
+                    "Service " + service.name() + " has no database " + statement.getDatabase() + " at this home.");
+        }
+        return service.route(statement.getRoute())
+                .orElseThrow(() -> RefusalException.notRun(
+                        RefusalKind.ROUTE_UNKNOWN, "This home knows no route " + statement.getRoute() + "."));
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/forwarding/HomeDirectory.java
@@ -0,0 +1,92 @@
+package org.banyanhook.daemon.forwarding;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import org.banyanhook.core.configuration.Database;
+import org.banyanhook.core.configuration.FailureDomain;
+import org.banyanhook.core.configuration.FleetConfiguration;
+import org.banyanhook.core.routing.ConnectionShare;
+import org.banyanhook.core.routing.HomeCandidate;
+import org.banyanhook.core.routing.HomePlacement;
+import org.banyanhook.daemon.configuration.ConfigurationSource;
+import org.banyanhook.daemon.membership.EntryVm;
+import org.banyanhook.daemon.membership.MembershipSource;
+
+/** Knows the homes of each database by the current view of the fleet. Safe for use by several threads. */
+public final class HomeDirectory {
+
+    private final HomeCandidate self;
+    private final MembershipSource membership;
+    private final ConfigurationSource configuration;
+
+    /**
+     * Creates a directory.
+     *
+     * @param entryVm the name of this entry VM
+     * @param failureDomain the failure domain of this entry VM
+     * @param membership gives the live entry VMs
+     * @param configuration tells which failure domains are taken out
+     */
+    public HomeDirectory(
+            String entryVm, String failureDomain, MembershipSource membership, ConfigurationSource configuration) {
+        this.self = new HomeCandidate(entryVm, failureDomain);
+        this.membership = requireNonNull(membership, "membership");
+        this.configuration = requireNonNull(configuration, "configuration");
+    }
+
+    /** Returns the name of this entry VM. */
+    public String selfName() {
+        return self.entryVm();
+    }
+
+    /**
+     * Finds the homes of a database.
+     *
+     * @param database the name of the database
+     * @return the homes, nearest to this entry VM first; empty if no live entry VM takes new work
+     */
+    public List<EntryVm> homes(String database) {
+        FleetConfiguration current = configuration.current();
+        List<EntryVm> live = membership.liveEntryVms();
+        List<HomeCandidate> candidates = live.stream()
+                .filter(vm -> !vm.leaving() && !takenOut(current, vm.failureDomain()))
+                .map(vm -> new HomeCandidate(vm.name(), vm.failureDomain()))
+                .toList();
+        List<HomeCandidate> homes = HomePlacement.homes(database, candidates, HomePlacement.HOME_COUNT);
+        return HomePlacement.nearestFirst(homes, self).stream()
+                .flatMap(home -> live.stream().filter(vm -> vm.name().equals(home.entryVm())))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /**
+     * Finds a live entry VM, also one that is leaving.
+     *
+     * @param name its name
+     * @return the entry VM, or an empty list if it is not believed to be alive
+     */
+    public List<EntryVm> entryVm(String name) {
+        return membership.liveEntryVms().stream()
+                .filter(vm -> vm.name().equals(name))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /**
+     * Computes this daemon's share of the connections to one member.
+     *
+     * @param database the database
+     * @return the share, at least 1
+     */
+    public int connectionShare(Database database) {
+        int homes = Math.max(1, homes(database.name()).size());
+        return ConnectionShare.perHome(database.connectionLimit(), homes);
+    }
+
+    private static boolean takenOut(FleetConfiguration configuration, String failureDomain) {
+        return configuration
+                .failureDomain(failureDomain)
+                .map(FailureDomain::takenOut)
+                .orElse(false);
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/forwarding/StatementForwarding.java
@@ -0,0 +1,130 @@
+package org.banyanhook.daemon.forwarding;
+
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.banyanhook.core.error.Execution;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+import org.banyanhook.daemon.execution.Refusals;
+import org.banyanhook.daemon.execution.StatementCommand;
+import org.banyanhook.daemon.execution.StatementOutcome;
+import org.banyanhook.daemon.membership.EntryVm;
+import org.banyanhook.daemon.peer.PeerException;
+import org.banyanhook.protocol.generated.PeerEnvelope;
+
+/** The attempts to have one statement run at a home. Its steps follow one another; no two run at a time. */
+final class StatementForwarding {
+
+    private static final Logger LOGGER = LogManager.getLogger(StatementForwarding.class);
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+    /** Refusals by which a home says that another home may do better. */
+    private static final Set<RefusalKind> ANOTHER_HOME_MAY_SERVE = ImmutableSet.of(
+            RefusalKind.ENTRY_VM_DRAINING,
+            RefusalKind.ENTRY_VM_NOT_READY,
+            RefusalKind.FAILURE_DOMAIN_TAKEN_OUT,
+            RefusalKind.PEER_UNAVAILABLE,
+            RefusalKind.SERVICE_UNKNOWN,
+            RefusalKind.ROUTE_UNKNOWN,
+            RefusalKind.DATABASE_UNKNOWN);
+
+    private final ForwardingExecutor executor;
+    private final StatementCommand command;
+    private final List<EntryVm> homes;
+    private final CompletableFuture<StatementOutcome> result = new CompletableFuture<>();
+    private volatile boolean maybeSent;
+
+    StatementForwarding(ForwardingExecutor executor, StatementCommand command, List<EntryVm> homes) {
+        this.executor = executor;
+        this.command = command;
+        this.homes = homes;
+    }
+
+    CompletableFuture<StatementOutcome> start() {
+        attempt(0);
+        return result;
+    }
+
+    private void attempt(int index) {
+        long remainingNanos = command.deadlineNanos() - System.nanoTime();
+        if (remainingNanos <= 0) {
+            refuse(RefusalKind.DEADLINE_EXCEEDED, "The deadline passed before a home answered.");
+            return;
+        }
+        EntryVm home = homes.get(index);
+        boolean local = executor.isSelf(home);
+        LOGGER.info(
+                "request {} account {} database {} goes to home {}: {}",
+                command.requestId(),
+                command.account(),
+                command.database(),
+                home.name(),
+                local ? "this entry VM is a home" : "home number " + (index + 1) + " by nearness");
+        CompletableFuture<StatementOutcome> answer =
+                local ? executor.local().execute(command) : forward(home, index, remainingNanos);
+        answer.whenComplete((outcome, failure) -> {
+            if (failure == null) {
+                result.complete(outcome);
+            } else {
+                fail(index, Refusals.unwrap(failure));
+            }
+        });
+    }
+
+    private CompletableFuture<StatementOutcome> forward(EntryVm home, int index, long remainingNanos) {
+        executor.countForwarded(command.database());
+        boolean last = command.route().kind().writes() || index + 1 == homes.size();
+        Duration timeout = Duration.ofNanos(last ? remainingNanos : remainingNanos / 2);
+        PeerEnvelope envelope = ForwardedMessages.statement(command, timeout, executor.configurationVersion());
+        return executor.messenger()
+                .request(home.peerAddress(), envelope, timeout)
+                .thenApply(reply -> ForwardedMessages.outcome(reply.getStatementResult()));
+    }
+
+    private void fail(int index, Throwable failure) {
+        boolean another = index + 1 < homes.size();
+        if (failure instanceof PeerException peerFailure) {
+            failAtPeer(index, peerFailure, another);
+            return;
+        }
+        RefusalException refusal = Refusals.from(failure);
+        if (another && refusal.execution() == Execution.NOT_RUN && ANOTHER_HOME_MAY_SERVE.contains(refusal.kind())) {
+            attempt(index + 1);
+        } else if (maybeSent && refusal.execution() == Execution.NOT_RUN) {
+            refuse(refusal.kind(), refusal.detail());
+        } else {
+            result.completeExceptionally(refusal);
+        }
+    }
+
+    private void failAtPeer(int index, PeerException failure, boolean another) {
+        LOGGER.warn(
+                "request {} got no answer from home {}: {}",
+                command.requestId(),
+                homes.get(index).name(),
+                failure.getMessage());
+        maybeSent |= failure.maybeSent();
+        boolean repeatable = !failure.maybeSent() || !command.route().kind().writes();
+        if (repeatable && another) {
+            attempt(index + 1);
+        } else {
+            refuse(
+                    RefusalKind.PEER_UNAVAILABLE,
+                    "Home " + homes.get(index).name() + " of the database did not answer.");
+        }
+    }
+
+    private void refuse(RefusalKind kind, String detail) {
+        boolean unknownWrite = maybeSent && command.route().kind().writes();
+        result.completeExceptionally(RefusalException.builder(unknownWrite ? RefusalKind.OUTCOME_UNKNOWN : kind)
+                .execution(maybeSent ? Execution.UNKNOWN : Execution.NOT_RUN)
+                .detail(detail)
+                .retryAfter(RETRY_AFTER)
+                .build());
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/caller/CallerServerTest.java
@@ -0,0 +1,233 @@
+package org.banyanhook.daemon.caller;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+import org.banyanhook.daemon.backend.ScriptedBackendServer.Reply;
+import org.banyanhook.daemon.execution.ExecutionFixture;
+import org.banyanhook.daemon.execution.WorkGate;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class CallerServerTest {
+
+    private static final String STATEMENTS = "/v1/services/orders-db/statements";
+    private static final String READ = "{\"route\":\"read\",\"database\":\"db\",\"statement\":\"get k\"}";
+    private static final String BEARER = "Bearer " + ExecutionFixture.KEY;
+
+    private final HttpClient client = HttpClient.newHttpClient();
+    private final WorkGate gate = new WorkGate();
+    private ExecutionFixture fixture;
+    private CallerServer server;
+    private volatile boolean rateExceeded;
+
+    @BeforeEach
+    void start() throws Exception {
+        fixture = new ExecutionFixture();
+        server = CallerServer.builder()
+                .configuration(() -> fixture.configuration)
+                .rateLimiter((account, wait) -> rateExceeded
+                        ? CompletableFuture.failedFuture(RefusalException.notRun(RefusalKind.RATE_EXCEEDED, "rate"))
+                        : CompletableFuture.completedFuture(null))
+                .statements(fixture.executor)
+                .gate(gate)
+                .meters(fixture.meters)
+                .build();
+        server.start();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        server.close();
+        fixture.close();
+    }
+
+    private HttpResponse<String> post(String path, String body, String... headers) throws Exception {
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + server.port() + path))
+                .version(HttpClient.Version.HTTP_1_1)
+                .POST(HttpRequest.BodyPublishers.ofString(body));
+        if (headers.length > 0) {
+            request.headers(headers);
+        }
+        return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private static JsonNode json(HttpResponse<String> response) throws Exception {
+        return new ObjectMapper().readTree(response.body());
+    }
+
+    private static void assertRefused(HttpResponse<String> response, String kind) throws Exception {
+        assertThat(response.headers().firstValue("Content-Type")).hasValue("application/problem+json");
+        JsonNode problem = json(response);
+        assertThat(problem.path("kind").asText()).isEqualTo(kind);
+        assertThat(problem.path("status").asInt()).isEqualTo(response.statusCode());
+        assertThat(problem.path("execution").asText()).isEqualTo("not-run");
+        assertThat(problem.path("remedy").asText()).isNotEmpty();
+        assertThat(problem.path("requestId").asText()).isNotEmpty();
+    }
+
+    @Test
+    void answersAReadAndCarriesTheSessionOn() throws Exception {
+        fixture.primary.script(request -> Reply.ok(request.body(), 1, 4, "{\"value\":1.10}"));
+        HttpResponse<String> first = post(STATEMENTS, READ, "Authorization", BEARER);
+        assertThat(first.statusCode()).isEqualTo(200);
+        assertThat(first.body()).contains("{\"value\":1.10}");
+        assertThat(json(first).path("servedBy").asText()).isEqualTo("db-1");
+        String session = first.headers().firstValue("Banyanhook-Session").orElseThrow();
+        fixture.primary.script(request -> Reply.ok(request.body(), 1, 3, "0"));
+        String body = READ.replace("}", ",\"deadlineMillis\":300}");
+        HttpResponse<String> stale = post(STATEMENTS, body, "Authorization", BEARER, "Banyanhook-Session", session);
+        assertThat(json(stale).path("kind").asText()).isEqualTo("primary-changed");
+    }
+
+    static Stream<Arguments> refusedRequests() {
+        String read = READ;
+        String oversize = "{\"route\":\"read\",\"database\":\"db\",\"statement\":\"" + "x".repeat(300_000) + "\"}";
+        return Stream.of(
+                Arguments.of("no JSON", STATEMENTS, "{", "malformed-request"),
+                Arguments.of("JSON array", STATEMENTS, "[]", "malformed-request"),
+                Arguments.of("text after the object", STATEMENTS, read + "{}", "malformed-request"),
+                Arguments.of("unknown field", STATEMENTS, read.replace("}", ",\"x\":1}"), "malformed-request"),
+                Arguments.of("field twice", STATEMENTS, read.replace("}", ",\"route\":\"put\"}"), "malformed-request"),
+                Arguments.of("number for a string", STATEMENTS, read.replace("\"get k\"", "7"), "malformed-request"),
+                Arguments.of("null statement", STATEMENTS, read.replace("\"get k\"", "null"), "malformed-request"),
+                Arguments.of("no database", STATEMENTS, read.replace("\"database\":\"db\",", ""), "malformed-request"),
+                Arguments.of(
+                        "deadline of zero",
+                        STATEMENTS,
+                        read.replace("}", ",\"deadlineMillis\":0}"),
+                        "malformed-request"),
+                Arguments.of(
+                        "deadline as text",
+                        STATEMENTS,
+                        read.replace("}", ",\"deadlineMillis\":\"5\"}"),
+                        "malformed-request"),
+                Arguments.of("oversize", STATEMENTS, oversize, "body-too-large"),
+                Arguments.of("unknown path", "/v1/other", read, "malformed-request"),
+                Arguments.of("unknown service", STATEMENTS.replace("orders", "other"), read, "service-unknown"),
+                Arguments.of("unknown database", STATEMENTS, read.replace("\"db\"", "\"xx\""), "database-unknown"),
+                Arguments.of("unknown route", STATEMENTS, read.replace("\"read\"", "\"xx\""), "route-unknown"),
+                Arguments.of(
+                        "no idempotency key",
+                        STATEMENTS,
+                        read.replace("\"read\"", "\"append\""),
+                        "idempotency-key-missing"));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("refusedRequests")
+    void refusesBadInputBeforeAnyBackendServerSeesIt(String name, String path, String body, String kind)
+            throws Exception {
+        assertRefused(post(path, body, "Authorization", BEARER), kind);
+        assertThat(fixture.primary.received()).isEmpty();
+    }
+
+    static Stream<Arguments> refusedHeaders() {
+        return Stream.of(
+                Arguments.of(new String[] {}, "key-missing"),
+                Arguments.of(new String[] {"Authorization", "Basic abc"}, "key-missing"),
+                Arguments.of(new String[] {"Authorization", "Bearer wrong"}, "key-unknown"),
+                Arguments.of(new String[] {"Authorization", BEARER, "Authorization", BEARER}, "malformed-request"),
+                Arguments.of(new String[] {"Authorization", BEARER, "Banyanhook-Session", "abc"}, "session-invalid"),
+                Arguments.of(
+                        new String[] {"Authorization", BEARER, "Idempotency-Key", "k".repeat(300)},
+                        "malformed-request"),
+                Arguments.of(
+                        new String[] {"Authorization", BEARER, "Padding", "x".repeat(20_000)}, "malformed-request"));
+    }
+
+    @ParameterizedTest
+    @MethodSource("refusedHeaders")
+    void refusesBadHeaders(String[] headers, String kind) throws Exception {
+        HttpResponse<String> response = post(STATEMENTS, READ, headers);
+        assertThat(json(response).path("kind").asText()).isEqualTo(kind);
+        assertThat(fixture.primary.received()).isEmpty();
+    }
+
+    @Test
+    void refusesAWithdrawnKeyOnAConnectionThatWasServedBefore() throws Exception {
+        assertThat(post(STATEMENTS, READ, "Authorization", BEARER).statusCode()).isEqualTo(200);
+        fixture.configuration = fixture.configuration(Set.of(ExecutionFixture.KEY_HASH));
+        assertRefused(post(STATEMENTS, READ, "Authorization", BEARER), "key-withdrawn");
+    }
+
+    @Test
+    void servesAnOpenRouteWithoutAKeyButNoOther() throws Exception {
+        String open = READ.replace("\"read\"", "\"open\"");
+        assertThat(post(STATEMENTS, open).statusCode()).isEqualTo(200);
+        assertRefused(post(STATEMENTS, open, "Authorization", "Bearer wrong"), "key-unknown");
+        assertRefused(post(STATEMENTS, open, "Idempotency-Key", "k"), "key-missing");
+    }
+
+    @Test
+    void refusesASessionOfAnotherAccount() throws Exception {
+        String open = READ.replace("\"read\"", "\"open\"");
+        String session = post(STATEMENTS, open)
+                .headers()
+                .firstValue("Banyanhook-Session")
+                .orElseThrow();
+        assertRefused(
+                post(STATEMENTS, READ, "Authorization", BEARER, "Banyanhook-Session", session), "session-invalid");
+    }
+
+    @Test
+    void refusesBeyondTheRate() throws Exception {
+        rateExceeded = true;
+        assertRefused(post(STATEMENTS, READ, "Authorization", BEARER), "rate-exceeded");
+    }
+
+    @Test
+    void neverShowsTheKeyOrTheSessionToABackendServer() throws Exception {
+        String session = post(STATEMENTS, READ, "Authorization", BEARER)
+                .headers()
+                .firstValue("Banyanhook-Session")
+                .orElseThrow();
+        post(STATEMENTS, READ, "Authorization", BEARER, "Banyanhook-Session", session, "Other", "secret-value");
+        assertThat(fixture.primary.received()).hasSize(2);
+        for (String received : fixture.primary.received()) {
+            assertThat(received).doesNotContain(ExecutionFixture.KEY);
+            assertThat(received).doesNotContain(session);
+            assertThat(received).doesNotContain("secret-value");
+        }
+    }
+
+    @Test
+    void refusesNewRequestsWhileDrainingAndFinishesThoseInProgress() throws Exception {
+        CompletableFuture<Void> confirmation = new CompletableFuture<>();
+        CompletableFuture<Boolean> reached = new CompletableFuture<>();
+        fixture.confirmer = (database, position, timeout) -> {
+            reached.complete(true);
+            return confirmation;
+        };
+        CompletableFuture<HttpResponse<String>> inProgress = CompletableFuture.supplyAsync(() -> {
+            try {
+                return post(STATEMENTS, READ, "Authorization", BEARER);
+            } catch (Exception exception) {
+                throw new IllegalStateException(exception);
+            }
+        });
+        reached.get(5, TimeUnit.SECONDS);
+        gate.close();
+        HttpResponse<String> refused = post(STATEMENTS, READ, "Authorization", BEARER);
+        assertRefused(refused, "entry-vm-draining");
+        assertThat(refused.headers().firstValue("Connection")).hasValue("close");
+        assertThat(gate.inProgress()).isEqualTo(1);
+        confirmation.complete(null);
+        assertThat(inProgress.get(5, TimeUnit.SECONDS).statusCode()).isEqualTo(200);
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/execution/LocalStatementExecutorTest.java
@@ -0,0 +1,189 @@
+package org.banyanhook.daemon.execution;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.util.Objects.requireNonNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.banyanhook.core.error.Execution;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+import org.banyanhook.core.replication.LogPosition;
+import org.banyanhook.daemon.backend.ScriptedBackendServer.Received;
+import org.banyanhook.daemon.backend.ScriptedBackendServer.Reply;
+import org.banyanhook.daemon.primary.PrimaryView;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class LocalStatementExecutorTest {
+
+    private ExecutionFixture fixture;
+
+    @BeforeEach
+    void start() throws Exception {
+        fixture = new ExecutionFixture();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        fixture.close();
+    }
+
+    private StatementOutcome run(StatementCommand.Builder command) throws Exception {
+        return fixture.executor.execute(command.build()).get(10, TimeUnit.SECONDS);
+    }
+
+    private RefusalException refusal(StatementCommand.Builder command) {
+        ExecutionException exception = assertThrows(ExecutionException.class, () -> run(command));
+        assertThat(exception).hasCauseThat().isInstanceOf(RefusalException.class);
+        return (RefusalException) requireNonNull(exception.getCause());
+    }
+
+    private static Reply reply(String fault, Received request) {
+        Reply whole = Reply.ok(request.body());
+        return switch (fault) {
+            case "cut" -> Reply.cut();
+            case "half" -> Reply.halfOf(whole);
+            case "silence" -> Reply.silence();
+            case "foreign" -> Reply.json(200, "{\"answerId\":\"x\",\"position\":1}");
+            case "rejected" -> Reply.json(422, "{\"error\":\"statement-rejected\",\"detail\":\"bad\"}");
+            case "term" -> Reply.json(409, "{\"error\":\"wrong-term\",\"term\":1}");
+            case "room" -> Reply.json(503, "{\"error\":\"too-many-connections\"}");
+            case "fault" -> Reply.json(500, "{}");
+            default -> whole;
+        };
+    }
+
+    /** Every request meets the fault. The last column is how often the statement may have reached the member. */
+    @ParameterizedTest
+    @CsvSource({
+        // route, idempotency key, fault, execution, kind, sent at most
+        "append, k, cut, UNKNOWN, OUTCOME_UNKNOWN, 1",
+        "append, k, half, UNKNOWN, OUTCOME_UNKNOWN, 1",
+        "append, k, silence, UNKNOWN, OUTCOME_UNKNOWN, 1",
+        "append, k, foreign, UNKNOWN, OUTCOME_UNKNOWN, 1",
+        "append, k, fault, UNKNOWN, OUTCOME_UNKNOWN, 1",
+        "append, k, rejected, NOT_RUN, STATEMENT_REJECTED, 1",
+        "append, k, term, NOT_RUN, PRIMARY_CHANGED, 100",
+        "append, k, room, NOT_RUN, BACKEND_UNAVAILABLE, 100",
+        "put, , cut, UNKNOWN, OUTCOME_UNKNOWN, 1",
+        "put, k, cut, UNKNOWN, OUTCOME_UNKNOWN, 11",
+        "put, k, half, UNKNOWN, OUTCOME_UNKNOWN, 11",
+        "read, , rejected, NOT_RUN, STATEMENT_REJECTED, 1",
+        "read, , cut, UNKNOWN, OUTCOME_UNKNOWN, 11",
+    })
+    void labelsEveryFaultTruly(
+            String route, String idempotencyKey, String fault, Execution execution, RefusalKind kind, int sentAtMost) {
+        fixture.primary.script(request -> reply(fault, request));
+        RefusalException refusal = refusal(fixture.command(route).idempotencyKey(idempotencyKey));
+        assertThat(refusal.execution()).isEqualTo(execution);
+        assertThat(refusal.kind()).isEqualTo(kind);
+        assertThat(fixture.primary.received().size()).isAtMost(sentAtMost);
+    }
+
+    @Test
+    void refusesAsNotRunWhenNoMemberCanBeReached() throws Exception {
+        fixture.primary.close();
+        RefusalException refusal = refusal(fixture.command("append").idempotencyKey("k"));
+        assertThat(refusal.execution()).isEqualTo(Execution.NOT_RUN);
+        assertThat(refusal.kind()).isEqualTo(RefusalKind.BACKEND_UNAVAILABLE);
+    }
+
+    @Test
+    void refusesAsNotRunWhileNoPrimaryIsKnown() {
+        fixture.directory.view = Optional.empty();
+        RefusalException refusal = refusal(fixture.command("append").idempotencyKey("k"));
+        assertThat(refusal.execution()).isEqualTo(Execution.NOT_RUN);
+        assertThat(refusal.kind()).isEqualTo(RefusalKind.PRIMARY_UNAVAILABLE);
+    }
+
+    @Test
+    void retriesAtTheNewPrimaryWhatTheOldOneRefused() throws Exception {
+        fixture.primary.script(request -> Reply.json(409, "{\"error\":\"wrong-term\",\"term\":2}"));
+        fixture.replica.script(request -> Reply.ok(request.body(), 2, 7, "7"));
+        fixture.directory.onChangedTerm = () -> fixture.directory.view = Optional.of(new PrimaryView("db", 2, "db-2"));
+        StatementOutcome outcome = run(fixture.command("append").idempotencyKey("k"));
+        assertThat(outcome.servedBy()).isEqualTo("db-2");
+        assertThat(outcome.position()).isEqualTo(new LogPosition(2, 7));
+        assertThat(fixture.directory.reports).contains("db-1 true 2");
+    }
+
+    @Test
+    void writeThatIsNotConfirmedIsUnknown() {
+        fixture.confirmer = (database, position, timeout) ->
+                CompletableFuture.failedFuture(RefusalException.notRun(RefusalKind.PRIMARY_CHANGED, "superseded"));
+        RefusalException refusal = refusal(fixture.command("append").idempotencyKey("k"));
+        assertThat(refusal.kind()).isEqualTo(RefusalKind.OUTCOME_UNKNOWN);
+        assertThat(refusal.execution()).isEqualTo(Execution.UNKNOWN);
+    }
+
+    @Test
+    void answersOnlyAfterTheConfirmation() {
+        CompletableFuture<Void> confirmation = new CompletableFuture<>();
+        CompletableFuture<LogPosition> asked = new CompletableFuture<>();
+        fixture.confirmer = (database, position, timeout) -> {
+            asked.complete(position);
+            return confirmation;
+        };
+        CompletableFuture<StatementOutcome> result =
+                fixture.executor.execute(fixture.command("put").build());
+        assertThat(asked.orTimeout(5, TimeUnit.SECONDS).join()).isEqualTo(new LogPosition(1, 1));
+        assertThat(result.isDone()).isFalse();
+        confirmation.complete(null);
+        assertThat(result.orTimeout(5, TimeUnit.SECONDS).join().resultJson()).isEqualTo("{\"n\":1}");
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // fault of the replica's answer, age bound, position of the replica, served by
+        "none, 900, 5, db-2",
+        "none, 1001, 5, db-1",
+        "none, 900, 4, db-1",
+        "cut, 900, 5, db-1",
+        "silence, 900, 5, db-1",
+        "foreign, 900, 5, db-1",
+        "term, 900, 5, db-1",
+    })
+    void replicaServesOnlyWhatCoversTheSessionWithinTheAge(String fault, long ageMillis, long position, String servedBy)
+            throws Exception {
+        fixture.directory.servingReplica = Optional.of("db-2");
+        fixture.directory.ageMillis = ageMillis;
+        fixture.replica.script(
+                request -> fault.equals("none") ? Reply.ok(request.body(), 1, position, "1") : reply(fault, request));
+        fixture.primary.script(request -> {
+            fixture.directory.servingReplica = Optional.empty();
+            return Reply.ok(request.body(), 1, 9, "2");
+        });
+        if (fault.equals("term")) {
+            fixture.directory.onChangedTerm = null;
+            fixture.directory.servingReplica = Optional.of("db-2");
+            fixture.replica.script(request -> {
+                fixture.directory.servingReplica = Optional.empty();
+                return reply(fault, request);
+            });
+        }
+        StatementOutcome outcome = run(fixture.command("aged").sessionPosition(new LogPosition(1, 5)));
+        assertThat(outcome.servedBy()).isEqualTo(servedBy);
+        assertThat(outcome.replica()).isEqualTo(servedBy.equals("db-2"));
+    }
+
+    @Test
+    void primaryThatDoesNotCoverTheSessionServesNothing() {
+        RefusalException refusal = refusal(fixture.command("read").sessionPosition(new LogPosition(3, 1)));
+        assertThat(refusal.kind()).isEqualTo(RefusalKind.PRIMARY_CHANGED);
+    }
+
+    @Test
+    void retriedReadLeavesIdleConnectionsAlone() throws Exception {
+        run(fixture.command("read"));
+        fixture.primary.script(request -> request.connection() == 1 ? Reply.silence() : Reply.ok(request.body()));
+        assertThat(run(fixture.command("read")).resultJson()).isEqualTo("{\"n\":1}");
+        assertThat(fixture.primary.connections()).isEqualTo(2);
+    }
+}
