Add the command grammar, its changes, the compare-and-swap decision and the key registry

Cause: operators race each other over a store that loses answers; no change may be lost, none applied twice, and the loser is told. Ruled out: last writer wins (a change lost without a word); refusing every concurrent change (commuting commands are the common case); comparing values before and after (needs old documents that nobody keeps). Change: CommandParser reads one grammar into sealed records. Each Change names its subjects and makes the changed configuration. CommandApplication looks at the history in the document: same id, already applied; a change after the version that the operator knew with a subject in common, or one not remembered, a typed conflict; else applied and recorded. Withdrawals commute with all. ChangeAttempt drives read and swap and says not-run at the deadline only if no swap without an answer can still take effect. ConfigurationChecks refuses rate shares over 1, keys granted twice, the last failure domain taken out. PeerVersions tells where a version or the withdrawals are not in force.

--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/command/CommandWords.java
@@ -0,0 +1,79 @@
+package org.banyanhook.core.command;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+
+/** Splits command lines into words. Double quotes keep spaces together, a backslash keeps the next character. */
+public final class CommandWords {
+
+    private CommandWords() {}
+
+    /**
+     * Splits a line.
+     *
+     * @param line one command; a word that starts with {@code #} begins a comment
+     * @return its words without quotes, empty for a blank line
+     * @throws RefusalException if a quote is not closed or a backslash ends the line
+     */
+    public static List<String> split(String line) throws RefusalException {
+        ImmutableList.Builder<String> words = ImmutableList.builder();
+        StringBuilder word = new StringBuilder();
+        boolean inWord = false;
+        boolean quoted = false;
+        for (int index = 0; index < line.length(); index++) {
+            char character = line.charAt(index);
+            if (character == '\\') {
+                index++;
+                requireMore(index < line.length(), "a backslash");
+                word.append(line.charAt(index));
+                inWord = true;
+            } else if (character == '"') {
+                quoted = !quoted;
+                inWord = true;
+            } else if (character == '#' && !inWord) {
+                break;
+            } else if (Character.isWhitespace(character) && !quoted) {
+                if (inWord) {
+                    words.add(word.toString());
+                }
+                word.setLength(0);
+                inWord = false;
+            } else {
+                word.append(character);
+                inWord = true;
+            }
+        }
+        requireMore(!quoted, "a quote that is not closed");
+        if (inWord) {
+            words.add(word.toString());
+        }
+        return words.build();
+    }
+
+    /**
+     * Writes a word so that {@link #split} reads it back as one.
+     *
+     * @param word the word
+     * @return the word, in quotes if needed
+     */
+    public static String quote(String word) {
+        boolean plain = !word.isEmpty() && word.chars().noneMatch(CommandWords::isSpecial);
+        if (plain) {
+            return word;
+        }
+        return '"' + word.replace("\\", "\\\\").replace("\"", "\\\"") + '"';
+    }
+
+    private static boolean isSpecial(int character) {
+        return Character.isWhitespace(character) || character == '"' || character == '\\' || character == '#';
+    }
+
+    private static void requireMore(boolean complete, String what) throws RefusalException {
+        if (!complete) {
+            throw RefusalException.notRun(
+                    RefusalKind.COMMAND_UNKNOWN, "The command ends with " + what + "; close it or remove it.");
+        }
+    }
+}
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/command/GrantKey.java
@@ -0,0 +1,77 @@
+package org.banyanhook.core.command;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.Optional;
+import java.util.Set;
+import org.banyanhook.core.configuration.ClientAccount;
+import org.banyanhook.core.configuration.FleetConfiguration;
+import org.banyanhook.core.configuration.GrantedKey;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+
+/**
+ * Grants a key to a client account.
+ *
+ * @param account the name of the account
+ * @param keyId the id of the key, unique in the account
+ * @param hash the SHA-256 of the key in lower-case hexadecimal
+ */
+public record GrantKey(String account, String keyId, String hash) implements Change {
+
+    @Override
+    public String text() {
+        return "grant key " + account + " id=" + keyId + " hash=" + hash;
+    }
+
+    @Override
+    public Set<String> subjects() {
+        return ImmutableSet.of("account/" + account + "/key/" + keyId, "hash/" + hash);
+    }
+
+    @Override
+    public FleetConfiguration applyTo(FleetConfiguration configuration) throws RefusalException {
+        if (configuration.withdrawnKeyHashes().contains(hash)) {
+            throw refused("the key was withdrawn, and a withdrawn key never works again; grant a new key.");
+        }
+        ClientAccount original = Edits.findAccount(configuration, account);
+        Optional<GrantedKey> sameId =
+                original.keys().stream().filter(key -> key.id().equals(keyId)).findFirst();
+        if (sameId.isPresent()) {
+            return unchangedIfSame(configuration, sameId.get());
+        }
+        boolean hashTaken = configuration.accounts().stream()
+                .flatMap(entry -> entry.keys().stream())
+                .anyMatch(key -> key.hash().equals(hash));
+        if (hashTaken) {
+            throw refused("the same key is already granted; grant a key of its own.");
+        }
+        return Edits.account(configuration, account, this::withKey);
+    }
+
+    private FleetConfiguration unchangedIfSame(FleetConfiguration configuration, GrantedKey present)
+            throws RefusalException {
+        if (present.hash().equals(hash)) {
+            return configuration;
+        }
+        throw refused("the account has another key of that id; use another id.");
+    }
+
+    private ClientAccount withKey(ClientAccount original) {
+        return new ClientAccount(
+                original.name(),
+                ImmutableList.<GrantedKey>builder()
+                        .addAll(original.keys())
+                        .add(new GrantedKey(keyId, hash))
+                        .build(),
+                original.ratePerSecond(),
+                original.burst(),
+                original.weight());
+    }
+
+    private RefusalException refused(String problem) {
+        return RefusalException.notRun(
+                RefusalKind.CONFIGURATION_INVALID,
+                "Key " + keyId + " of client account " + account + " is not granted: " + problem);
+    }
+}
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/command/MoveBackendServer.java
@@ -0,0 +1,59 @@
+package org.banyanhook.core.command;
+
+import com.google.common.collect.ImmutableSet;
+import java.util.List;
+import java.util.Set;
+import org.banyanhook.core.configuration.BackendServer;
+import org.banyanhook.core.configuration.Database;
+import org.banyanhook.core.configuration.FleetConfiguration;
+import org.banyanhook.core.configuration.Service;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+
+/**
+ * Drains a backend server, or returns it to service.
+ *
+ * @param backendServer the name of the backend server
+ * @param leaving true to drain it
+ */
+public record MoveBackendServer(String backendServer, boolean leaving) implements Change {
+
+    @Override
+    public String text() {
+        return (leaving ? "drain" : "return") + " backend-server " + backendServer;
+    }
+
+    @Override
+    public Set<String> subjects() {
+        return ImmutableSet.of("backend-server/" + backendServer);
+    }
+
+    @Override
+    public FleetConfiguration applyTo(FleetConfiguration configuration) throws RefusalException {
+        boolean present = configuration.services().stream()
+                .flatMap(service -> service.databases().stream())
+                .anyMatch(database -> database.member(backendServer).isPresent());
+        if (!present) {
+            throw RefusalException.notRun(
+                    RefusalKind.CONFIGURATION_INVALID,
+                    "No database has a backend server " + backendServer + "; use one that 'show databases' lists.");
+        }
+        return configuration.toBuilder()
+                .services(Edits.replace(configuration.services(), service -> true, this::changed))
+                .build();
+    }
+
+    private Service changed(Service original) {
+        List<Database> databases = Edits.replace(
+                original.databases(), database -> database.member(backendServer).isPresent(), this::changed);
+        return new Service(original.name(), databases, original.routes());
+    }
+
+    private Database changed(Database original) {
+        List<BackendServer> members = Edits.replace(
+                original.members(),
+                member -> member.name().equals(backendServer),
+                member -> new BackendServer(member.name(), member.failureDomain(), member.address(), leaving));
+        return new Database(original.name(), members, original.connectionLimit(), original.slots());
+    }
+}
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/configuration/ConfigurationChecks.java
@@ -0,0 +1,100 @@
+package org.banyanhook.core.configuration;
+
+import com.google.common.collect.ImmutableList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Stream;
+
+/** Checks the meaning of a configuration as a whole. Not safe for use by several threads. */
+public final class ConfigurationChecks {
+
+    private static final double ROUNDING_TOLERANCE = 1e-9;
+
+    private final FleetConfiguration configuration;
+    private final ImmutableList.Builder<String> problems = ImmutableList.builder();
+
+    private ConfigurationChecks(FleetConfiguration configuration) {
+        this.configuration = configuration;
+    }
+
+    /**
+     * Finds what makes a configuration unusable.
+     *
+     * @param configuration the configuration
+     * @return one sentence for each problem, with its remedy; empty if there is none
+     */
+    public static List<String> problems(FleetConfiguration configuration) {
+        return new ConfigurationChecks(configuration).run();
+    }
+
+    private List<String> run() {
+        checkNames();
+        checkKeys();
+        checkFailureDomains();
+        checkMembers();
+        return problems.build();
+    }
+
+    private void checkNames() {
+        unique("failure domain", configuration.failureDomains().stream(), FailureDomain::name);
+        unique("client account", configuration.accounts().stream(), ClientAccount::name);
+        unique("service", configuration.services().stream(), Service::name);
+        unique("database", databases(), Database::name);
+        unique("backend server", members(), BackendServer::name);
+        for (Service service : configuration.services()) {
+            unique("route of service " + service.name(), service.routes().stream(), Route::name);
+        }
+    }
+
+    private void checkKeys() {
+        for (ClientAccount account : configuration.accounts()) {
+            unique("key of client account " + account.name(), account.keys().stream(), GrantedKey::id);
+        }
+        Set<String> seen = new HashSet<>();
+        for (ClientAccount account : configuration.accounts()) {
+            for (GrantedKey key : account.keys()) {
+                if (!seen.add(key.hash())) {
+                    problems.add("Key " + key.id() + " of client account " + account.name()
+                            + " is granted elsewhere too; grant each key once.");
+                }
+            }
+        }
+    }
+
+    private void checkFailureDomains() {
+        List<FailureDomain> domains = configuration.failureDomains();
+        double shares = domains.stream().mapToDouble(FailureDomain::rateShare).sum();
+        if (shares > 1 + ROUNDING_TOLERANCE) {
+            problems.add("The rateShare values of all failure domains add up to " + shares
+                    + "; lower them to 1 in all, or accounts get more than their rate.");
+        }
+        if (!domains.isEmpty() && domains.stream().allMatch(FailureDomain::takenOut)) {
+            problems.add("All failure domains would be taken out; return one first.");
+        }
+    }
+
+    private void checkMembers() {
+        members()
+                .filter(member ->
+                        configuration.failureDomain(member.failureDomain()).isEmpty())
+                .forEach(member -> problems.add("Backend server " + member.name() + " is in failure domain "
+                        + member.failureDomain() + ", which is not declared; declare it."));
+    }
+
+    private Stream<Database> databases() {
+        return configuration.services().stream().flatMap(service -> service.databases().stream());
+    }
+
+    private Stream<BackendServer> members() {
+        return databases().flatMap(database -> database.members().stream());
+    }
+
+    private <T> void unique(String what, Stream<T> elements, Function<T, String> name) {
+        Set<String> seen = new HashSet<>();
+        elements.map(name)
+                .filter(value -> !seen.add(value))
+                .forEach(value -> problems.add("There are two entries of " + what + " " + value + "; rename one."));
+    }
+}
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/key/KeyHashes.java
@@ -0,0 +1,33 @@
+package org.banyanhook.core.key;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+
+/** Hashes keys and compares hashes. */
+public final class KeyHashes {
+
+    private KeyHashes() {}
+
+    /**
+     * Hashes a key.
+     *
+     * @param key the key as a caller or operator sent it
+     * @return its SHA-256 in lower-case hexadecimal
+     */
+    public static String hash(String key) {
+        return Hashing.sha256().hashString(key, StandardCharsets.UTF_8).toString();
+    }
+
+    /**
+     * Compares two hashes in a time that does not depend on where they differ.
+     *
+     * @param first one hash
+     * @param second another hash
+     * @return true if they are equal
+     */
+    public static boolean equal(String first, String second) {
+        return MessageDigest.isEqual(
+                first.getBytes(StandardCharsets.US_ASCII), second.getBytes(StandardCharsets.US_ASCII));
+    }
+}
--- /dev/null
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/command/ChangeAttemptTest.java
@@ -0,0 +1,295 @@
+package org.banyanhook.core.command;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.banyanhook.core.configuration.AppliedCommand;
+import org.banyanhook.core.configuration.ConfigurationState;
+import org.banyanhook.core.configuration.FleetConfiguration;
+import org.banyanhook.core.error.Execution;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+import org.junit.jupiter.api.Test;
+
+/** Operators race each other over a platform that loses, delays and doubles, with daemons that restart. */
+class ChangeAttemptTest {
+
+    private static final int SEEDS = 400;
+    private static final int EVENTS = 400;
+    private static final int DAEMONS = 4;
+    private static final int OPERATORS = 5;
+    private static final List<String> COMMANDS = List.of(
+            "set account plant rate=%d",
+            "set account plant burst=%d",
+            "set account audit rate=%d",
+            "set route inject-db status maximum-age-millis=%d",
+            "take-out failure-domain a",
+            "return failure-domain a",
+            "take-out failure-domain b",
+            "withdraw key plant k1",
+            "withdraw key plant k2",
+            "drain backend-server m1",
+            "drain entry-vm e1",
+            "return entry-vm e1");
+
+    @Test
+    void losesNoChangeAndAppliesNoneTwice() throws RefusalException {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            Race race = new Race(seed);
+            race.run();
+            race.check();
+        }
+    }
+
+    @Test
+    void saysThatNothingChangedOnlyIfNoSwapIsOpen() throws RefusalException {
+        FleetConfiguration original = Configurations.small();
+        Change change = (Change) CommandParser.parse("set account plant rate=20");
+        ChangeAttempt attempt = new ChangeAttempt(new ChangeRequest("c", 1, change));
+        attempt.begin();
+        assertThat(attempt.onDeadline().refusal().execution()).isEqualTo(Execution.NOT_RUN);
+
+        ChangeStep.Swap swap = (ChangeStep.Swap) attempt.onRead(original, 1, Set.of());
+        attempt.onSwapUnanswered(swap.next());
+        assertThat(attempt.onDeadline().refusal().execution()).isEqualTo(Execution.UNKNOWN);
+        attempt.onRead(original, 1, Set.of());
+        assertThat(attempt.onDeadline().refusal().execution()).isEqualTo(Execution.UNKNOWN);
+        FleetConfiguration changedByAnother = original.toBuilder().version(2).build();
+        attempt.onRead(changedByAnother, 2, Set.of());
+        assertThat(attempt.onDeadline().refusal().execution()).isEqualTo(Execution.NOT_RUN);
+    }
+
+    /** One seeded interleaving. */
+    private static final class Race {
+        private final long seed;
+        private final Random random;
+        private final List<FleetConfiguration> accepted = new ArrayList<>();
+        private final List<Daemon> daemons = new ArrayList<>();
+        private final List<Operator> operators = new ArrayList<>();
+        private final List<Runnable> delayedSwaps = new ArrayList<>();
+        private final Map<String, Long> bases = new HashMap<>();
+        private final Set<String> notRun = new HashSet<>();
+        private final Map<String, Long> finished = new HashMap<>();
+
+        Race(long seed) {
+            this.seed = seed;
+            this.random = new Random(seed);
+            accepted.add(Configurations.small());
+            for (int index = 0; index < DAEMONS; index++) {
+                daemons.add(new Daemon());
+            }
+            for (int index = 0; index < OPERATORS; index++) {
+                operators.add(new Operator("op" + index));
+            }
+        }
+
+        void run() throws RefusalException {
+            for (int event = 0; event < EVENTS; event++) {
+                int choice = random.nextInt(20);
+                if (choice == 0) {
+                    daemons.set(random.nextInt(DAEMONS), new Daemon());
+                } else if (choice == 1 && !delayedSwaps.isEmpty()) {
+                    delayedSwaps.remove(random.nextInt(delayedSwaps.size())).run();
+                } else if (choice < 5) {
+                    daemon().hear(daemon());
+                } else if (choice < 7) {
+                    daemon().hearDocument(accepted.get(random.nextInt(accepted.size())));
+                } else {
+                    operators.get(random.nextInt(OPERATORS)).act();
+                }
+            }
+            delayedSwaps.forEach(Runnable::run);
+        }
+
+        void check() throws RefusalException {
+            Set<String> ids = new HashSet<>();
+            for (int index = 1; index < accepted.size(); index++) {
+                FleetConfiguration before = accepted.get(index - 1);
+                FleetConfiguration after = accepted.get(index);
+                AppliedCommand command =
+                        after.recentCommands().get(after.recentCommands().size() - 1);
+                assertWithMessage("seed %s: %s applied once", seed, command)
+                        .that(ids.add(command.id()))
+                        .isTrue();
+                Change change = (Change) CommandParser.parse(command.text());
+                FleetConfiguration expected = change.applyTo(before).toBuilder()
+                        .version(before.version() + 1)
+                        .recentCommands(after.recentCommands())
+                        .withdrawnKeyHashes(after.withdrawnKeyHashes())
+                        .build();
+                assertWithMessage("seed %s: version %s", seed, after.version())
+                        .that(after)
+                        .isEqualTo(expected);
+                assertWithMessage("seed %s", seed)
+                        .that(after.withdrawnKeyHashes())
+                        .containsAtLeastElementsIn(before.withdrawnKeyHashes());
+                checkConflicts(command, change);
+            }
+            finished.forEach((id, version) -> assertWithMessage("seed %s: %s finished", seed, id)
+                    .that(accepted.get((int) (version - 1)).recentCommands().stream()
+                            .anyMatch(command -> command.id().equals(id) && command.version() == version))
+                    .isTrue());
+            assertWithMessage("seed %s: refused as not run", seed).that(ids).containsNoneIn(notRun);
+        }
+
+        private void checkConflicts(AppliedCommand command, Change change) {
+            if (change.commutesWithAll()) {
+                return;
+            }
+            long base = bases.getOrDefault(command.id(), 0L);
+            for (FleetConfiguration between : accepted.subList((int) base, (int) command.version() - 1)) {
+                AppliedCommand other =
+                        between.recentCommands().get(between.recentCommands().size() - 1);
+                assertWithMessage("seed %s: %s overwrote %s unseen", seed, command, other)
+                        .that(other.subjects())
+                        .containsNoneIn(command.subjects());
+            }
+        }
+
+        private Daemon daemon() {
+            return daemons.get(random.nextInt(DAEMONS));
+        }
+
+        private FleetConfiguration newest() {
+            return accepted.get(accepted.size() - 1);
+        }
+
+        private boolean swap(long expectedVersion, FleetConfiguration next) {
+            if (newest().version() != expectedVersion) {
+                return false;
+            }
+            accepted.add(next);
+            return true;
+        }
+
+        /** What one entry VM knows. */
+        private final class Daemon {
+            private final ConfigurationState state = new ConfigurationState();
+
+            void hear(Daemon peer) {
+                hearDocument(peer.state.effective());
+                state.observeWithdrawals(peer.state.effective().withdrawnKeyHashes());
+            }
+
+            void hearDocument(FleetConfiguration document) {
+                long versionBefore = state.version();
+                Set<String> withdrawnBefore = state.effective().withdrawnKeyHashes();
+                state.observeDocument(document);
+                assertWithMessage("seed %s: never reverts", seed)
+                        .that(state.version())
+                        .isAtLeast(versionBefore);
+                assertWithMessage("seed %s: version is the highest seen", seed)
+                        .that(state.version())
+                        .isAtLeast(document.version());
+                assertWithMessage("seed %s: withdrawals only grow", seed)
+                        .that(state.effective().withdrawnKeyHashes())
+                        .containsAtLeastElementsIn(withdrawnBefore);
+            }
+        }
+
+        /** An operator whose tool repeats a command under its id until it knows the outcome, or gives up. */
+        private final class Operator {
+            private final String name;
+            private int count;
+            private boolean unknown;
+            private Trial trial;
+
+            Operator(String name) {
+                this.name = name;
+                this.trial = nextCommand();
+            }
+
+            void act() {
+                if (random.nextInt(15) == 0) {
+                    conclude(trial.attempt.onDeadline());
+                } else if (trial.step instanceof ChangeStep.Swap swap) {
+                    conclude(swapUnderFaults(swap.next()));
+                } else if (random.nextInt(4) == 0) {
+                    conclude(trial.attempt.onReadUnanswered());
+                } else {
+                    conclude(read());
+                }
+            }
+
+            private ChangeStep read() {
+                ConfigurationState state = trial.daemon.state;
+                FleetConfiguration read = newest();
+                ChangeStep next = trial.attempt.onRead(read, state.version(), state.unwrittenWithdrawals());
+                trial.daemon.hearDocument(read);
+                return next;
+            }
+
+            private ChangeStep swapUnderFaults(FleetConfiguration next) {
+                bases.put(trial.request.commandId(), trial.request.basedOnVersion());
+                long expected = next.version() - 1;
+                switch (random.nextInt(5)) {
+                    case 0:
+                        swap(expected, next);
+                        return trial.attempt.onSwapUnanswered(next);
+                    case 1:
+                        delayedSwaps.add(() -> swap(expected, next));
+                        return trial.attempt.onSwapUnanswered(next);
+                    case 2:
+                        return trial.attempt.onSwapUnanswered(next);
+                    default:
+                        return swap(expected, next) ? trial.attempt.onSwapped(next) : trial.attempt.onSwapConflict();
+                }
+            }
+
+            private void conclude(ChangeStep step) {
+                trial.step = step;
+                if (step instanceof ChangeStep.Finished done) {
+                    finished.put(trial.request.commandId(), done.version());
+                    trial = nextCommand();
+                } else if (step instanceof ChangeStep.Refused refused) {
+                    giveUpOrRetry(refused.refusal());
+                }
+            }
+
+            private void giveUpOrRetry(RefusalException refusal) {
+                unknown |= refusal.execution() == Execution.UNKNOWN;
+                boolean outOfTime = refusal.kind() == RefusalKind.PLATFORM_UNAVAILABLE;
+                if (outOfTime && (unknown || random.nextBoolean())) {
+                    trial = new Trial(trial.request, daemon());
+                } else {
+                    notRun.add(trial.request.commandId());
+                    trial = nextCommand();
+                }
+            }
+
+            private Trial nextCommand() {
+                unknown = false;
+                String text = String.format(COMMANDS.get(random.nextInt(COMMANDS.size())), random.nextInt(50));
+                Daemon daemon = daemon();
+                try {
+                    Change change = (Change) CommandParser.parse(text);
+                    return new Trial(new ChangeRequest(name + "-" + count++, daemon.state.version(), change), daemon);
+                } catch (RefusalException exception) {
+                    throw new AssertionError("seed " + seed, exception);
+                }
+            }
+        }
+
+        /** One try of a command at one entry VM. */
+        private static final class Trial {
+            private final ChangeRequest request;
+            private final ChangeAttempt attempt;
+            private final Daemon daemon;
+            private ChangeStep step;
+
+            Trial(ChangeRequest request, Daemon daemon) {
+                this.request = request;
+                this.attempt = new ChangeAttempt(request);
+                this.daemon = daemon;
+                this.step = attempt.begin();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/configuration/SpreadTreeTest.java
@@ -0,0 +1,66 @@
+package org.banyanhook.core.configuration;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class SpreadTreeTest {
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 5, 9, 733})
+    void reachesEveryEntryVmOnceFromTheRoot(int size) {
+        for (long seed = 1; seed <= 20; seed++) {
+            List<String> names = names(size);
+            Collections.shuffle(names, new Random(seed));
+            SpreadTree tree = SpreadTree.of(names, seed);
+            List<String> reached = new ArrayList<>(tree.first(1));
+            for (int index = 0; index < reached.size(); index++) {
+                List<String> children = tree.children(reached.get(index));
+                assertWithMessage("seed %s", seed).that(children.size()).isAtMost(SpreadTree.FAN_OUT);
+                reached.addAll(children);
+            }
+            assertWithMessage("seed %s", seed).that(reached).containsExactlyElementsIn(names);
+        }
+    }
+
+    @Test
+    void isTheSameOnEveryEntryVmAndShuffledByTheNews() {
+        List<String> names = names(50);
+        List<String> reversed = new ArrayList<>(names);
+        Collections.reverse(reversed);
+
+        assertThat(SpreadTree.of(names, 7).first(50))
+                .isEqualTo(SpreadTree.of(reversed, 7).first(50));
+        assertThat(SpreadTree.of(names, 7).first(50))
+                .isNotEqualTo(SpreadTree.of(names, 8).first(50));
+        assertThat(SpreadTree.of(names, 7).children("stranger")).isEmpty();
+    }
+
+    @Test
+    void replacesJustTheWatcherThatLeft() {
+        List<String> names = names(40);
+        Set<String> before = new HashSet<>(WatcherElection.watchers(names));
+        assertThat(before).hasSize(WatcherElection.WATCHERS_PER_FAILURE_DOMAIN);
+        String gone = WatcherElection.watchers(names).get(0);
+        names.remove(gone);
+        List<String> after = WatcherElection.watchers(names);
+        before.remove(gone);
+        assertThat(after).containsAtLeastElementsIn(before);
+        assertThat(WatcherElection.watchers(List.of("only"))).containsExactly("only");
+    }
+
+    private static List<String> names(int size) {
+        return new ArrayList<>(
+                IntStream.range(0, size).mapToObj(index -> "entry-" + index).toList());
+    }
+}
