Connect the parts into one daemon

Cause: settings, configuration, membership, primaries, forwarding and the callers' server stood apart. Change: one assembly starts them in order and closes them in the opposite order. Rates are not limited yet.

--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/BanyanhookDaemon.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/BanyanhookDaemon.java
@@ -30,7 +30,11 @@
     private static final int EXIT_COULD_NOT_START = 1;
     private static final int EXIT_WRONG_SETTINGS = 2;
 
-    @Option(names = "--settings", required = true, paramLabel = "FILE", description = "The YAML file with the settings.")
+    @Option(
+            names = "--settings",
+            required = true,
+            paramLabel = "FILE",
+            description = "The YAML file with the settings.")
     @SuppressWarnings("NullAway.Init")
     private Path settingsFile;
 
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/DaemonAssembly.java
@@ -0,0 +1,242 @@
+package org.banyanhook.daemon;
+
+import com.google.common.io.Closer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.banyanhook.core.configuration.BackendServer;
+import org.banyanhook.core.configuration.FailureDomain;
+import org.banyanhook.core.membership.Member;
+import org.banyanhook.core.membership.MemberState;
+import org.banyanhook.daemon.backend.BackendConnectionPool;
+import org.banyanhook.daemon.backend.BackendHttpClients;
+import org.banyanhook.daemon.caller.CallerServer;
+import org.banyanhook.daemon.configuration.ConfigurationController;
+import org.banyanhook.daemon.execution.LocalStatementExecutor;
+import org.banyanhook.daemon.execution.MemberChooser;
+import org.banyanhook.daemon.execution.WorkGate;
+import org.banyanhook.daemon.forwarding.ForwardedStatementHandler;
+import org.banyanhook.daemon.forwarding.ForwardingExecutor;
+import org.banyanhook.daemon.forwarding.HomeDirectory;
+import org.banyanhook.daemon.membership.EntryVm;
+import org.banyanhook.daemon.membership.MembershipController;
+import org.banyanhook.daemon.membership.MembershipSource;
+import org.banyanhook.daemon.peer.NettyPeerMessenger;
+import org.banyanhook.daemon.platform.HttpPlatformClient;
+import org.banyanhook.daemon.primary.BackendControlClient;
+import org.banyanhook.daemon.primary.PrimaryController;
+import org.banyanhook.daemon.settings.Addresses;
+import org.banyanhook.daemon.settings.DaemonSettings;
+import org.banyanhook.protocol.generated.PeerEnvelope;
+import org.eclipse.jetty.client.HttpClient;
+
+/** The parts of one daemon, connected, started in order and closed in the opposite order. */
+final class DaemonAssembly implements AutoCloseable {
+
+    private static final Logger LOGGER = LogManager.getLogger(DaemonAssembly.class);
+    private static final int CALLBACK_THREADS = 4;
+
+    private final DaemonSettings settings;
+    private final Closer closer = Closer.create();
+    private final PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final WorkGate gate = new WorkGate();
+    private final ExecutorService callbacks;
+    private final HttpPlatformClient platform;
+    private final NettyPeerMessenger messenger;
+    private final ConfigurationController configuration;
+    private final MembershipController membership;
+    private final HomeDirectory homes;
+    private final PrimaryController primaries;
+
+    private DaemonAssembly(DaemonSettings settings) {
+        this.settings = settings;
+        this.callbacks = Executors.newFixedThreadPool(CALLBACK_THREADS, DaemonAssembly::callbackThread);
+        closer.register(callbacks::shutdown);
+        this.platform = HttpPlatformClient.builder(settings.platform().address())
+                .meterRegistry(meters)
+                .build();
+        this.messenger = newMessenger();
+        LateMembership liveEntryVms = new LateMembership();
+        this.configuration = newConfiguration(liveEntryVms);
+        this.membership = newMembership();
+        liveEntryVms.set(membership);
+        this.homes = new HomeDirectory(settings.entryVm(), settings.failureDomain(), membership, configuration);
+        this.primaries = newPrimaries();
+    }
+
+    /**
+     * Starts a daemon.
+     *
+     * @param settings its checked settings
+     * @return the running daemon
+     * @throws DaemonStartException if a part could not start; parts already started are closed
+     */
+    static DaemonAssembly start(DaemonSettings settings) throws DaemonStartException {
+        DaemonAssembly assembly = new DaemonAssembly(settings);
+        try {
+            assembly.startParts();
+            return assembly;
+        } catch (Exception exception) {
+            assembly.close();
+            throw new DaemonStartException(
+                    "Entry VM " + settings.entryVm() + " could not start; check that its addresses are free.",
+                    exception);
+        }
+    }
+
+    /** Finishes the work in progress and closes all parts. Later calls change nothing. */
+    @Override
+    public void close() {
+        gate.close();
+        membership.leave();
+        try {
+            closer.close();
+        } catch (IOException exception) {
+            LOGGER.warn("a part did not close; the process ends all the same", exception);
+        }
+    }
+
+    private void startParts() throws Exception {
+        platform.start();
+        closer.register(platform::close);
+        registerClosing(messenger);
+        configuration.start();
+        closer.register(configuration::close);
+        membership.start();
+        closer.register(membership::close);
+        primaries.start();
+        closer.register(primaries::close);
+        startCallerPath();
+        messenger.start();
+    }
+
+    private void startCallerPath() throws Exception {
+        HttpClient client = BackendHttpClients.start(callbacks);
+        closer.register(() -> stop(client));
+        BackendConnectionPool pool = new BackendConnectionPool(client, meters);
+        closer.register(pool::close);
+        LocalStatementExecutor local = LocalStatementExecutor.builder()
+                .configuration(configuration)
+                .directory(primaries)
+                .confirmer(primaries)
+                .pool(pool)
+                .connectionShare(homes::connectionShare)
+                .chooser(new MemberChooser(configuration, primaries, this::takesWork))
+                .meters(meters)
+                .build();
+        messenger.handle(
+                PeerEnvelope.BodyCase.FORWARDED_STATEMENT, new ForwardedStatementHandler(configuration, local, gate));
+        ForwardingExecutor statements = ForwardingExecutor.builder()
+                .homes(homes)
+                .local(local)
+                .messenger(messenger)
+                .configuration(configuration)
+                .meters(meters)
+                .build();
+        startCallerServer(statements);
+    }
+
+    private void startCallerServer(ForwardingExecutor statements) throws Exception {
+        InetSocketAddress address = Addresses.parse(settings.callers().address());
+        CallerServer callers = CallerServer.builder()
+                .host(address.getAddress().getHostAddress())
+                .port(address.getPort())
+                .configuration(configuration)
+                .rateLimiter((account, wait) -> java.util.concurrent.CompletableFuture.completedFuture(null))
+                .statements(statements)
+                .gate(gate)
+                .meters(meters)
+                .build();
+        callers.start();
+        registerClosing(callers);
+    }
+
+    private boolean takesWork(BackendServer server) {
+        boolean domainTakenOut = configuration
+                .current()
+                .failureDomain(server.failureDomain())
+                .map(FailureDomain::takenOut)
+                .orElse(false);
+        return !server.leaving() && !domainTakenOut;
+    }
+
+    private NettyPeerMessenger newMessenger() {
+        return NettyPeerMessenger.builder(settings.entryVm(), settings.failureDomain())
+                .listenAddress(Addresses.parse(settings.peers().address()))
+                .meterRegistry(meters)
+                .build();
+    }
+
+    private ConfigurationController newConfiguration(MembershipSource liveEntryVms) {
+        EntryVm self = new EntryVm(
+                settings.entryVm(), settings.failureDomain(), settings.peers().address(), false);
+        return ConfigurationController.builder(self)
+                .platform(platform)
+                .messenger(messenger)
+                .membership(liveEntryVms)
+                .seeds(settings.peers().seeds())
+                .meterRegistry(meters)
+                .build();
+    }
+
+    private MembershipController newMembership() {
+        Member self = new Member(
+                settings.entryVm(),
+                settings.failureDomain(),
+                settings.peers().address(),
+                System.currentTimeMillis(),
+                MemberState.ALIVE);
+        return MembershipController.builder(self, messenger)
+                .platform(platform)
+                .seeds(settings.peers().seeds())
+                .versions(() -> configuration.current().version(), configuration::withdrawalDigest)
+                .versionListener(configuration)
+                .meterRegistry(meters)
+                .build();
+    }
+
+    private PrimaryController newPrimaries() {
+        BackendControlClient control = BackendControlClient.open();
+        closer.register(control::close);
+        return PrimaryController.builder()
+                .entryVm(settings.entryVm())
+                .failureDomain(settings.failureDomain())
+                .configuration(configuration)
+                .membership(membership)
+                .messenger(messenger)
+                .platform(platform)
+                .control(control)
+                .callbacks(callbacks)
+                .meterRegistry(meters)
+                .build();
+    }
+
+    private void registerClosing(AutoCloseable part) {
+        closer.register(() -> {
+            try {
+                part.close();
+            } catch (Exception exception) {
+                throw new IOException("a part could not be closed", exception);
+            }
+        });
+    }
+
+    private static void stop(HttpClient client) throws IOException {
+        try {
+            client.stop();
+        } catch (Exception exception) {
+            throw new IOException("the client of backend servers could not be stopped", exception);
+        }
+    }
+
+    private static Thread callbackThread(Runnable task) {
+        Thread thread = new Thread(task, "callbacks");
+        thread.setDaemon(true);
+        return thread;
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/LateMembership.java
@@ -0,0 +1,21 @@
+package org.banyanhook.daemon;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import org.banyanhook.daemon.membership.EntryVm;
+import org.banyanhook.daemon.membership.MembershipSource;
+
+/** A membership that is set once the controller exists, and knows no entry VM before. Safe for several threads. */
+final class LateMembership implements MembershipSource {
+
+    private volatile MembershipSource source = ImmutableList::of;
+
+    void set(MembershipSource value) {
+        this.source = value;
+    }
+
+    @Override
+    public List<EntryVm> liveEntryVms() {
+        return source.liveEntryVms();
+    }
+}
