Make changes by compare-and-swap, withdraw in an outage, and refuse keys when cut off

Cause: changes must survive lost answers and races; a withdrawn key must stop working within seconds with the platform down and in a failure domain that is cut off from everything. Ruled out: holding a withdrawal until the platform answers; counting any peer as contact (one of the same cut-off domain knows no more); contact by the watchers alone (a paused process would not notice that its contact is old). Change: ConfigurationChanger drives ChangeAttempt over the platform client. ConfigurationController spreads withdrawals at once, its watchers write them when the platform answers again (command id from the hash, so once), keeps who confirmed what (ForceReport), and remembers silent entry VMs for an hour. KeyGate looks a key up for each request and asks KeyAdmission: without word from the platform or an equal or merged peer of another failure domain for 4 s, by the monotonic clock, keys are refused (setting refuse, now the default) or served (serve).

--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/administration/CommandInterpreter.java
@@ -0,0 +1,215 @@
+package org.banyanhook.daemon.administration;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.banyanhook.core.command.Change;
+import org.banyanhook.core.command.ChangeRequest;
+import org.banyanhook.core.command.Command;
+import org.banyanhook.core.command.CommandParser;
+import org.banyanhook.core.command.Explain;
+import org.banyanhook.core.command.Show;
+import org.banyanhook.core.command.WithdrawKey;
+import org.banyanhook.core.configuration.FleetConfiguration;
+import org.banyanhook.core.error.Execution;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+import org.banyanhook.daemon.configuration.ConfigurationController;
+import org.banyanhook.daemon.configuration.ForceReport;
+import org.banyanhook.daemon.membership.EntryVm;
+import org.banyanhook.daemon.membership.MembershipSource;
+import org.jspecify.annotations.Nullable;
+
+/** Carries out commands. Safe for use by several threads; never blocks. */
+public final class CommandInterpreter {
+
+    private static final Logger LOGGER = LogManager.getLogger(CommandInterpreter.class);
+    private static final Duration CHANGE_CONFIRMATION = Duration.ofMillis(2_500);
+    private static final Duration QUERY_CONFIRMATION = Duration.ofMillis(500);
+
+    private final ConfigurationController controller;
+    private final MembershipSource membership;
+    private final DatabaseStatus databaseStatus;
+    private final RouteExplainer routeExplainer;
+
+    /**
+     * Creates an interpreter.
+     *
+     * @param controller the configuration in force
+     * @param membership the live entry VMs
+     * @param databaseStatus tells primaries
+     * @param routeExplainer explains routes
+     */
+    public CommandInterpreter(
+            ConfigurationController controller,
+            MembershipSource membership,
+            DatabaseStatus databaseStatus,
+            RouteExplainer routeExplainer) {
+        this.controller = requireNonNull(controller, "controller");
+        this.membership = requireNonNull(membership, "membership");
+        this.databaseStatus = requireNonNull(databaseStatus, "databaseStatus");
+        this.routeExplainer = requireNonNull(routeExplainer, "routeExplainer");
+    }
+
+    /**
+     * Carries out a command.
+     *
+     * @param command the parsed command
+     * @param call the command as sent
+     * @return the answer; failed with a {@link RefusalException} that tells whether a change may have taken effect
+     */
+    public CompletableFuture<CommandResult> run(Command command, CommandCall call) {
+        LOGGER.info("operator {} issues '{}' with id {}", call.operator(), command.text(), call.commandId());
+        if (command instanceof Show show) {
+            return show(show);
+        }
+        if (command instanceof Explain explain) {
+            return explain(explain);
+        }
+        return change((Change) command, call);
+    }
+
+    /**
+     * Parses and carries out a command.
+     *
+     * @param call the command as sent
+     * @return the answer
+     */
+    public CompletableFuture<CommandResult> run(CommandCall call) {
+        try {
+            return run(CommandParser.parse(call.text()), call);
+        } catch (RefusalException refusal) {
+            return CompletableFuture.failedFuture(refusal);
+        }
+    }
+
+    private CompletableFuture<CommandResult> show(Show show) {
+        FleetConfiguration configuration = controller.current();
+        return switch (show.subject()) {
+            case ACCOUNTS -> answer(show, ConfigurationTables.accounts(configuration));
+            case SERVICES -> answer(show, ConfigurationTables.services(configuration));
+            case ROUTES -> answer(show, ConfigurationTables.routes(configuration));
+            case DATABASES -> answer(show, ConfigurationTables.databases(configuration, databaseStatus));
+            case FAILURE_DOMAINS -> report(show, report -> ConfigurationTables.failureDomains(configuration, report));
+            case WITHDRAWALS -> report(show, report -> ConfigurationTables.withdrawals(configuration, report));
+            case CONFIGURATION ->
+                report(show, report -> List.of(ConfigurationTables.configuration(configuration, report)));
+            case ENTRY_VMS ->
+                controller.silentEntryVms().thenCompose(silent -> report(show, report -> entryVms(silent, report)));
+        };
+    }
+
+    private CompletableFuture<CommandResult> report(Show show, TableWriter writer) {
+        return controller.forceReport(QUERY_CONFIRMATION).thenCompose(report -> answer(show, writer.write(report)));
+    }
+
+    private CompletableFuture<CommandResult> answer(Command command, List<ObjectNode> rows) {
+        return CompletableFuture.completedFuture(
+                new CommandResult(command.text(), controller.current().version(), rows));
+    }
+
+    private List<ObjectNode> entryVms(List<EntryVm> silent, ForceReport report) {
+        ImmutableList.Builder<ObjectNode> rows = ImmutableList.builder();
+        membership.liveEntryVms().forEach(member -> rows.add(entryVm(member, true, report)));
+        silent.forEach(member -> rows.add(entryVm(member, false, report)));
+        return rows.build();
+    }
+
+    private ObjectNode entryVm(EntryVm member, boolean live, ForceReport report) {
+        String state = live ? (member.leaving() ? "leaving" : "live") : "silent";
+        return Rows.newRow()
+                .put("entryVm", member.name())
+                .put("failureDomain", member.failureDomain())
+                .put("address", member.peerAddress())
+                .put("state", state)
+                .put("drained", controller.current().drainedEntryVms().contains(member.name()))
+                .put("confirmed", !report.entryVmsBehind().contains(member.name()));
+    }
+
+    private CompletableFuture<CommandResult> explain(Explain explain) {
+        try {
+            return answer(explain, routeExplainer.explain(explain));
+        } catch (RefusalException refusal) {
+            return CompletableFuture.failedFuture(refusal);
+        }
+    }
+
+    private CompletableFuture<CommandResult> change(Change change, CommandCall call) {
+        long basedOn = call.basedOnVersion().orElse(controller.current().version());
+        ChangeRequest request = new ChangeRequest(call.commandId(), basedOn, change);
+        if (change instanceof WithdrawKey withdrawal) {
+            return withdraw(withdrawal, request);
+        }
+        return controller.changer().change(request).thenCompose(version -> confirm(change, version, true));
+    }
+
+    /** Puts a withdrawal in force before it is written, so that it needs no answer of the platform. */
+    private CompletableFuture<CommandResult> withdraw(WithdrawKey withdrawal, ChangeRequest request) {
+        Optional<String> hash = knownHash(withdrawal);
+        if (hash.isEmpty()) {
+            return controller.changer().change(request).thenCompose(version -> confirm(withdrawal, version, true));
+        }
+        return controller
+                .withdraw(ImmutableSet.of(hash.get()))
+                .thenCompose(done -> controller.changer().change(request).handle(this::writtenVersion))
+                .thenCompose(version -> confirm(withdrawal, version, version > 0));
+    }
+
+    /** Finds the hash here, or returns empty if only a newer configuration may have the key. */
+    private Optional<String> knownHash(WithdrawKey withdrawal) {
+        try {
+            return Optional.of(withdrawal.findHash(controller.current()));
+        } catch (RefusalException refusal) {
+            LOGGER.info("'{}' is not known here: {}", withdrawal.text(), refusal.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    private long writtenVersion(@Nullable Long version, @Nullable Throwable problem) {
+        if (problem == null && version != null) {
+            return version;
+        }
+        Throwable cause = problem instanceof CompletionException wrapper ? wrapper.getCause() : problem;
+        if (cause instanceof RefusalException refusal && refusal.kind() == RefusalKind.PLATFORM_UNAVAILABLE) {
+            return 0;
+        }
+        throw new CompletionException(cause);
+    }
+
+    private CompletableFuture<CommandResult> confirm(Change change, long version, boolean written) {
+        return controller.forceReport(CHANGE_CONFIRMATION).thenApply(report -> {
+            ObjectNode row = Rows.newRow().put("version", version).put("writtenToPlatform", written);
+            return new CommandResult(change.text(), version, List.of(ConfigurationTables.withForce(row, report)));
+        });
+    }
+
+    /** Returns a refusal for a failure that is none, as {@link Execution#UNKNOWN}. */
+    static RefusalException refusalOf(Throwable problem) {
+        Throwable cause =
+                problem instanceof CompletionException && problem.getCause() != null ? problem.getCause() : problem;
+        if (cause instanceof RefusalException refusal) {
+            return refusal;
+        }
+        LOGGER.error("a command failed", cause);
+        return RefusalException.builder(RefusalKind.INTERNAL_FAULT)
+                .execution(Execution.UNKNOWN)
+                .detail("The command failed with " + cause.getClass().getSimpleName() + ".")
+                .cause(cause)
+                .build();
+    }
+
+    /** Writes a table that tells where things are in force. */
+    @FunctionalInterface
+    private interface TableWriter {
+        List<ObjectNode> write(ForceReport report);
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/administration/OperatorKeys.java
@@ -0,0 +1,56 @@
+package org.banyanhook.daemon.administration;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+import org.banyanhook.core.key.KeyHashes;
+import org.banyanhook.daemon.settings.OperatorKey;
+import org.banyanhook.daemon.settings.OperatorRole;
+import org.jspecify.annotations.Nullable;
+
+/** Finds the operator that a key belongs to. Immutable. */
+final class OperatorKeys {
+
+    private static final String SCHEME = "Bearer ";
+
+    private final List<OperatorKey> keys;
+
+    OperatorKeys(List<OperatorKey> keys) {
+        this.keys = ImmutableList.copyOf(keys);
+    }
+
+    /**
+     * Finds the operator of a request.
+     *
+     * @param authorization the value of the Authorization header, or null if there is none
+     * @return the operator
+     * @throws RefusalException if there is no key or no operator has it
+     */
+    OperatorKey authenticate(@Nullable String authorization) throws RefusalException {
+        if (authorization == null || !authorization.regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
+            throw RefusalException.notRun(RefusalKind.KEY_MISSING, "The request has no operator key.");
+        }
+        String hash = KeyHashes.hash(authorization.substring(SCHEME.length()).trim());
+        OperatorKey found = null;
+        for (OperatorKey key : keys) {
+            if (KeyHashes.equal(key.hash(), hash)) {
+                found = key;
+            }
+        }
+        if (found == null) {
+            throw RefusalException.notRun(
+                    RefusalKind.KEY_UNKNOWN, "The settings of this entry VM list no such operator key.");
+        }
+        return found;
+    }
+
+    static void require(OperatorKey operator, OperatorRole role) throws RefusalException {
+        if (!operator.role().includes(role)) {
+            throw RefusalException.notRun(
+                    RefusalKind.OPERATOR_FORBIDDEN,
+                    "The command needs the role " + role + ", and operator " + operator.name() + " has "
+                            + operator.role() + ".");
+        }
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/administration/Rows.java
@@ -0,0 +1,24 @@
+package org.banyanhook.daemon.administration;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Collection;
+
+/** Makes the rows of answers. */
+public final class Rows {
+
+    private Rows() {}
+
+    /** Returns a new empty row. */
+    public static ObjectNode newRow() {
+        return JsonNodeFactory.instance.objectNode();
+    }
+
+    /** Returns a list of texts as a JSON array. */
+    static ArrayNode texts(Collection<String> texts) {
+        ArrayNode array = JsonNodeFactory.instance.arrayNode();
+        texts.forEach(array::add);
+        return array;
+    }
+}
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/configuration/ConfigurationController.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/configuration/ConfigurationController.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
@@ -16,6 +17,7 @@
 import org.apache.logging.log4j.Logger;
 import org.banyanhook.core.configuration.ConfigurationState;
 import org.banyanhook.core.configuration.DocumentDecision;
+import org.banyanhook.core.configuration.FailureDomain;
 import org.banyanhook.core.configuration.FleetConfiguration;
 import org.banyanhook.core.configuration.PeerVersions;
 import org.banyanhook.core.configuration.WatcherElection;
@@ -41,6 +43,9 @@
     private static final Logger LOGGER = LogManager.getLogger(ConfigurationController.class);
     private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
     private static final Duration SEEK_INTERVAL = Duration.ofMillis(300);
+    private static final long UNKNOWN_DIGEST = -1;
+    private static final long CONTACT_SOUGHT_MILLIS = 1_000;
+    private static final long PLATFORM_SOUGHT_MILLIS = 2_000;
 
     private final EntryVm self;
     private final MembershipSource membership;
@@ -54,6 +59,12 @@
     private final PlatformWatch watch;
     private final ConfigurationFetcher fetcher;
     private final NewsSpreader spreader;
+    private final WithdrawalWriter withdrawalWriter;
+    private final ConfigurationChanger changer;
+    private final ForceCheck forceCheck;
+    private final KnownEntryVms knownEntryVms = new KnownEntryVms();
+    private final ContactClock contact = new ContactClock();
+    private final KeyGate keyGate;
     private FleetView fleet;
     private long lastSeekNanos;
     private volatile FleetConfiguration current = FleetConfiguration.EMPTY;
@@ -70,7 +81,11 @@
         this.lastSeekNanos = System.nanoTime() - SEEK_INTERVAL.toNanos();
         this.duty =
                 Duty.builder("configuration").tick(TICK_INTERVAL, this::tick).start();
-        this.watch = new PlatformWatch(builder.platform(), duty, this::observeStored, () -> {});
+        this.watch = new PlatformWatch(builder.platform(), duty, this::observeStored, contact::noteContact);
+        this.changer = new ConfigurationChanger(builder.platform(), this);
+        this.withdrawalWriter = new WithdrawalWriter(changer);
+        this.forceCheck = new ForceCheck(messenger, this);
+        this.keyGate = new KeyGate(self.failureDomain(), builder.keyPolicy(), contact);
         this.fetcher = new ConfigurationFetcher(messenger, duty, state::version, this::observeReply);
         this.spreader = new NewsSpreader(messenger, duty, () -> fleet, self.name(), self.failureDomain());
         builder.meterRegistry()
@@ -109,6 +124,31 @@
         return withdrawalDigest;
     }
 
+    /** Returns what finds the client account of a key. */
+    public KeyGate keyGate() {
+        return keyGate;
+    }
+
+    /** Returns what makes changes of the configuration. */
+    public ConfigurationChanger changer() {
+        return changer;
+    }
+
+    /**
+     * Finds out where the newest version and the newest withdrawals are not in force.
+     *
+     * @param wait how long to ask those that have not confirmed
+     * @return what is then known
+     */
+    public CompletableFuture<ForceReport> forceReport(Duration wait) {
+        return forceCheck.run(System.nanoTime() + wait.toNanos());
+    }
+
+    /** Returns entry VMs that fell silent without leaving, less than an hour ago. */
+    public CompletableFuture<List<EntryVm>> silentEntryVms() {
+        return duty.call(knownEntryVms::silent);
+    }
+
     /**
      * Adds a listener that learns of every change of what is in force.
      *
@@ -145,9 +185,9 @@
     public void onPeerVersion(String peerAddress, long configurationVersion, long withdrawalCount) {
         duty.submit(() -> {
             fleet.nameAt(peerAddress).ifPresent(name -> peerVersions.note(name, configurationVersion, withdrawalCount));
-            boolean ahead = configurationVersion > state.version();
-            boolean differs = configurationVersion == state.version() && withdrawalCount != state.withdrawalDigest();
-            if (ahead || differs) {
+            if (configurationVersion == state.version() && withdrawalCount == state.withdrawalDigest()) {
+                noteContactWith(peerAddress);
+            } else if (configurationVersion >= state.version()) {
                 fetcher.fetchFrom(peerAddress);
             }
         });
@@ -158,31 +198,98 @@
         duty.close();
     }
 
+    /** Returns the addresses of live entry VMs that have not confirmed what is in force here. */
+    CompletableFuture<List<String>> peersBehind() {
+        return duty.call(() -> namesBehind().stream()
+                .flatMap(name -> fleet.addressOf(name).stream())
+                .toList());
+    }
+
+    /** Returns what is known without asking. */
+    CompletableFuture<ForceReport> knownForceReport() {
+        return duty.call(this::reportForce);
+    }
+
+    /** Takes a reply of a peer. */
+    CompletableFuture<Void> onReply(String address, ConfigurationReply reply) {
+        return duty.call(() -> {
+            observeReply(address, reply);
+            return null;
+        });
+    }
+
+    private ForceReport reportForce() {
+        List<String> behind = namesBehind();
+        ImmutableList.Builder<String> all = ImmutableList.builder();
+        all.addAll(behind);
+        knownEntryVms.silent().forEach(member -> all.add(member.name()));
+        List<String> domainsBehind = state.effective().failureDomains().stream()
+                .map(FailureDomain::name)
+                .filter(domain -> behind.containsAll(fleet.namesIn(domain)))
+                .toList();
+        return new ForceReport(state.version(), all.build(), domainsBehind);
+    }
+
+    private List<String> namesBehind() {
+        List<String> others = fleet.others();
+        Set<String> behind = new TreeSet<>(peerVersions.withoutVersion(others, state.version()));
+        behind.addAll(peerVersions.withoutWithdrawals(others, state.withdrawalDigest()));
+        return ImmutableList.copyOf(behind);
+    }
+
     private void tick() {
         if (!started) {
             return;
         }
         long now = System.nanoTime();
-        fleet = new FleetView(self, membership.liveEntryVms());
+        List<EntryVm> live = membership.liveEntryVms();
+        fleet = new FleetView(self, live);
+        knownEntryVms.update(live, now);
         peerVersions.retain(fleet.others());
         if (WatcherElection.watchers(fleet.ownDomain()).contains(self.name())) {
             watch.watchIfDue(now);
+            if (watch.isAnswering()) {
+                withdrawalWriter.writeIfDue(state.unwrittenWithdrawals(), state.effective(), now);
+            }
         }
         if (state.version() == 0) {
             watch.readIfDue(now);
-            seekIfDue(now);
+            seekIfDue(now, knownAddresses());
+        }
+        seekContact(now);
+    }
+
+    private void seekContact(long nowNanos) {
+        long silentMillis = contact.silentMillis();
+        if (silentMillis > CONTACT_SOUGHT_MILLIS) {
+            seekIfDue(nowNanos, addressesElsewhere());
+        }
+        if (silentMillis > PLATFORM_SOUGHT_MILLIS) {
+            watch.readIfDue(nowNanos);
         }
     }
 
-    private void seekIfDue(long nowNanos) {
-        if (nowNanos - lastSeekNanos < SEEK_INTERVAL.toNanos()) {
+    private void noteContactWith(String address) {
+        fleet.nameAt(address)
+                .flatMap(fleet::failureDomainOf)
+                .filter(domain -> !domain.equals(self.failureDomain()))
+                .ifPresent(domain -> contact.noteContact());
+    }
+
+    private void seekIfDue(long nowNanos, List<String> addresses) {
+        if (nowNanos - lastSeekNanos < SEEK_INTERVAL.toNanos() || addresses.isEmpty()) {
             return;
         }
         lastSeekNanos = nowNanos;
-        List<String> addresses = knownAddresses();
-        if (!addresses.isEmpty()) {
-            fetcher.fetchFrom(addresses.get(ThreadLocalRandom.current().nextInt(addresses.size())));
-        }
+        fetcher.fetchFrom(addresses.get(ThreadLocalRandom.current().nextInt(addresses.size())));
+    }
+
+    private List<String> addressesElsewhere() {
+        return fleet.failureDomains().stream()
+                .filter(domain -> !domain.equals(self.failureDomain()))
+                .flatMap(domain -> fleet.namesIn(domain).stream())
+                .flatMap(name -> fleet.addressOf(name).stream())
+                .toList();
     }
 
     private List<String> knownAddresses() {
@@ -199,11 +306,15 @@
     }
 
     private void observeReply(String address, ConfigurationReply reply) {
-        fleet.nameAt(address).ifPresent(name -> peerVersions.note(name, reply.getVersion(), state.withdrawalDigest()));
         if (!reply.getDocumentJson().isEmpty()) {
             observeText(reply.getDocumentJson(), address, false);
         }
-        observeWithdrawals(ImmutableSet.copyOf(reply.getWithdrawnKeyHashesList()), address, false);
+        Set<String> unwritten = ImmutableSet.copyOf(reply.getWithdrawnKeyHashesList());
+        observeWithdrawals(unwritten, address, false);
+        boolean same = reply.getVersion() == state.version() && unwritten.equals(state.unwrittenWithdrawals());
+        long digest = same ? state.withdrawalDigest() : UNKNOWN_DIGEST;
+        fleet.nameAt(address).ifPresent(name -> peerVersions.note(name, reply.getVersion(), digest));
+        noteContactWith(address);
     }
 
     private void observeText(String text, String source, boolean origin) {
@@ -245,6 +356,7 @@
     private void publish() {
         FleetConfiguration effective = state.effective();
         withdrawalDigest = state.withdrawalDigest();
+        keyGate.update(effective);
         current = effective;
         listeners.forEach(listener -> listener.accept(effective));
     }
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/configuration/ConfigurationControllerBuilder.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/configuration/ConfigurationControllerBuilder.java
@@ -7,6 +7,7 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.util.List;
+import org.banyanhook.core.key.KeyPolicy;
 import org.banyanhook.daemon.membership.EntryVm;
 import org.banyanhook.daemon.membership.MembershipSource;
 import org.banyanhook.daemon.peer.PeerMessenger;
@@ -19,6 +20,7 @@
     private final EntryVm self;
     private ImmutableList<String> seeds = ImmutableList.of();
     private MeterRegistry meterRegistry = new SimpleMeterRegistry();
+    private KeyPolicy keyPolicy = KeyPolicy.REFUSE;
     private @Nullable PlatformClient platform;
     private @Nullable PeerMessenger messenger;
     private @Nullable MembershipSource membership;
@@ -51,6 +53,12 @@
         return this;
     }
 
+    /** Sets what to do with keyed requests while cut off. */
+    public ConfigurationControllerBuilder keyPolicy(KeyPolicy value) {
+        this.keyPolicy = requireNonNull(value, "keyPolicy");
+        return this;
+    }
+
     /** Sets where the version in force is shown. */
     public ConfigurationControllerBuilder meterRegistry(MeterRegistry value) {
         this.meterRegistry = requireNonNull(value, "meterRegistry");
@@ -74,6 +82,10 @@
         return seeds;
     }
 
+    KeyPolicy keyPolicy() {
+        return keyPolicy;
+    }
+
     MeterRegistry meterRegistry() {
         return meterRegistry;
     }
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/configuration/KeyGate.java
@@ -0,0 +1,67 @@
+package org.banyanhook.daemon.configuration;
+
+import java.time.Duration;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.banyanhook.core.configuration.ClientAccount;
+import org.banyanhook.core.configuration.FleetConfiguration;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+import org.banyanhook.core.key.KeyAdmission;
+import org.banyanhook.core.key.KeyPolicy;
+import org.banyanhook.core.key.KeyRegistry;
+
+/** Finds the client account of a key against the configuration in force. Safe for use by several threads. */
+public final class KeyGate {
+
+    private static final Logger LOGGER = LogManager.getLogger(KeyGate.class);
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(2);
+
+    private final String failureDomain;
+    private final KeyPolicy policy;
+    private final ContactClock contact;
+    private volatile KeyRegistry registry = KeyRegistry.of(FleetConfiguration.EMPTY);
+    private volatile boolean othersInService;
+    private volatile KeyAdmission lastAdmission = KeyAdmission.IN_CONTACT;
+
+    KeyGate(String failureDomain, KeyPolicy policy, ContactClock contact) {
+        this.failureDomain = failureDomain;
+        this.policy = policy;
+        this.contact = contact;
+    }
+
+    /**
+     * Finds the client account that a key was granted to. Call it for every request.
+     *
+     * @param key the key as the caller sent it
+     * @return the account
+     * @throws RefusalException if the key is withdrawn or unknown, or if this failure domain is cut off and its
+     *     settings say to refuse
+     */
+    public ClientAccount accountOf(String key) throws RefusalException {
+        KeyAdmission admission = admission();
+        if (!admission.acceptsKeys()) {
+            throw RefusalException.builder(RefusalKind.FAILURE_DOMAIN_ISOLATED)
+                    .detail("Failure domain " + failureDomain + " takes no keys: " + admission.reason() + ".")
+                    .retryAfter(RETRY_AFTER)
+                    .build();
+        }
+        return registry.accountOf(key);
+    }
+
+    /** Decides whether keys are accepted now. */
+    public KeyAdmission admission() {
+        KeyAdmission admission = KeyAdmission.decide(policy, othersInService, contact.silentMillis());
+        if (admission != lastAdmission) {
+            lastAdmission = admission;
+            LOGGER.info("keys are {}: {}", admission.acceptsKeys() ? "accepted" : "refused", admission.reason());
+        }
+        return admission;
+    }
+
+    void update(FleetConfiguration configuration) {
+        registry = KeyRegistry.of(configuration);
+        othersInService = configuration.failureDomains().stream()
+                .anyMatch(domain -> !domain.takenOut() && !domain.name().equals(failureDomain));
+    }
+}
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/configuration/PlatformWatch.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/configuration/PlatformWatch.java
@@ -26,7 +26,7 @@
     private final Consumer<StoredValue> onValue;
     private final Runnable onAnswer;
     private volatile boolean waiting;
-    private boolean failing;
+    private boolean failing = true;
     private long knownRevision;
     private long earliestNanos;
 
@@ -44,6 +44,11 @@
         this.earliestNanos = System.nanoTime();
     }
 
+    /** Returns whether the last call was answered. */
+    boolean isAnswering() {
+        return !failing;
+    }
+
     /** Opens a watch if none is open and the delay after a failure has passed. */
     void watchIfDue(long nowNanos) {
         if (isDue(nowNanos)) {
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/platform/HttpPlatformClient.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/platform/HttpPlatformClient.java
@@ -94,12 +94,11 @@
 
     @Override
     public CompletableFuture<Long> compareAndSwap(String key, String value, long expectedRevision) {
-        checkArgument(
-                value.length() <= MAXIMUM_VALUE_CHARACTERS,
-                "value of key %s must have at most %s characters, had %s",
-                key,
-                MAXIMUM_VALUE_CHARACTERS,
-                value.length());
+        if (value.length() > MAXIMUM_VALUE_CHARACTERS) {
+            String message = "the value of " + key + " has " + value.length() + " characters; write at most "
+                    + MAXIMUM_VALUE_CHARACTERS;
+            return CompletableFuture.failedFuture(new PlatformException(PlatformException.Kind.REFUSED, message));
+        }
         String body = mapper.createObjectNode()
                 .put("value", value)
                 .put("expectedRevision", expectedRevision)
--- /dev/null
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/configuration/ConfigurationControllerTest.java
@@ -0,0 +1,263 @@
+package org.banyanhook.daemon.configuration;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static java.util.Objects.requireNonNull;
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.banyanhook.core.command.Change;
+import org.banyanhook.core.command.ChangeRequest;
+import org.banyanhook.core.command.CommandParser;
+import org.banyanhook.core.configuration.ClientAccount;
+import org.banyanhook.core.configuration.FailureDomain;
+import org.banyanhook.core.configuration.FleetConfiguration;
+import org.banyanhook.core.configuration.GrantedKey;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+import org.banyanhook.core.key.KeyAdmission;
+import org.banyanhook.core.key.KeyHashes;
+import org.banyanhook.core.key.KeyPolicy;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class ConfigurationControllerTest {
+
+    private static final Duration IN_FORCE_BOUND = Duration.ofSeconds(3);
+    private static final Duration WITHDRAWAL_BOUND = Duration.ofSeconds(5);
+    private static final List<String> DOMAINS = List.of("a", "b", "c");
+    private static final int PER_DOMAIN = 6;
+
+    private final FakePlatform platform = new FakePlatform();
+    private final ConfigurationCodec codec = new ConfigurationCodec();
+    private FakeFleet fleet = new FakeFleet(platform, KeyPolicy.REFUSE, 1);
+
+    @BeforeEach
+    void store() {
+        platform.store(codec.encode(configuration()).text());
+    }
+
+    @AfterEach
+    void close() {
+        fleet.close();
+    }
+
+    @Test
+    void putsAChangeInForceEverywhereByWatchesAndRelayAlone() throws Exception {
+        startAll();
+        fleet.setHeartbeats(false);
+
+        change("c1", "set account plant rate=20");
+
+        awaitVersion(2, IN_FORCE_BOUND);
+        assertThat(platform.mostWaitingWatches()).isAtMost(DOMAINS.size() * 2);
+        ForceReport report =
+                fleet.all().get(0).forceReport(Duration.ofSeconds(2)).join();
+        assertThat(report).isEqualTo(new ForceReport(2, List.of(), List.of()));
+    }
+
+    @Test
+    void putsAWithdrawalInForceWhileThePlatformIsDownAndWritesItOnceLater() throws Exception {
+        startAll();
+        platform.setDown(true);
+
+        fleet.all().get(0).withdraw(Set.of(KeyHashes.hash("key"))).join();
+
+        awaitRefused(fleet.all(), RefusalKind.KEY_WITHDRAWN);
+        platform.setDown(false);
+        awaitVersion(2, WITHDRAWAL_BOUND);
+        assertThat(stored().withdrawnKeyHashes()).containsExactly(KeyHashes.hash("key"));
+        assertThat(stored().version()).isEqualTo(2);
+    }
+
+    @Test
+    void startsFromPeersWhileThePlatformIsDown() throws Exception {
+        startAll();
+        change("c1", "set account plant rate=20");
+        awaitVersion(2, IN_FORCE_BOUND);
+        platform.setDown(true);
+        fleet.all().get(0).withdraw(Set.of(KeyHashes.hash("key"))).join();
+        fleet.stop("a-1");
+
+        ConfigurationController restarted = fleet.start("a-1", "a");
+
+        await().atMost(IN_FORCE_BOUND)
+                .until(() -> restarted.current().version() == 2 && refusalOf(restarted) == RefusalKind.KEY_WITHDRAWN);
+    }
+
+    @Test
+    void neverRevertsToAnOlderDocument() throws Exception {
+        startAll();
+        change("c1", "set account plant rate=20");
+        awaitVersion(2, IN_FORCE_BOUND);
+        AtomicInteger lower = new AtomicInteger();
+        fleet.all()
+                .forEach(controller -> controller.addListener(configuration -> {
+                    if (configuration.version() < 2) {
+                        lower.incrementAndGet();
+                    }
+                }));
+
+        platform.store(codec.encode(configuration()).text());
+        platform.store(
+                codec.encode(configuration().toBuilder().version(3).build()).text());
+
+        awaitVersion(3, IN_FORCE_BOUND);
+        assertThat(lower.get()).isEqualTo(0);
+    }
+
+    @Test
+    void appliesAChangeOnceWhenItsAnswerIsLost() throws Exception {
+        startAll();
+        platform.loseAnswers(1);
+
+        long version = change("c1", "set account plant rate=20");
+        long repeated = change("c1", "set account plant rate=20");
+
+        assertThat(version).isEqualTo(2);
+        assertThat(repeated).isEqualTo(2);
+        assertThat(stored().version()).isEqualTo(2);
+    }
+
+    @Test
+    void losesNoChangeOfRacingOperators() throws Exception {
+        startAll();
+        List<ConfigurationController> controllers = fleet.all();
+        List<CompletableFuture<Long>> changes = new ArrayList<>();
+        for (int index = 0; index < 6; index++) {
+            Change change = (Change) CommandParser.parse("drain entry-vm vm-" + index);
+            changes.add(controllers.get(index).changer().change(new ChangeRequest("c" + index, 1, change)));
+        }
+
+        changes.forEach(CompletableFuture::join);
+
+        assertThat(stored().version()).isEqualTo(7);
+        assertThat(stored().drainedEntryVms()).hasSize(6);
+    }
+
+    @Test
+    void saysThatNothingWasChangedWhileThePlatformIsDown() {
+        startAll();
+        platform.setDown(true);
+
+        CompletionException exception =
+                assertThrows(CompletionException.class, () -> change("c1", "set account plant rate=20"));
+
+        assertThat(requireNonNull((RefusalException) exception.getCause()).kind())
+                .isEqualTo(RefusalKind.PLATFORM_UNAVAILABLE);
+    }
+
+    @Test
+    void refusesKeysInAFailureDomainThatIsCutOffUntilItHasCaughtUp() {
+        startAll();
+        ConfigurationController cutOff = controllerIn("c");
+        fleet.cut("c", true);
+
+        controllerIn("a").withdraw(Set.of(KeyHashes.hash("key"))).join();
+
+        awaitRefused(List.of(cutOff), RefusalKind.FAILURE_DOMAIN_ISOLATED);
+        assertThat(refusalOf(controllerIn("b"))).isEqualTo(RefusalKind.KEY_WITHDRAWN);
+        ForceReport report =
+                controllerIn("a").forceReport(Duration.ofMillis(300)).join();
+        assertThat(report.failureDomainsBehind()).containsExactly("c");
+
+        fleet.cut("c", false);
+        await().atMost(WITHDRAWAL_BOUND).until(() -> {
+            RefusalKind kind = refusalOf(cutOff);
+            assertThat(kind).isNotNull();
+            return kind == RefusalKind.KEY_WITHDRAWN;
+        });
+    }
+
+    @Test
+    void servesKeysInAFailureDomainThatIsCutOffIfTheSettingsSaySo() {
+        fleet.close();
+        fleet = new FakeFleet(platform, KeyPolicy.SERVE, 1);
+        startAll();
+        ConfigurationController cutOff = controllerIn("c");
+        fleet.cut("c", true);
+
+        await().atMost(Duration.ofSeconds(10))
+                .until(() -> cutOff.keyGate().admission() == KeyAdmission.CUT_OFF_AND_SERVING);
+
+        assertThat(refusalOf(cutOff)).isNull();
+        cutOff.withdraw(Set.of(KeyHashes.hash("key"))).join();
+        assertThat(refusalOf(cutOff)).isEqualTo(RefusalKind.KEY_WITHDRAWN);
+    }
+
+    private void startAll() {
+        for (String domain : DOMAINS) {
+            for (int index = 0; index < PER_DOMAIN; index++) {
+                fleet.start(domain + "-" + index, domain);
+            }
+        }
+        awaitVersion(1, WITHDRAWAL_BOUND);
+        await().atMost(WITHDRAWAL_BOUND).untilAsserted(() -> {
+            for (ConfigurationController controller : fleet.all()) {
+                assertThat(refusalOf(controller)).isNull();
+            }
+        });
+    }
+
+    private long change(String id, String text) throws RefusalException {
+        ConfigurationController controller = fleet.all().get(0);
+        Change change = (Change) CommandParser.parse(text);
+        return controller
+                .changer()
+                .change(new ChangeRequest(id, controller.current().version(), change))
+                .join();
+    }
+
+    private void awaitVersion(long version, Duration bound) {
+        await().atMost(bound).untilAsserted(() -> {
+            for (ConfigurationController controller : fleet.all()) {
+                assertWithMessage("version")
+                        .that(controller.current().version())
+                        .isEqualTo(version);
+            }
+        });
+    }
+
+    private void awaitRefused(List<ConfigurationController> controllers, RefusalKind kind) {
+        await().atMost(WITHDRAWAL_BOUND).untilAsserted(() -> {
+            for (ConfigurationController controller : controllers) {
+                assertThat(refusalOf(controller)).isEqualTo(kind);
+            }
+        });
+    }
+
+    private ConfigurationController controllerIn(String domain) {
+        return fleet.controller(domain + "-0");
+    }
+
+    private FleetConfiguration stored() throws ConfigurationFormatException {
+        return codec.decode(platform.text()).configuration();
+    }
+
+    private static @Nullable RefusalKind refusalOf(ConfigurationController controller) {
+        try {
+            controller.keyGate().accountOf("key");
+            return null;
+        } catch (RefusalException refusal) {
+            return refusal.kind();
+        }
+    }
+
+    private static FleetConfiguration configuration() {
+        List<FailureDomain> domains = DOMAINS.stream()
+                .map(name -> new FailureDomain(name, "r", 0.3, false))
+                .toList();
+        ClientAccount account =
+                new ClientAccount("plant", List.of(new GrantedKey("k1", KeyHashes.hash("key"))), 10, 5, 1);
+        return new FleetConfiguration(1, domains, List.of(account), List.of(), Set.of(), List.of(), List.of());
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/configuration/FakeFleet.java
@@ -0,0 +1,147 @@
+package org.banyanhook.daemon.configuration;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.banyanhook.core.key.KeyPolicy;
+import org.banyanhook.daemon.membership.EntryVm;
+import org.banyanhook.daemon.peer.PeerException;
+import org.banyanhook.daemon.peer.PeerHandler;
+import org.banyanhook.daemon.peer.PeerMessenger;
+import org.banyanhook.protocol.generated.PeerEnvelope;
+
+/** Configuration controllers joined by links in memory that can be cut between failure domains, with heartbeats. */
+final class FakeFleet implements AutoCloseable {
+
+    private static final long HEARTBEAT_MILLIS = 20;
+
+    private final FakePlatform platform;
+    private final KeyPolicy keyPolicy;
+    private final Random random;
+    private final List<EntryVm> live = new CopyOnWriteArrayList<>();
+    private final Map<String, ConfigurationController> controllers = new ConcurrentHashMap<>();
+    private final Map<String, Messenger> messengers = new ConcurrentHashMap<>();
+    private final List<String> cutDomains = new CopyOnWriteArrayList<>();
+    private final ScheduledExecutorService heartbeats = Executors.newSingleThreadScheduledExecutor();
+    private volatile boolean heartbeatsOn = true;
+
+    FakeFleet(FakePlatform platform, KeyPolicy keyPolicy, long seed) {
+        this.platform = platform;
+        this.keyPolicy = keyPolicy;
+        this.random = new Random(seed);
+        heartbeats.scheduleAtFixedRate(this::heartbeat, HEARTBEAT_MILLIS, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    ConfigurationController start(String name, String failureDomain) {
+        EntryVm self = new EntryVm(name, failureDomain, "127.0.0.1:" + (1000 + name.hashCode() % 50_000), false);
+        Messenger messenger = new Messenger(self);
+        live.removeIf(member -> member.name().equals(name));
+        live.add(self);
+        messengers.put(self.peerAddress(), messenger);
+        ConfigurationController controller = ConfigurationController.builder(self)
+                .platform(platform.clientOf(failureDomain))
+                .messenger(messenger)
+                .membership(() -> live)
+                .keyPolicy(keyPolicy)
+                .build();
+        controllers.put(name, controller);
+        controller.start();
+        return controller;
+    }
+
+    void stop(String name) {
+        requireNonNull(controllers.remove(name)).close();
+        live.removeIf(member -> member.name().equals(name));
+    }
+
+    ConfigurationController controller(String name) {
+        return requireNonNull(controllers.get(name));
+    }
+
+    List<ConfigurationController> all() {
+        return new ArrayList<>(controllers.values());
+    }
+
+    void cut(String failureDomain, boolean cut) {
+        platform.cutOff(failureDomain, cut);
+        if (cut) {
+            cutDomains.add(failureDomain);
+        } else {
+            cutDomains.remove(failureDomain);
+        }
+    }
+
+    void setHeartbeats(boolean on) {
+        heartbeatsOn = on;
+    }
+
+    @Override
+    public void close() {
+        heartbeats.shutdownNow();
+        controllers.values().forEach(ConfigurationController::close);
+    }
+
+    private void heartbeat() {
+        List<EntryVm> members = List.copyOf(live);
+        if (!heartbeatsOn || members.size() < 2) {
+            return;
+        }
+        EntryVm from = members.get(random.nextInt(members.size()));
+        EntryVm to = members.get(random.nextInt(members.size()));
+        ConfigurationController sender = controllers.get(from.name());
+        ConfigurationController receiver = controllers.get(to.name());
+        if (!from.equals(to) && connected(from, to) && sender != null && receiver != null) {
+            receiver.onPeerVersion(from.peerAddress(), sender.current().version(), sender.withdrawalDigest());
+        }
+    }
+
+    private boolean connected(EntryVm from, EntryVm to) {
+        boolean sameDomain = from.failureDomain().equals(to.failureDomain());
+        boolean cut = cutDomains.contains(from.failureDomain()) || cutDomains.contains(to.failureDomain());
+        return sameDomain || !cut;
+    }
+
+    private final class Messenger implements PeerMessenger {
+        private final EntryVm self;
+        private final Map<PeerEnvelope.BodyCase, PeerHandler> handlers = new ConcurrentHashMap<>();
+
+        Messenger(EntryVm self) {
+            this.self = self;
+        }
+
+        @Override
+        public CompletableFuture<PeerEnvelope> request(String peerAddress, PeerEnvelope body, Duration timeout) {
+            Messenger target = messengers.get(peerAddress);
+            if (target == null || !controllers.containsKey(target.self.name()) || !connected(self, target.self)) {
+                return CompletableFuture.failedFuture(new PeerException("cut", false));
+            }
+            PeerEnvelope message = body.toBuilder()
+                    .setSenderEntryVm(self.name())
+                    .setSenderFailureDomain(self.failureDomain())
+                    .build();
+            return CompletableFuture.supplyAsync(() -> requireNonNull(target.handlers.get(body.getBodyCase())))
+                    .thenCompose(handler -> handler.handle(message))
+                    .orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void send(String peerAddress, PeerEnvelope body) {
+            throw new UnsupportedOperationException("the configuration uses requests only");
+        }
+
+        @Override
+        public void handle(PeerEnvelope.BodyCase kind, PeerHandler handler) {
+            handlers.put(kind, handler);
+        }
+    }
+}
