Keep the homes chosen for one view of the fleet

Cause: every statement built the list of candidates anew, and drained entry VMs were still chosen as homes. Change: the homes are kept until membership or configuration changes; drained entry VMs are no candidates.

--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/forwarding/HomeDirectory.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/forwarding/HomeDirectory.java
@@ -4,6 +4,8 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import org.banyanhook.core.configuration.Database;
 import org.banyanhook.core.configuration.FailureDomain;
 import org.banyanhook.core.configuration.FleetConfiguration;
@@ -13,6 +15,7 @@
 import org.banyanhook.daemon.configuration.ConfigurationSource;
 import org.banyanhook.daemon.membership.EntryVm;
 import org.banyanhook.daemon.membership.MembershipSource;
+import org.jspecify.annotations.Nullable;
 
 /** Knows the homes of each database by the current view of the fleet. Safe for use by several threads. */
 public final class HomeDirectory {
@@ -20,6 +23,7 @@
     private final HomeCandidate self;
     private final MembershipSource membership;
     private final ConfigurationSource configuration;
+    private volatile @Nullable FleetView lastView;
 
     /**
      * Creates a directory.
@@ -48,16 +52,8 @@
      * @return the homes, nearest to this entry VM first; empty if no live entry VM takes new work
      */
     public List<EntryVm> homes(String database) {
-        FleetConfiguration current = configuration.current();
-        List<EntryVm> live = membership.liveEntryVms();
-        List<HomeCandidate> candidates = live.stream()
-                .filter(vm -> !vm.leaving() && !takenOut(current, vm.failureDomain()))
-                .map(vm -> new HomeCandidate(vm.name(), vm.failureDomain()))
-                .toList();
-        List<HomeCandidate> homes = HomePlacement.homes(database, candidates, HomePlacement.HOME_COUNT);
-        return HomePlacement.nearestFirst(homes, self).stream()
-                .flatMap(home -> live.stream().filter(vm -> vm.name().equals(home.entryVm())))
-                .collect(ImmutableList.toImmutableList());
+        FleetView view = currentView();
+        return view.homes().computeIfAbsent(database, name -> chooseHomes(view, name));
     }
 
     /**
@@ -83,10 +79,42 @@
         return ConnectionShare.perHome(database.connectionLimit(), homes);
     }
 
-    private static boolean takenOut(FleetConfiguration configuration, String failureDomain) {
-        return configuration
-                .failureDomain(failureDomain)
+    private FleetView currentView() {
+        List<EntryVm> live = membership.liveEntryVms();
+        FleetConfiguration current = configuration.current();
+        FleetView known = lastView;
+        if (known != null && known.live() == live && known.configuration() == current) {
+            return known;
+        }
+        List<HomeCandidate> candidates = live.stream()
+                .filter(vm -> takesWork(current, vm))
+                .map(vm -> new HomeCandidate(vm.name(), vm.failureDomain()))
+                .toList();
+        FleetView view = new FleetView(live, current, HomePlacement.of(candidates), new ConcurrentHashMap<>());
+        lastView = view;
+        return view;
+    }
+
+    private List<EntryVm> chooseHomes(FleetView view, String database) {
+        List<HomeCandidate> homes = view.placement().homes(database, HomePlacement.HOME_COUNT);
+        return HomePlacement.nearestFirst(homes, self).stream()
+                .flatMap(home -> view.live().stream().filter(vm -> vm.name().equals(home.entryVm())))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private static boolean takesWork(FleetConfiguration configuration, EntryVm vm) {
+        boolean takenOut = configuration
+                .failureDomain(vm.failureDomain())
                 .map(FailureDomain::takenOut)
                 .orElse(false);
+        boolean drained = configuration.drainedEntryVms().contains(vm.name());
+        return !vm.leaving() && !takenOut && !drained;
     }
+
+    /** The homes chosen so far for one list of live entry VMs and one configuration. */
+    private record FleetView(
+            List<EntryVm> live,
+            FleetConfiguration configuration,
+            HomePlacement placement,
+            Map<String, List<EntryVm>> homes) {}
 }
