Add allotments of client accounts' rates and their controller

The bound rate * w + burst must hold over all entry VMs in every partition, and refusing within the rate is the second worst thing. Ruled out for the core: static division (refuses under skew), gossiped counters (overshoot in a partition), the platform as counter (2,000 reads a second). Each failure domain's fraction is divided into units recorded in one platform value; only the holder makes its part smaller, after it stopped using it; others take it back only with a mark, the reclaim time and all witnesses. Tokens move by loans: the lender deducts and leaves the room empty until the loan has lapsed, so the stock never exceeds the burst whatever is lost or doubled.

--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/rate/AllotmentPlanner.java
@@ -0,0 +1,90 @@
+package org.banyanhook.core.rate;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.IntUnaryOperator;
+
+/** Decides which units an entry VM should hold, by rendezvous hashing over the running ones of its failure domain. */
+public final class AllotmentPlanner {
+
+    /** How many entry VMs of a failure domain hold a part of one group at most. */
+    public static final int HOLDERS_PER_GROUP = 8;
+
+    private AllotmentPlanner() {}
+
+    /**
+     * Counts the holders that an account should have in a failure domain, so that each can hold at least one token.
+     *
+     * @param domainBurst the failure domain's part of the account's burst, in tokens
+     * @return a number from 1 to {@link #HOLDERS_PER_GROUP}
+     */
+    public static int holderCount(double domainBurst) {
+        return (int) Math.max(1, Math.min(HOLDERS_PER_GROUP, Tokens.toMicros(domainBurst) / Tokens.MICROS_PER_TOKEN));
+    }
+
+    /**
+     * Chooses the holders of a group.
+     *
+     * @param group the group of client accounts
+     * @param running the names of the running entry VMs of the failure domain
+     * @param count how many holders are wanted, from 1 to {@link #HOLDERS_PER_GROUP}
+     * @return all of them while they are few, else those of the highest rank
+     */
+    public static List<String> holders(int group, Collection<String> running, int count) {
+        if (running.size() <= count) {
+            return List.copyOf(running);
+        }
+        return running.stream()
+                .sorted(Comparator.<String>comparingLong(name -> rank(group, name))
+                        .thenComparing(Comparator.naturalOrder()))
+                .limit(count)
+                .toList();
+    }
+
+    /**
+     * Plans the units of one entry VM.
+     *
+     * @param record the record as last read
+     * @param entryVm the name of the entry VM
+     * @param running the names of the running entry VMs of its failure domain, this one included
+     * @param holderCounts how many holders are wanted for each group
+     * @return for each group the units to hold: fewer than now only if a running holder lacks some, more than now only
+     *     if some are free
+     */
+    public static List<Integer> plan(
+            AllotmentRecord record, String entryVm, Collection<String> running, IntUnaryOperator holderCounts) {
+        List<Integer> units = new ArrayList<>(AllotmentRecord.GROUPS);
+        for (int group = 0; group < AllotmentRecord.GROUPS; group++) {
+            units.add(planGroup(record, entryVm, group, holders(group, running, holderCounts.applyAsInt(group))));
+        }
+        return units;
+    }
+
+    private static int planGroup(AllotmentRecord record, String entryVm, int group, List<String> holders) {
+        int held = record.units(entryVm, group);
+        int free = record.freeUnits(group);
+        int part = holders.isEmpty() ? 0 : AllotmentRecord.UNITS / holders.size();
+        int wanted = holders.contains(entryVm) ? part : 0;
+        if (held < wanted) {
+            return held + Math.min(free, wanted - held);
+        }
+        int lacking = 0;
+        for (String holder : holders) {
+            if (!holder.equals(entryVm)) {
+                lacking += Math.max(0, part - record.units(holder, group));
+            }
+        }
+        int release = Math.min(held - wanted, Math.max(0, lacking - free));
+        return held - release;
+    }
+
+    private static long rank(int group, String name) {
+        return Hashing.murmur3_128(group)
+                .hashString(name, StandardCharsets.UTF_8)
+                .asLong();
+    }
+}
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/rate/LendingDecision.java
@@ -0,0 +1,9 @@
+package org.banyanhook.core.rate;
+
+/**
+ * How many tokens are lent to a peer.
+ *
+ * @param micros millionths of a token, already deducted
+ * @param reason why not more, for the log line
+ */
+public record LendingDecision(long micros, String reason) {}
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/rate/RateNode.java
@@ -0,0 +1,248 @@
+package org.banyanhook.core.rate;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.IntUnaryOperator;
+import org.banyanhook.core.configuration.ClientAccount;
+import org.banyanhook.core.configuration.FailureDomain;
+import org.banyanhook.core.configuration.FleetConfiguration;
+
+/**
+ * The rates of all client accounts at one process: its allotment and its token buckets.
+ *
+ * <p>Every method takes the time on this entry VM's monotonic clock and checks the right to accrue against it, so a
+ * process that was paused creates nothing for the time after its right had ended. Not safe for use by several threads.
+ */
+public final class RateNode {
+
+    private final String entryVm;
+    private final String failureDomain;
+    private final AllotmentCoordinator coordinator;
+    private final TokenExchange exchange;
+    private FleetConfiguration configuration = FleetConfiguration.EMPTY;
+    private Map<String, List<String>> runningByDomain = ImmutableMap.of();
+    private final Map<Integer, List<String>> peersByGroup = new HashMap<>();
+    private List<Integer> unitsInUse = List.of();
+
+    private RateNode(Builder builder, long nowNanos) {
+        this.entryVm = builder.entryVm;
+        this.failureDomain = builder.failureDomain;
+        this.coordinator = new AllotmentCoordinator(entryVm, builder.incarnation, builder.timings, nowNanos);
+        this.exchange = new TokenExchange(builder.timings, this::peersOf, builder.asksPerSecond, nowNanos);
+    }
+
+    /**
+     * Starts the description of a node.
+     *
+     * @param entryVm the name of this entry VM
+     * @param failureDomain its failure domain
+     * @param incarnation the start time of this process in milliseconds
+     * @return a new builder
+     */
+    public static Builder builder(String entryVm, String failureDomain, long incarnation) {
+        return new Builder(entryVm, failureDomain, incarnation);
+    }
+
+    /** Returns the allotment, to read from. */
+    public AllotmentCoordinator allotment() {
+        return coordinator;
+    }
+
+    /** Puts a configuration in force here; an older one than before is ignored. */
+    public void configure(FleetConfiguration newConfiguration, long nowNanos) {
+        if (newConfiguration.version() <= configuration.version()) {
+            return;
+        }
+        accrue(nowNanos);
+        configuration = newConfiguration;
+        peersByGroup.clear();
+        coordinator.wantHolders(holderCounts(failureDomain));
+        applyLimits(nowNanos);
+    }
+
+    /**
+     * Sets which entry VMs run.
+     *
+     * @param newRunning for each failure domain the names of its running entry VMs that are not leaving
+     */
+    public void view(Map<String, List<String>> newRunning) {
+        if (!newRunning.equals(runningByDomain)) {
+            runningByDomain = ImmutableMap.copyOf(newRunning);
+            peersByGroup.clear();
+        }
+    }
+
+    /** Adds a request for one token; see {@link TokenExchange#acquire}. */
+    public List<TokenAction> acquire(String account, long waiter, long untilNanos, long nowNanos) {
+        return exchange.acquire(account, waiter, untilNanos, coordinator.deadlineNanos(), nowNanos);
+    }
+
+    /** Takes in tokens that a peer lent; see {@link TokenExchange#onTransfer}. */
+    public List<TokenAction> onTransfer(long sequence, long micros, long nowNanos) {
+        return exchange.onTransfer(sequence, micros, coordinator.deadlineNanos(), nowNanos);
+    }
+
+    /** Takes in that a peer did not answer a request for tokens. */
+    public List<TokenAction> onAskFailed(long sequence, long nowNanos) {
+        return exchange.onAskFailed(sequence, coordinator.deadlineNanos(), nowNanos);
+    }
+
+    /** Lends tokens to a peer; see {@link TokenExchange#lend}. */
+    public LendingDecision lend(String account, long micros, String borrower, long nowNanos) {
+        boolean borrowerFirst = borrower.compareTo(entryVm) < 0;
+        return exchange.lend(account, micros, borrowerFirst, coordinator.deadlineNanos(), nowNanos);
+    }
+
+    /** Lets time pass for waiting requests. */
+    public List<TokenAction> onTokenTick(long nowNanos) {
+        return exchange.onTick(coordinator.deadlineNanos(), nowNanos);
+    }
+
+    /** Lets time pass for the allotment. */
+    public List<AllotmentAction> onAllotmentTick(long random, long nowNanos) {
+        accrue(nowNanos);
+        List<AllotmentAction> actions = coordinator.onTick(running(), random, nowNanos);
+        applyLimits(nowNanos);
+        return actions;
+    }
+
+    /**
+     * Takes in an event of the allotment.
+     *
+     * @param event what to tell the coordinator
+     * @param nowNanos the time on this entry VM's monotonic clock
+     */
+    public void onAllotmentEvent(Runnable event, long nowNanos) {
+        accrue(nowNanos);
+        event.run();
+        applyLimits(nowNanos);
+    }
+
+    /** Gives the allotment back. */
+    public void leave(long nowNanos) {
+        onAllotmentEvent(() -> coordinator.leave(nowNanos), nowNanos);
+    }
+
+    /** Returns the millionths of an account that are here, as last accrued. */
+    public long stockMicros(String account) {
+        return exchange.stockMicros(account);
+    }
+
+    private Collection<String> running() {
+        return runningByDomain.getOrDefault(failureDomain, List.of());
+    }
+
+    private void accrue(long nowNanos) {
+        exchange.accrueAll(nowNanos, coordinator.deadlineNanos());
+    }
+
+    private void applyLimits(long nowNanos) {
+        List<Integer> units = new ArrayList<>();
+        for (int group = 0; group < AllotmentRecord.GROUPS; group++) {
+            units.add(coordinator.units(group));
+        }
+        units.add((int) configuration.version());
+        if (units.equals(unitsInUse)) {
+            return;
+        }
+        unitsInUse = units;
+        double share = shareOf(failureDomain);
+        Map<String, AccountLimit> limits = new TreeMap<>();
+        for (ClientAccount account : configuration.accounts()) {
+            int held = units.get(AllotmentRecord.groupOf(account.name()));
+            limits.put(account.name(), AccountLimit.of(account, share, held));
+        }
+        exchange.limit(limits, nowNanos);
+    }
+
+    private double shareOf(String domain) {
+        return configuration.failureDomain(domain).map(FailureDomain::rateShare).orElse(0.0);
+    }
+
+    private IntUnaryOperator holderCounts(String domain) {
+        double share = shareOf(domain);
+        int[] counts = new int[AllotmentRecord.GROUPS];
+        Arrays.fill(counts, AllotmentPlanner.HOLDERS_PER_GROUP);
+        for (ClientAccount account : configuration.accounts()) {
+            int group = AllotmentRecord.groupOf(account.name());
+            counts[group] = Math.min(counts[group], AllotmentPlanner.holderCount(account.burst() * share));
+        }
+        return group -> counts[group];
+    }
+
+    private List<String> peersOf(String account) {
+        return peersByGroup.computeIfAbsent(AllotmentRecord.groupOf(account), this::peersOfGroup);
+    }
+
+    private List<String> peersOfGroup(int group) {
+        List<String> peers = rotated(AllotmentPlanner.holders(
+                group, running(), holderCounts(failureDomain).applyAsInt(group)));
+        List<String> others = new ArrayList<>();
+        runningByDomain.forEach((domain, names) -> {
+            if (!domain.equals(failureDomain)) {
+                int count = holderCounts(domain).applyAsInt(group);
+                others.addAll(AllotmentPlanner.holders(group, names, count));
+            }
+        });
+        peers.addAll(rotated(others));
+        peers.remove(entryVm);
+        return peers;
+    }
+
+    /** Starts the list at a place that differs between entry VMs, so that they do not all ask the same peer first. */
+    private List<String> rotated(List<String> names) {
+        List<String> result = new ArrayList<>(names);
+        if (!result.isEmpty()) {
+            Collections.rotate(result, Math.floorMod(entryVm.hashCode(), result.size()));
+        }
+        return result;
+    }
+
+    /** Builds a {@link RateNode}. Not safe for use by several threads. */
+    public static final class Builder {
+        private static final double DEFAULT_ASKS_PER_SECOND = 100;
+
+        private final String entryVm;
+        private final String failureDomain;
+        private final long incarnation;
+        private RateTimings timings = RateTimings.DEFAULT;
+        private double asksPerSecond = DEFAULT_ASKS_PER_SECOND;
+
+        private Builder(String entryVm, String failureDomain, long incarnation) {
+            this.entryVm = requireNonNull(entryVm, "entryVm");
+            this.failureDomain = requireNonNull(failureDomain, "failureDomain");
+            this.incarnation = incarnation;
+        }
+
+        /** Sets how long rights and loans last. */
+        public Builder timings(RateTimings value) {
+            this.timings = requireNonNull(value, "timings");
+            return this;
+        }
+
+        /** Sets how many peers may be asked for tokens a second. */
+        public Builder asksPerSecond(double value) {
+            this.asksPerSecond = value;
+            return this;
+        }
+
+        /**
+         * Creates the node.
+         *
+         * @param nowNanos the time on this entry VM's monotonic clock
+         * @return the node, holding nothing
+         */
+        public RateNode build(long nowNanos) {
+            return new RateNode(this, nowNanos);
+        }
+    }
+}
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/rate/TokenBucket.java
@@ -0,0 +1,169 @@
+package org.banyanhook.core.rate;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * The tokens of one client account at one entry VM.
+ *
+ * <p>Invariant: own tokens plus the room left empty for lent ones never exceed the capacity. A borrowed token can be
+ * spent only before its lender fills the room again. So over all buckets of an account, tokens owned, borrowed and on
+ * their way never exceed the sum of the capacities. Not safe for use by several threads.
+ */
+public final class TokenBucket {
+
+    private final List<Loan> lent = new ArrayList<>();
+    private final List<Loan> borrowed = new ArrayList<>();
+    private long ownMicros;
+    private double fractionOfMicro;
+    private long capacityMicros;
+    private double microsPerNano;
+    private long accruedUpToNanos;
+
+    /** Millionths of a token until a moment. */
+    private record Loan(long micros, long untilNanos) {}
+
+    /**
+     * Creates an empty bucket that holds nothing and accrues nothing.
+     *
+     * @param nowNanos the time on this entry VM's monotonic clock
+     */
+    public TokenBucket(long nowNanos) {
+        this.accruedUpToNanos = nowNanos;
+    }
+
+    /**
+     * Accrues tokens up to now and drops lapsed loans.
+     *
+     * @param nowNanos the time on this entry VM's monotonic clock
+     * @param deadlineNanos when the right to accrue ends; nothing is created for the time after it, ever
+     */
+    public void accrue(long nowNanos, long deadlineNanos) {
+        lent.removeIf(loan -> nowNanos - loan.untilNanos() >= 0);
+        borrowed.removeIf(loan -> nowNanos - loan.untilNanos() >= 0);
+        long endNanos = Math.min(nowNanos, deadlineNanos);
+        if (endNanos > accruedUpToNanos) {
+            double created = (endNanos - accruedUpToNanos) * microsPerNano + fractionOfMicro;
+            long room = Math.max(0, roomMicros() - ownMicros);
+            if (created >= room) {
+                ownMicros += room;
+                fractionOfMicro = 0;
+            } else {
+                ownMicros += (long) created;
+                fractionOfMicro = created - (long) created;
+            }
+        }
+        accruedUpToNanos = Math.max(accruedUpToNanos, nowNanos);
+    }
+
+    /**
+     * Changes rate and capacity. Accrue first. Own tokens over the new capacity are dropped.
+     *
+     * @param newCapacityMicros the capacity in millionths of a token
+     * @param tokensPerSecond the rate of accrual
+     */
+    public void limit(long newCapacityMicros, double tokensPerSecond) {
+        checkArgument(newCapacityMicros >= 0, "capacity must not be negative, was %s", newCapacityMicros);
+        checkArgument(tokensPerSecond >= 0, "rate must not be negative, was %s", tokensPerSecond);
+        capacityMicros = newCapacityMicros;
+        microsPerNano = tokensPerSecond * Tokens.MICROS_PER_TOKEN / 1e9;
+        if (ownMicros >= roomMicros()) {
+            ownMicros = Math.max(0, roomMicros());
+            fractionOfMicro = 0;
+        }
+    }
+
+    /** Drops all own tokens; loans go on until they lapse. */
+    public void clear() {
+        ownMicros = 0;
+        fractionOfMicro = 0;
+    }
+
+    /**
+     * Spends tokens, borrowed ones first. Accrue first.
+     *
+     * @param micros millionths of a token
+     * @param ownUsable whether own tokens may be spent
+     * @return whether there were enough; if not, nothing changes
+     */
+    public boolean spend(long micros, boolean ownUsable) {
+        if (availableMicros(ownUsable) < micros) {
+            return false;
+        }
+        long rest = micros;
+        borrowed.sort(Comparator.comparingLong(Loan::untilNanos));
+        while (rest > 0 && !borrowed.isEmpty()) {
+            Loan loan = borrowed.remove(0);
+            long part = Math.min(rest, loan.micros());
+            rest -= part;
+            if (part < loan.micros()) {
+                borrowed.add(0, new Loan(loan.micros() - part, loan.untilNanos()));
+            }
+        }
+        ownMicros -= rest;
+        return true;
+    }
+
+    /** Returns the millionths that can be spent. Accrue first. */
+    public long availableMicros(boolean ownUsable) {
+        return borrowedMicros() + (ownUsable ? ownMicros : 0);
+    }
+
+    /** Returns the capacity in millionths of a token. */
+    public long capacityMicros() {
+        return capacityMicros;
+    }
+
+    /** Returns the millionths of own tokens. Accrue first. */
+    public long ownMicros() {
+        return ownMicros;
+    }
+
+    /** Returns the millionths borrowed and not spent. Accrue first. */
+    public long borrowedMicros() {
+        return sum(borrowed);
+    }
+
+    /**
+     * Lends own tokens; the room that they leave stays empty until the loan has lapsed. Accrue first.
+     *
+     * @param micros how many are wanted
+     * @param untilNanos when the room may be filled again
+     * @return how many were deducted, at most those wanted and owned
+     */
+    public long lend(long micros, long untilNanos) {
+        long part = Math.min(micros, ownMicros);
+        if (part > 0) {
+            ownMicros -= part;
+            lent.add(new Loan(part, untilNanos));
+        }
+        return part;
+    }
+
+    /**
+     * Adds tokens that another entry VM lent.
+     *
+     * @param micros how many
+     * @param untilNanos when they lapse
+     */
+    public void borrow(long micros, long untilNanos) {
+        if (micros > 0) {
+            borrowed.add(new Loan(micros, untilNanos));
+        }
+    }
+
+    private long roomMicros() {
+        return capacityMicros - sum(lent);
+    }
+
+    private static long sum(List<Loan> loans) {
+        long sum = 0;
+        for (Loan loan : loans) {
+            sum += loan.micros();
+        }
+        return sum;
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/rate/AllotmentController.java
@@ -0,0 +1,366 @@
+package org.banyanhook.daemon.rate;
+
+import static java.util.Objects.requireNonNull;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+import org.banyanhook.core.rate.LendingDecision;
+import org.banyanhook.core.rate.RateNode;
+import org.banyanhook.core.rate.RateTimings;
+import org.banyanhook.core.rate.TokenAction;
+import org.banyanhook.core.rate.Tokens;
+import org.banyanhook.core.rate.TransferLedger;
+import org.banyanhook.daemon.configuration.ConfigurationSource;
+import org.banyanhook.daemon.duty.Duty;
+import org.banyanhook.daemon.membership.EntryVm;
+import org.banyanhook.daemon.membership.MembershipSource;
+import org.banyanhook.daemon.peer.PeerMessenger;
+import org.banyanhook.daemon.platform.PlatformClient;
+import org.banyanhook.protocol.generated.AllotmentReclaimAnswer;
+import org.banyanhook.protocol.generated.AllotmentReclaimQuery;
+import org.banyanhook.protocol.generated.PeerEnvelope;
+import org.banyanhook.protocol.generated.TokenRequest;
+import org.banyanhook.protocol.generated.TokenTransfer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Holds client accounts to their fleet-wide rates with the allotment of this entry VM and tokens lent by peers.
+ *
+ * <p>All state lives on one thread. {@link #acquire} is safe for use by several threads and never blocks.
+ */
+public final class AllotmentController implements RateLimiter, AutoCloseable {
+
+    private static final Logger LOGGER = LogManager.getLogger(AllotmentController.class);
+    private static final Duration TICK = Duration.ofMillis(20);
+    private static final int TICKS_PER_ALLOTMENT_TICK = 5;
+    private static final int RING_SIZE = 16_384;
+    private static final long RESUBMISSION_MILLIS = 20;
+    private static final long LEAVING_TIMEOUT_SECONDS = 3;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final AllotmentActions.Identity identity;
+    private final RateNode node;
+    private final AllotmentActions actions;
+    private final PeerMessenger messenger;
+    private final MembershipSource membership;
+    private final ConfigurationSource configuration;
+    private final Duration askTimeout;
+    private final SplittableRandom random;
+    private final Map<Long, CompletableFuture<Void>> waiters = new HashMap<>();
+    private final CompletableFuture<Void> left = new CompletableFuture<>();
+    private final Counter accepted;
+    private final Counter refused;
+    private final Counter asks;
+    private final Counter lent;
+    private FleetView view = new FleetView(List.of());
+    private long lastWaiter;
+    private long ticks;
+    private @Nullable Duty duty;
+
+    private AllotmentController(Builder builder) {
+        this.identity = new AllotmentActions.Identity(builder.entryVm, builder.failureDomain, builder.incarnation);
+        this.messenger = requireNonNull(builder.messenger, "messenger");
+        this.membership = requireNonNull(builder.membership, "membership");
+        this.configuration = requireNonNull(builder.configuration, "configuration");
+        this.askTimeout = Duration.ofNanos(builder.timings.borrowedNanos());
+        this.random = new SplittableRandom(builder.entryVm.hashCode() ^ builder.incarnation);
+        this.accepted = builder.meterRegistry.counter("banyanhook.rate.accepted");
+        this.refused = builder.meterRegistry.counter("banyanhook.rate.refused");
+        this.asks = builder.meterRegistry.counter("banyanhook.rate.token.requests");
+        this.lent = builder.meterRegistry.counter("banyanhook.rate.lent.tokens");
+        this.node = RateNode.builder(builder.entryVm, builder.failureDomain, builder.incarnation)
+                .timings(builder.timings)
+                .asksPerSecond(builder.asksPerSecond)
+                .build(System.nanoTime());
+        AllotmentActions.Environment environment = new AllotmentActions.Environment(
+                requireNonNull(builder.platform, "platform"),
+                messenger,
+                name -> view.address(name),
+                this::submitReliably,
+                builder.meterRegistry.counter("banyanhook.rate.platform.calls"));
+        this.actions = new AllotmentActions(node, identity, builder.timings, environment);
+    }
+
+    /**
+     * Starts the description of a controller.
+     *
+     * @param entryVm the name of this entry VM
+     * @param failureDomain its failure domain
+     * @param incarnation the start time of this process in milliseconds
+     * @return a new builder
+     */
+    public static Builder builder(String entryVm, String failureDomain, long incarnation) {
+        return new Builder(entryVm, failureDomain, incarnation);
+    }
+
+    /** Registers the handlers with the messenger and starts. Call once, before the messenger listens. */
+    public void start() {
+        Duty started = Duty.builder("rate")
+                .ringSize(RING_SIZE)
+                .tick(TICK, this::onTick)
+                .start();
+        duty = started;
+        messenger.handle(PeerEnvelope.BodyCase.TOKEN_REQUEST, message -> started.call(() -> lend(message)));
+        messenger.handle(
+                PeerEnvelope.BodyCase.ALLOTMENT_RECLAIM_QUERY, message -> started.call(() -> answerQuery(message)));
+    }
+
+    @Override
+    public CompletableFuture<Void> acquire(String clientAccount, Duration maximumWait) {
+        requireNonNull(clientAccount, "clientAccount");
+        CompletableFuture<Void> outcome = new CompletableFuture<>();
+        Duty started = duty;
+        boolean taken = started != null && started.submit(() -> acquire(clientAccount, maximumWait, outcome));
+        if (!taken) {
+            outcome.completeExceptionally(RefusalException.builder(RefusalKind.QUEUE_FULL)
+                    .detail("the rate limiter takes no more requests just now")
+                    .retryAfter(Duration.ofSeconds(1))
+                    .build());
+        }
+        return outcome;
+    }
+
+    /**
+     * Gives the allotment back: nothing accrues here from now on.
+     *
+     * @return completed once the platform's record says so, or after a bounded time
+     */
+    public CompletableFuture<Void> leave() {
+        submitReliably(() -> {
+            LOGGER.info("giving the allotment of {} back", identity.entryVm());
+            node.leave(System.nanoTime());
+        });
+        return left.completeOnTimeout(null, LEAVING_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    @Override
+    public void close() {
+        Duty started = duty;
+        if (started != null) {
+            started.close();
+        }
+    }
+
+    private void acquire(String account, Duration maximumWait, CompletableFuture<Void> outcome) {
+        long now = System.nanoTime();
+        long waiter = ++lastWaiter;
+        waiters.put(waiter, outcome);
+        act(node.acquire(account, waiter, now + maximumWait.toNanos(), now));
+    }
+
+    private void onTick() {
+        long now = System.nanoTime();
+        act(node.onTokenTick(now));
+        if (++ticks % TICKS_PER_ALLOTMENT_TICK == 0) {
+            updateView();
+            node.configure(configuration.current(), now);
+            actions.carryOut(node.onAllotmentTick(random.nextLong(), now));
+            actions.keepWatching();
+            if (node.allotment().hasLeft()) {
+                left.complete(null);
+            }
+        }
+    }
+
+    private void updateView() {
+        List<EntryVm> snapshot = membership.liveEntryVms();
+        if (!view.isOf(snapshot)) {
+            view = new FleetView(snapshot);
+            node.view(view.runningByDomain());
+        }
+    }
+
+    private void act(List<TokenAction> tokenActions) {
+        for (TokenAction action : tokenActions) {
+            if (action instanceof TokenAction.Accept accept) {
+                accepted.increment();
+                end(accept.waiter()).complete(null);
+            } else if (action instanceof TokenAction.Refuse refuse) {
+                refuse(refuse);
+            } else if (action instanceof TokenAction.AskPeer ask) {
+                askPeer(ask.request());
+            }
+        }
+    }
+
+    private void refuse(TokenAction.Refuse refuse) {
+        refused.increment();
+        LOGGER.info("refused a request of client account {}: {}", refuse.clientAccount(), refuse.reason());
+        end(refuse.waiter())
+                .completeExceptionally(RefusalException.builder(RefusalKind.RATE_EXCEEDED)
+                        .detail("client account " + refuse.clientAccount() + ": " + refuse.reason())
+                        .retryAfter(Duration.ofNanos(refuse.retryAfterNanos()))
+                        .build());
+    }
+
+    private CompletableFuture<Void> end(long waiter) {
+        CompletableFuture<Void> outcome = waiters.remove(waiter);
+        return outcome == null ? new CompletableFuture<>() : outcome;
+    }
+
+    private void askPeer(TransferLedger.Request request) {
+        asks.increment();
+        String address = view.address(request.peer()).orElse(null);
+        if (address == null) {
+            submitReliably(() -> act(node.onAskFailed(request.sequence(), System.nanoTime())));
+            return;
+        }
+        LOGGER.debug(
+                "asking {} for {} tokens of {}",
+                request.peer(),
+                Tokens.toTokens(request.micros()),
+                request.clientAccount());
+        PeerEnvelope body = PeerEnvelope.newBuilder()
+                .setTokenRequest(TokenRequest.newBuilder()
+                        .setClientAccount(request.clientAccount())
+                        .setRequestSequence(request.sequence())
+                        .setTokens(Tokens.toTokens(request.micros()))
+                        .setAllotmentEpoch(identity.incarnation()))
+                .build();
+        messenger
+                .request(address, body, askTimeout)
+                .whenComplete((reply, failure) -> submitReliably(() -> onAskAnswered(request, reply, failure)));
+    }
+
+    private void onAskAnswered(
+            TransferLedger.Request request, @Nullable PeerEnvelope reply, @Nullable Throwable failure) {
+        long now = System.nanoTime();
+        TokenTransfer transfer = reply == null ? TokenTransfer.getDefaultInstance() : reply.getTokenTransfer();
+        boolean matches = transfer.getAllotmentEpoch() == identity.incarnation()
+                && transfer.getRequestSequence() == request.sequence();
+        if (failure != null || !matches) {
+            LOGGER.debug("{} did not answer a request for tokens", request.peer(), failure);
+            act(node.onAskFailed(request.sequence(), now));
+            return;
+        }
+        act(node.onTransfer(request.sequence(), Tokens.received(transfer.getTokens()), now));
+    }
+
+    private PeerEnvelope lend(PeerEnvelope message) {
+        TokenRequest request = message.getTokenRequest();
+        LendingDecision decision = node.lend(
+                request.getClientAccount(),
+                Tokens.received(request.getTokens()),
+                message.getSenderEntryVm(),
+                System.nanoTime());
+        lent.increment(Tokens.toTokens(decision.micros()));
+        LOGGER.debug(
+                "lending {} tokens of {} to {}: {}",
+                Tokens.toTokens(decision.micros()),
+                request.getClientAccount(),
+                message.getSenderEntryVm(),
+                decision.reason());
+        return PeerEnvelope.newBuilder()
+                .setTokenTransfer(TokenTransfer.newBuilder()
+                        .setClientAccount(request.getClientAccount())
+                        .setRequestSequence(request.getRequestSequence())
+                        .setTokens(Tokens.toTokens(decision.micros()))
+                        .setAllotmentEpoch(request.getAllotmentEpoch()))
+                .build();
+    }
+
+    /** Answers a holder that asks about itself, or another process that asks whether a holder was silent. */
+    private PeerEnvelope answerQuery(PeerEnvelope message) {
+        AllotmentReclaimQuery query = message.getAllotmentReclaimQuery();
+        long now = System.nanoTime();
+        String holder = query.getHolderEntryVm();
+        boolean granted = message.getSenderEntryVm().equals(holder)
+                && node.allotment().answerContact(holder, query.getHolderIncarnation(), now);
+        long silentNanos = node.allotment().answerWitness(holder, query.getHolderIncarnation(), now);
+        return PeerEnvelope.newBuilder()
+                .setAllotmentReclaimAnswer(AllotmentReclaimAnswer.newBuilder()
+                        .setSilent(!granted)
+                        .setSilentMillis(Math.max(0, silentNanos / NANOS_PER_MILLI)))
+                .build();
+    }
+
+    /** Runs a task on the duty's thread, later if the ring is full just now. */
+    private void submitReliably(Runnable task) {
+        Duty started = duty;
+        if (started != null && !started.submit(task)) {
+            CompletableFuture.delayedExecutor(RESUBMISSION_MILLIS, TimeUnit.MILLISECONDS)
+                    .execute(() -> submitReliably(task));
+        }
+    }
+
+    /** Builds an {@link AllotmentController}. Not safe for use by several threads. */
+    public static final class Builder {
+        private static final double DEFAULT_ASKS_PER_SECOND = 50;
+
+        private final String entryVm;
+        private final String failureDomain;
+        private final long incarnation;
+        private @Nullable PeerMessenger messenger;
+        private @Nullable PlatformClient platform;
+        private @Nullable MembershipSource membership;
+        private @Nullable ConfigurationSource configuration;
+        private RateTimings timings = RateTimings.DEFAULT;
+        private double asksPerSecond = DEFAULT_ASKS_PER_SECOND;
+        private MeterRegistry meterRegistry = new SimpleMeterRegistry();
+
+        private Builder(String entryVm, String failureDomain, long incarnation) {
+            this.entryVm = requireNonNull(entryVm, "entryVm");
+            this.failureDomain = requireNonNull(failureDomain, "failureDomain");
+            this.incarnation = incarnation;
+        }
+
+        /** Sets the links to peers; required. */
+        public Builder messenger(PeerMessenger value) {
+            this.messenger = requireNonNull(value, "messenger");
+            return this;
+        }
+
+        /** Sets the platform's client; required. */
+        public Builder platform(PlatformClient value) {
+            this.platform = requireNonNull(value, "platform");
+            return this;
+        }
+
+        /** Sets which entry VMs run; required. */
+        public Builder membership(MembershipSource value) {
+            this.membership = requireNonNull(value, "membership");
+            return this;
+        }
+
+        /** Sets where rates come from; required. */
+        public Builder configuration(ConfigurationSource value) {
+            this.configuration = requireNonNull(value, "configuration");
+            return this;
+        }
+
+        /** Sets how long rights and loans last; the same on all daemons. */
+        public Builder timings(RateTimings value) {
+            this.timings = requireNonNull(value, "timings");
+            return this;
+        }
+
+        /** Sets how many peers may be asked for tokens a second. */
+        public Builder asksPerSecond(double value) {
+            this.asksPerSecond = value;
+            return this;
+        }
+
+        /** Sets where metrics are registered. */
+        public Builder meterRegistry(MeterRegistry value) {
+            this.meterRegistry = requireNonNull(value, "meterRegistry");
+            return this;
+        }
+
+        /** Creates the controller, not yet started. */
+        public AllotmentController build() {
+            return new AllotmentController(this);
+        }
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/rate/AllotmentRecordCodec.java
@@ -0,0 +1,57 @@
+package org.banyanhook.daemon.rate;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.List;
+import org.banyanhook.core.rate.AllotmentEntry;
+import org.banyanhook.core.rate.AllotmentRecord;
+import org.banyanhook.daemon.platform.PlatformException;
+import org.jspecify.annotations.Nullable;
+
+/** Converts allotment records to the JSON that the platform keeps, and back. */
+final class AllotmentRecordCodec {
+
+    private static final int FORMAT = 1;
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper().enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+
+    private record Document(int format, @Nullable List<AllotmentEntry> holders) {}
+
+    private AllotmentRecordCodec() {}
+
+    static String encode(AllotmentRecord record) {
+        try {
+            return MAPPER.writeValueAsString(new Document(FORMAT, record.entries()));
+        } catch (JsonProcessingException exception) {
+            throw new IllegalStateException("an allotment record could not be written as JSON", exception);
+        }
+    }
+
+    /**
+     * Reads a record.
+     *
+     * @param json the platform's value
+     * @return the record
+     * @throws PlatformException if the value is no allotment record of a known format; it must not be replaced then
+     */
+    static AllotmentRecord decode(String json) throws PlatformException {
+        try {
+            Document document = MAPPER.readValue(json, Document.class);
+            List<AllotmentEntry> holders = document.holders();
+            if (document.format() != FORMAT || holders == null) {
+                throw refused("format " + document.format());
+            }
+            return AllotmentRecord.of(holders);
+        } catch (JsonProcessingException | IllegalArgumentException exception) {
+            throw refused(String.valueOf(exception.getMessage()));
+        }
+    }
+
+    private static PlatformException refused(String detail) {
+        return new PlatformException(
+                PlatformException.Kind.REFUSED,
+                "the allotment value is not readable; restore it or delete it with all daemons of the domain stopped: "
+                        + detail);
+    }
+}
