--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/administration/AdministrationHandler.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/administration/AdministrationHandler.java
@@ -29,7 +29,7 @@
     private static final String JSON = "application/json";
     private static final String PROBLEM_JSON = "application/problem+json";
     private static final String PROMETHEUS_TEXT = "text/plain; version=0.0.4; charset=utf-8";
-    private static final int MAXIMUM_BODY_BYTES = 65_536;
+    static final int MAXIMUM_BODY_BYTES = 65_536;
     private static final long BODY_TIMEOUT_SECONDS = 10;
 
     private final CommandBodies bodies = new CommandBodies();
@@ -81,9 +81,17 @@
     }
 
     private void handleCommand(Request request, Response response, Callback callback) {
+        OperatorKey operator;
+        try {
+            operator = operatorKeys.authenticate(request.getHeaders().get(HttpHeader.AUTHORIZATION));
+            failIfTooLarge(request.getLength());
+        } catch (RefusalException refusal) {
+            refuse(response, callback, refusal);
+            return;
+        }
         Content.Source.asStringAsync(request, StandardCharsets.UTF_8)
                 .orTimeout(BODY_TIMEOUT_SECONDS, TimeUnit.SECONDS)
-                .thenCompose(body -> runCommand(request, body))
+                .thenCompose(body -> runCommand(operator, body))
                 .whenComplete((result, problem) -> {
                     if (problem != null) {
                         refuse(response, callback, CommandInterpreter.refusalOf(problem));
@@ -93,14 +101,8 @@
                 });
     }
 
-    private CompletableFuture<CommandResult> runCommand(Request request, String body) {
+    private CompletableFuture<CommandResult> runCommand(OperatorKey operator, String body) {
         try {
-            OperatorKey operator =
-                    operatorKeys.authenticate(request.getHeaders().get(HttpHeader.AUTHORIZATION));
-            if (body.length() > MAXIMUM_BODY_BYTES) {
-                throw RefusalException.notRun(
-                        RefusalKind.BODY_TOO_LARGE, "The body is over " + MAXIMUM_BODY_BYTES + " bytes.");
-            }
             CommandCall call = bodies.read(body, operator.name());
             Command command = CommandParser.parse(call.text());
             boolean changes = command instanceof Change;
@@ -111,10 +113,21 @@
         }
     }
 
+    private static void failIfTooLarge(long length) throws RefusalException {
+        if (length > MAXIMUM_BODY_BYTES) {
+            throw RefusalException.notRun(
+                    RefusalKind.BODY_TOO_LARGE,
+                    "The body has " + length + " bytes; send at most " + MAXIMUM_BODY_BYTES + ".");
+        }
+    }
+
     private void refuse(Response response, Callback callback, RefusalException refusal) {
         String body = bodies.write(refusal, UUID.randomUUID().toString());
         refusal.retryAfter()
                 .ifPresent(wait -> response.getHeaders().put(HttpHeader.RETRY_AFTER, Math.max(1, wait.toSeconds())));
+        if (refusal.kind().httpStatus() == HttpStatus.UNAUTHORIZED_401) {
+            response.getHeaders().put(HttpHeader.WWW_AUTHENTICATE, "Bearer");
+        }
         write(response, refusal.kind().httpStatus(), PROBLEM_JSON, body, callback);
     }
 
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/administration/AdministrationServer.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/administration/AdministrationServer.java
@@ -16,6 +16,7 @@
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.server.handler.SizeLimitHandler;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.jspecify.annotations.Nullable;
 
@@ -25,6 +26,7 @@
     private static final Logger LOGGER = LogManager.getLogger(AdministrationServer.class);
     private static final int MAXIMUM_THREADS = 8;
     private static final int MINIMUM_THREADS = 2;
+    private static final long NO_LIMIT = -1;
     private static final long IDLE_TIMEOUT_MILLIS = 30_000;
 
     private final Server server;
@@ -43,7 +45,9 @@
         connector.setPort(address.getPort());
         connector.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
         server.addConnector(connector);
-        server.setHandler(new AdministrationHandler(builder));
+        SizeLimitHandler limited = new SizeLimitHandler(AdministrationHandler.MAXIMUM_BODY_BYTES, NO_LIMIT);
+        limited.setHandler(new AdministrationHandler(builder));
+        server.setHandler(limited);
     }
 
     /**
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/administration/CommandInterpreter.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/administration/CommandInterpreter.java
@@ -15,7 +15,6 @@
 import org.banyanhook.core.command.Change;
 import org.banyanhook.core.command.ChangeRequest;
 import org.banyanhook.core.command.Command;
-import org.banyanhook.core.command.CommandParser;
 import org.banyanhook.core.command.Explain;
 import org.banyanhook.core.command.Show;
 import org.banyanhook.core.command.WithdrawKey;
@@ -78,20 +77,6 @@
         return change((Change) command, call);
     }
 
-    /**
-     * Parses and carries out a command.
-     *
-     * @param call the command as sent
-     * @return the answer
-     */
-    public CompletableFuture<CommandResult> run(CommandCall call) {
-        try {
-            return run(CommandParser.parse(call.text()), call);
-        } catch (RefusalException refusal) {
-            return CompletableFuture.failedFuture(refusal);
-        }
-    }
-
     private CompletableFuture<CommandResult> show(Show show) {
         FleetConfiguration configuration = controller.current();
         return switch (show.subject()) {
--- a/banyanhook-daemon/src/test/java/org/banyanhook/daemon/configuration/FakeFleet.java
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/configuration/FakeFleet.java
@@ -21,7 +21,7 @@
 import org.banyanhook.protocol.generated.PeerEnvelope;
 
 /** Configuration controllers joined by links in memory that can be cut between failure domains, with heartbeats. */
-final class FakeFleet implements AutoCloseable {
+public final class FakeFleet implements AutoCloseable {
 
     private static final long HEARTBEAT_MILLIS = 20;
 
@@ -35,14 +35,14 @@
     private final ScheduledExecutorService heartbeats = Executors.newSingleThreadScheduledExecutor();
     private volatile boolean heartbeatsOn = true;
 
-    FakeFleet(FakePlatform platform, KeyPolicy keyPolicy, long seed) {
+    public FakeFleet(FakePlatform platform, KeyPolicy keyPolicy, long seed) {
         this.platform = platform;
         this.keyPolicy = keyPolicy;
         this.random = new Random(seed);
         heartbeats.scheduleAtFixedRate(this::heartbeat, HEARTBEAT_MILLIS, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    ConfigurationController start(String name, String failureDomain) {
+    public ConfigurationController start(String name, String failureDomain) {
         EntryVm self = new EntryVm(name, failureDomain, "127.0.0.1:" + (1000 + name.hashCode() % 50_000), false);
         Messenger messenger = new Messenger(self);
         live.removeIf(member -> member.name().equals(name));
@@ -59,20 +59,20 @@
         return controller;
     }
 
-    void stop(String name) {
+    public void stop(String name) {
         requireNonNull(controllers.remove(name)).close();
         live.removeIf(member -> member.name().equals(name));
     }
 
-    ConfigurationController controller(String name) {
+    public ConfigurationController controller(String name) {
         return requireNonNull(controllers.get(name));
     }
 
-    List<ConfigurationController> all() {
+    public List<ConfigurationController> all() {
         return new ArrayList<>(controllers.values());
     }
 
-    void cut(String failureDomain, boolean cut) {
+    public void cut(String failureDomain, boolean cut) {
         platform.cutOff(failureDomain, cut);
         if (cut) {
             cutDomains.add(failureDomain);
@@ -81,7 +81,7 @@
         }
     }
 
-    void setHeartbeats(boolean on) {
+    public void setHeartbeats(boolean on) {
         heartbeatsOn = on;
     }
 
--- a/banyanhook-daemon/src/test/java/org/banyanhook/daemon/configuration/FakePlatform.java
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/configuration/FakePlatform.java
@@ -15,7 +15,7 @@
 import org.banyanhook.daemon.platform.VirtualMachine;
 
 /** One key of the platform's service in memory, with outages, lost answers and a count of waiting watches. */
-final class FakePlatform {
+public final class FakePlatform {
 
     private final Set<String> cutOff = new HashSet<>();
     private final List<CompletableFuture<Void>> changes = new ArrayList<>();
@@ -25,21 +25,21 @@
     private int waitingWatches;
     private int mostWaitingWatches;
 
-    synchronized void store(String text) {
+    public synchronized void store(String text) {
         value = new StoredValue(value.key(), text, value.revision() + 1);
         changes.forEach(change -> change.complete(null));
         changes.clear();
     }
 
-    synchronized String text() {
+    public synchronized String text() {
         return value.value();
     }
 
-    synchronized void setDown(boolean nowDown) {
+    public synchronized void setDown(boolean nowDown) {
         down = nowDown;
     }
 
-    synchronized void cutOff(String failureDomain, boolean cut) {
+    public synchronized void cutOff(String failureDomain, boolean cut) {
         if (cut) {
             cutOff.add(failureDomain);
         } else {
@@ -47,15 +47,15 @@
         }
     }
 
-    synchronized void loseAnswers(int count) {
+    public synchronized void loseAnswers(int count) {
         answersToLose = count;
     }
 
-    synchronized int mostWaitingWatches() {
+    public synchronized int mostWaitingWatches() {
         return mostWaitingWatches;
     }
 
-    PlatformClient clientOf(String failureDomain) {
+    public PlatformClient clientOf(String failureDomain) {
         return new Client(failureDomain);
     }
 
