Add transactions over HTTP, their forwarding to the home and recorded outcomes

Cause: a transaction owns one connection of its home; a caller that roams must reach it through any entry VM, and what is said when the home, the link or the connection fails must be true. Ruled out: not-run for a commit at a home that is gone (an earlier commit may have been sent through another entry VM, so the caller could double its work); trying a step at another home. Change: TransactionRegistry and TransactionId (core), LocalTransactionExecutor, ForwardingTransactionExecutor and handlers, OutcomeReader, filters for both. A begin carries its route in the statement field of the peer message. At the deadline a statement is refused for what failed last, not for the deadline: answersAReadAndCarriesTheSessionOn was red for that on a busy machine.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/error/RefusalKind.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/error/RefusalKind.java
@@ -27,6 +27,8 @@
             "outcome-unknown", 504, "Ask for the outcome under your idempotency key, or retry under the same key."),
     TRANSACTION_UNKNOWN("transaction-unknown", 404, "Begin a new transaction."),
     TRANSACTION_LOST("transaction-lost", 409, "Begin a new transaction; the database rolled this one back."),
+    TRANSACTION_BUSY(
+            "transaction-busy", 409, "Await the answer to the transaction's last request before the next one."),
     ENTRY_VM_DRAINING("entry-vm-draining", 503, "Retry on a new connection; this entry VM is shutting down."),
     ENTRY_VM_NOT_READY("entry-vm-not-ready", 503, "Retry on another entry VM; this one has no configuration yet."),
     FAILURE_DOMAIN_TAKEN_OUT("failure-domain-taken-out", 503, "Retry on a new connection to another failure domain."),
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/transaction/TransactionId.java
@@ -0,0 +1,60 @@
+package org.banyanhook.core.transaction;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.base.Joiner;
+import com.google.common.base.Splitter;
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.List;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+
+/**
+ * Names a transaction and the entry VM that holds its connection.
+ *
+ * @param homeEntryVm the name of its home
+ * @param incarnation the incarnation of the home's daemon; another one has lost the transaction
+ * @param database the name of the database
+ * @param nonce a random text that others cannot guess
+ */
+public record TransactionId(String homeEntryVm, long incarnation, String database, String nonce) {
+
+    private static final char SEPARATOR = '\n';
+    private static final int PARTS = 4;
+
+    public TransactionId {
+        checkArgument(isPart(homeEntryVm), "homeEntryVm must be one line that is not empty");
+        checkArgument(isPart(database), "database must be one line that is not empty");
+        checkArgument(isPart(nonce), "nonce must be one line that is not empty");
+    }
+
+    /** Returns the id as the text that callers send, safe in a path. */
+    public String encode() {
+        String text = Joiner.on(SEPARATOR).join(homeEntryVm, incarnation, database, nonce);
+        return Base64.getUrlEncoder().withoutPadding().encodeToString(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Reads the text that a caller sent.
+     *
+     * @param text the text
+     * @return the id
+     * @throws RefusalException of kind {@code TRANSACTION_UNKNOWN} if the text is no id
+     */
+    public static TransactionId decode(String text) throws RefusalException {
+        try {
+            String decoded = new String(Base64.getUrlDecoder().decode(text), StandardCharsets.UTF_8);
+            List<String> parts = Splitter.on(SEPARATOR).splitToList(decoded);
+            checkArgument(parts.size() == PARTS, "an id has %s parts", PARTS);
+            return new TransactionId(parts.get(0), Long.parseLong(parts.get(1)), parts.get(2), parts.get(3));
+        } catch (IllegalArgumentException exception) {
+            throw RefusalException.notRun(
+                    RefusalKind.TRANSACTION_UNKNOWN, "The path names no transaction of this fleet.");
+        }
+    }
+
+    private static boolean isPart(String value) {
+        return !value.isEmpty() && value.indexOf(SEPARATOR) < 0;
+    }
+}
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/transaction/TransactionRegistry.java
@@ -0,0 +1,180 @@
+package org.banyanhook.core.transaction;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkState;
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The transactions of one home: who owns each, whether a step runs, and how it ended.
+ *
+ * <p>At most one step of a transaction runs at a time. An ended transaction is remembered for a while, so that a step
+ * that comes late gets a true answer. Not safe for use by several threads; times are nanoseconds of one monotonic
+ * clock.
+ */
+public final class TransactionRegistry {
+
+    private final long idleTimeoutNanos;
+    private final long lifetimeNanos;
+    private final long memoryNanos;
+    private final Map<TransactionId, Entry> entries = new HashMap<>();
+
+    /**
+     * Creates an empty registry.
+     *
+     * @param idleTimeoutNanos how long a transaction may wait for its next step
+     * @param lifetimeNanos how long a transaction may last
+     * @param memoryNanos how long an ended one is remembered
+     */
+    public TransactionRegistry(long idleTimeoutNanos, long lifetimeNanos, long memoryNanos) {
+        checkArgument(idleTimeoutNanos > 0, "idleTimeoutNanos must be positive, was %s", idleTimeoutNanos);
+        checkArgument(lifetimeNanos > 0, "lifetimeNanos must be positive, was %s", lifetimeNanos);
+        checkArgument(memoryNanos > 0, "memoryNanos must be positive, was %s", memoryNanos);
+        this.idleTimeoutNanos = idleTimeoutNanos;
+        this.lifetimeNanos = lifetimeNanos;
+        this.memoryNanos = memoryNanos;
+    }
+
+    private enum Phase {
+        IDLE,
+        RUNNING,
+        COMMITTING,
+        ROLLED_BACK,
+        COMMIT_SENT
+    }
+
+    /** Returns how many transactions have not ended. */
+    public int openCount() {
+        return (int) entries.values().stream().filter(Entry::isOpen).count();
+    }
+
+    /**
+     * Returns how many transactions of a database have not ended.
+     *
+     * @param database the name of the database
+     */
+    public int openCount(String database) {
+        return (int) entries.entrySet().stream()
+                .filter(entry -> entry.getKey().database().equals(database))
+                .filter(entry -> entry.getValue().isOpen())
+                .count();
+    }
+
+    /**
+     * Adds a transaction that has begun and waits for its first statement.
+     *
+     * @param id its id, never used before
+     * @param account the client account that owns it
+     * @param nowNanos the time
+     */
+    public void open(TransactionId id, String account, long nowNanos) {
+        checkArgument(!entries.containsKey(id), "a transaction was opened twice");
+        entries.put(id, new Entry(account, nowNanos));
+    }
+
+    /**
+     * Decides whether a step may run, and marks the transaction as busy if so.
+     *
+     * @param id the transaction
+     * @param account the client account whose key came with the request
+     * @param step the step, not {@code BEGIN}
+     * @param nowNanos the time
+     * @return the decision
+     */
+    public StepDecision startStep(TransactionId id, String account, TransactionStep step, long nowNanos) {
+        checkArgument(step != TransactionStep.BEGIN, "BEGIN opens a transaction and is no step of one");
+        Entry entry = entries.get(id);
+        if (entry == null) {
+            return step == TransactionStep.COMMIT ? StepDecision.COMMIT_MAYBE_SENT : StepDecision.ROLLED_BACK;
+        }
+        if (!entry.account.equals(account)) {
+            return StepDecision.UNKNOWN;
+        }
+        return switch (entry.phase) {
+            case RUNNING, COMMITTING -> StepDecision.BUSY;
+            case ROLLED_BACK -> StepDecision.ROLLED_BACK;
+            case COMMIT_SENT -> StepDecision.COMMIT_MAYBE_SENT;
+            case IDLE -> {
+                entry.phase = step == TransactionStep.COMMIT ? Phase.COMMITTING : Phase.RUNNING;
+                entry.changedNanos = nowNanos;
+                yield StepDecision.RUN;
+            }
+        };
+    }
+
+    /**
+     * Notes that a step ended and the transaction goes on.
+     *
+     * @param id the transaction, busy with the step
+     * @param nowNanos the time
+     */
+    public void continueAfterStep(TransactionId id, long nowNanos) {
+        change(id, Phase.IDLE, nowNanos);
+    }
+
+    /**
+     * Notes that a transaction ended.
+     *
+     * @param id the transaction, busy with its last step
+     * @param commitMaybeSent false if it is certain that no commit was sent, or that the database refused it
+     * @param nowNanos the time
+     */
+    public void end(TransactionId id, boolean commitMaybeSent, long nowNanos) {
+        change(id, commitMaybeSent ? Phase.COMMIT_SENT : Phase.ROLLED_BACK, nowNanos);
+    }
+
+    /**
+     * Ends the transactions that waited or lasted too long, none of them busy, and forgets old ended ones.
+     *
+     * @param nowNanos the time
+     * @return the transactions whose connections have to be closed
+     */
+    public List<TransactionId> expire(long nowNanos) {
+        List<TransactionId> expired = new ArrayList<>();
+        for (Map.Entry<TransactionId, Entry> candidate : entries.entrySet()) {
+            if (isExpired(candidate.getValue(), nowNanos)) {
+                expired.add(candidate.getKey());
+                candidate.getValue().phase = Phase.ROLLED_BACK;
+                candidate.getValue().changedNanos = nowNanos;
+            }
+        }
+        entries.values().removeIf(entry -> !entry.isOpen() && nowNanos - entry.changedNanos >= memoryNanos);
+        return ImmutableList.copyOf(expired);
+    }
+
+    private boolean isExpired(Entry entry, long nowNanos) {
+        return entry.phase == Phase.IDLE
+                && (nowNanos - entry.changedNanos >= idleTimeoutNanos || nowNanos - entry.openedNanos >= lifetimeNanos);
+    }
+
+    private void change(TransactionId id, Phase phase, long nowNanos) {
+        Entry entry = entries.get(id);
+        checkState(
+                entry != null && (entry.phase == Phase.RUNNING || entry.phase == Phase.COMMITTING),
+                "no step of the transaction is running");
+        requireNonNull(entry).phase = phase;
+        entry.changedNanos = nowNanos;
+    }
+
+    private static final class Entry {
+        private final String account;
+        private final long openedNanos;
+        private long changedNanos;
+        private Phase phase = Phase.IDLE;
+
+        Entry(String account, long nowNanos) {
+            this.account = account;
+            this.openedNanos = nowNanos;
+            this.changedNanos = nowNanos;
+        }
+
+        boolean isOpen() {
+            return phase == Phase.IDLE || phase == Phase.RUNNING || phase == Phase.COMMITTING;
+        }
+    }
+}
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/backend/BackendConnectionPool.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/backend/BackendConnectionPool.java
@@ -7,15 +7,14 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.core.error.RefusalException;
 import org.banyanhook.core.error.RefusalKind;
 import org.banyanhook.daemon.duty.Duty;
+import org.banyanhook.daemon.duty.DutyReports;
 import org.eclipse.jetty.client.HttpClient;
 
 /**
@@ -31,7 +30,7 @@
     private final HttpClient client;
     private final MeterRegistry meters;
     private final Map<String, MemberPool> members = new HashMap<>();
-    private final Queue<Runnable> reports = new ConcurrentLinkedQueue<>();
+    private final DutyReports reports = new DutyReports();
     private final ExecutorService callbacks;
     private final Duty duty;
     private long lastConnectionId;
@@ -87,8 +86,7 @@
 
     /** Runs a report on the duty thread; the periodic tick takes it if the ring is full. */
     void onDuty(Runnable report) {
-        reports.add(report);
-        duty.submit(this::takeReports);
+        reports.add(duty, report);
     }
 
     void complete(CompletableFuture<LeasedConnection> result, LeasedConnection connection) {
@@ -110,22 +108,14 @@
     }
 
     private void offer(MemberPool.Waiter waiter) {
-        takeReports();
+        reports.takeAll();
         String name = waiter.request().member().name();
         String key = name + "@" + waiter.request().member().address();
         members.computeIfAbsent(key, absent -> new MemberPool(this, name)).offer(waiter, nowNanos());
     }
 
-    private void takeReports() {
-        Runnable report = reports.poll();
-        while (report != null) {
-            report.run();
-            report = reports.poll();
-        }
-    }
-
     private void tick() {
-        takeReports();
+        reports.takeAll();
         members.values().forEach(member -> member.tick(nowNanos()));
         members.values().removeIf(MemberPool::isUnused);
     }
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerServer.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerServer.java
@@ -7,7 +7,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.banyanhook.daemon.configuration.ConfigurationSource;
+import org.banyanhook.daemon.execution.OutcomeReader;
 import org.banyanhook.daemon.execution.StatementExecutor;
+import org.banyanhook.daemon.execution.TransactionExecutor;
 import org.banyanhook.daemon.execution.WorkGate;
 import org.banyanhook.daemon.rate.RateLimiter;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -97,6 +99,8 @@
         filters.add(new TargetFilter());
         filters.add(new RateFilter(requireNonNull(builder.rateLimiter, "rateLimiter")));
         filters.add(new StatementFilter(statements, sessions));
+        filters.add(new TransactionFilter(requireNonNull(builder.transactions, "transactions"), sessions));
+        filters.add(new OutcomeFilter(requireNonNull(builder.outcomes, "outcomes"), sessions));
         return ImmutableList.copyOf(filters);
     }
 
@@ -108,6 +112,8 @@
         private @Nullable ConfigurationSource configuration;
         private @Nullable RateLimiter rateLimiter;
         private @Nullable StatementExecutor statements;
+        private @Nullable TransactionExecutor transactions;
+        private @Nullable OutcomeReader outcomes;
         private @Nullable WorkGate gate;
         private @Nullable MeterRegistry meters;
 
@@ -149,6 +155,18 @@
             return this;
         }
 
+        /** Sets what runs the steps of transactions. */
+        public Builder transactions(TransactionExecutor value) {
+            this.transactions = value;
+            return this;
+        }
+
+        /** Sets what reads recorded outcomes. */
+        public Builder outcomes(OutcomeReader value) {
+            this.outcomes = value;
+            return this;
+        }
+
         /** Sets what counts requests and refuses new ones while this entry VM drains. */
         public Builder gate(WorkGate value) {
             this.gate = value;
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/TransactionFilter.java
@@ -0,0 +1,108 @@
+package org.banyanhook.daemon.caller;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.banyanhook.core.configuration.Service;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+import org.banyanhook.core.session.SessionToken;
+import org.banyanhook.core.transaction.TransactionId;
+import org.banyanhook.core.transaction.TransactionStep;
+import org.banyanhook.daemon.execution.TransactionCommand;
+import org.banyanhook.daemon.execution.TransactionExecutor;
+import org.banyanhook.daemon.execution.TransactionOutcome;
+
+/** Runs the steps of transactions and passes other requests on. */
+final class TransactionFilter implements RequestFilter {
+
+    private final TransactionExecutor executor;
+    private final SessionFilter sessions;
+
+    TransactionFilter(TransactionExecutor executor, SessionFilter sessions) {
+        this.executor = requireNonNull(executor, "executor");
+        this.sessions = requireNonNull(sessions, "sessions");
+    }
+
+    @Override
+    public CompletableFuture<CallerReply> handle(CallerExchange exchange, FilterChain next) throws RefusalException {
+        return switch (exchange.operation()) {
+            case BEGIN -> run(exchange, begin(exchange));
+            case TRANSACTION_STATEMENT -> run(exchange, continuation(exchange, TransactionStep.STATEMENT));
+            case COMMIT -> run(exchange, continuation(exchange, TransactionStep.COMMIT));
+            case ROLLBACK -> run(exchange, continuation(exchange, TransactionStep.ROLLBACK));
+            default -> next.proceed(exchange);
+        };
+    }
+
+    private CompletableFuture<CallerReply> run(CallerExchange exchange, TransactionCommand command) {
+        return executor.execute(command).thenApply(outcome -> reply(exchange, command, outcome));
+    }
+
+    private static TransactionCommand begin(CallerExchange exchange) {
+        return common(exchange, TransactionStep.BEGIN)
+                .database(exchange.database().name())
+                .route(exchange.route()
+                        .orElseThrow(() -> new IllegalStateException("the target filter must run first")))
+                .sessionPosition(exchange.session().position(exchange.database().name()))
+                .build();
+    }
+
+    private static TransactionCommand continuation(CallerExchange exchange, TransactionStep step)
+            throws RefusalException {
+        TransactionId id = TransactionId.decode(exchange.target().identifier());
+        boolean ofService =
+                exchange.service().flatMap(service -> databaseOf(service, id)).isPresent();
+        if (!ofService) {
+            throw RefusalException.notRun(
+                    RefusalKind.TRANSACTION_UNKNOWN, "The path names no transaction of this service.");
+        }
+        exchange.session().requireRoomFor(id.database());
+        String statement = exchange.body().statement();
+        return common(exchange, step)
+                .transaction(id)
+                .statement(statement == null ? "" : statement)
+                .idempotencyKey(
+                        step == TransactionStep.COMMIT ? exchange.headers().idempotencyKey() : null)
+                .sessionPosition(exchange.session().position(id.database()))
+                .build();
+    }
+
+    private static Optional<String> databaseOf(Service service, TransactionId id) {
+        return service.database(id.database()).map(database -> database.name());
+    }
+
+    private static TransactionCommand.Builder common(CallerExchange exchange, TransactionStep step) {
+        return TransactionCommand.builder(step)
+                .requestId(exchange.requestId())
+                .account(exchange.accountOrOpen())
+                .service(exchange.serviceName())
+                .deadlineNanos(exchange.deadlineNanos());
+    }
+
+    private CallerReply reply(CallerExchange exchange, TransactionCommand command, TransactionOutcome outcome) {
+        String database = outcome.transaction().database();
+        SessionToken session =
+                exchange.session().with(database, outcome.outcome().position());
+        try {
+            String token = sessions.encode(exchange, session);
+            return switch (command.step()) {
+                case BEGIN ->
+                    CallerReplies.ok(
+                            JsonNodeFactory.instance
+                                    .objectNode()
+                                    .put("transactionId", outcome.transaction().encode())
+                                    .put("database", database),
+                            token);
+                case ROLLBACK ->
+                    CallerReplies.ok(JsonNodeFactory.instance.objectNode().put("rolledBack", true), token);
+                default -> CallerReplies.result(outcome.outcome(), database, token);
+            };
+        } catch (RefusalException refusal) {
+            throw new CompletionException(refusal);
+        }
+    }
+}
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/execution/LocalStatementExecutor.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/execution/LocalStatementExecutor.java
@@ -86,6 +86,10 @@
         }
     }
 
+    int connectionShare(Database database) {
+        return connectionShare.applyAsInt(database);
+    }
+
     LeaseRequest leaseRequest(StatementCommand command, MemberChoice choice, boolean fresh) {
         return leaseRequest(choice.database(), choice.member(), command.account(), command.deadlineNanos(), fresh);
     }
@@ -97,7 +101,7 @@
                 .account(account)
                 .map(ClientAccount::weight)
                 .orElse(DEFAULT_WEIGHT);
-        int share = connectionShare.applyAsInt(database);
+        int share = connectionShare(database);
         return new LeaseRequest(database.name(), member, share, account, weight, deadlineNanos, fresh);
     }
 
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/execution/StatementRun.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/execution/StatementRun.java
@@ -77,7 +77,7 @@
     private void send(MemberChoice choice, LeasedConnection connection) {
         if (remainingNanos() <= 0) {
             connection.release();
-            refuse(RefusalKind.DEADLINE_EXCEEDED, "The deadline passed before the statement was sent.");
+            refuse(lastKind, lastDetail);
             return;
         }
         BackendRequest.Idempotency idempotency = command.idempotencyKey()
@@ -210,8 +210,11 @@
         result.completeExceptionally(refusal.build());
     }
 
+    /** Passes on why no connection was had; at the deadline the failure of an earlier attempt says more. */
     private void failRefused(RefusalException refusal) {
-        if (maybeSent) {
+        if (refusal.kind() == RefusalKind.DEADLINE_EXCEEDED) {
+            refuse(lastKind, lastDetail);
+        } else if (maybeSent) {
             refuse(refusal.kind(), refusal.detail());
         } else {
             result.completeExceptionally(refusal);
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/execution/TransactionBegin.java
@@ -0,0 +1,123 @@
+package org.banyanhook.daemon.execution;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.banyanhook.core.configuration.Database;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+import org.banyanhook.core.retry.AttemptOutcome;
+import org.banyanhook.daemon.backend.BackendException;
+import org.banyanhook.daemon.backend.BackendRequest;
+import org.banyanhook.daemon.backend.LeasedConnection;
+
+/**
+ * The attempts to begin one transaction at the primary.
+ *
+ * <p>A begin changes nothing: a connection on which it failed is closed, which ends whatever began on it, so it may be
+ * tried again after any failure. Its steps follow one another; no two run at a time.
+ */
+final class TransactionBegin {
+
+    private static final Logger LOGGER = LogManager.getLogger(TransactionBegin.class);
+    private static final long BACKOFF_MILLIS = 50;
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+    private final LocalStatementExecutor statements;
+    private final TransactionCommand command;
+    private final Database database;
+    private final CompletableFuture<OpenTransaction> result = new CompletableFuture<>();
+    private volatile RefusalKind lastKind = RefusalKind.PRIMARY_UNAVAILABLE;
+
+    TransactionBegin(LocalStatementExecutor statements, TransactionCommand command, Database database) {
+        this.statements = statements;
+        this.command = command;
+        this.database = database;
+    }
+
+    CompletableFuture<OpenTransaction> start() {
+        attempt();
+        return result;
+    }
+
+    private void attempt() {
+        if (remaining().isZero()) {
+            refuse();
+            return;
+        }
+        Optional<MemberChoice> choice =
+                statements.chooser().choose(database, command.beginRoute(), command.sessionPosition(), false);
+        if (choice.isEmpty()) {
+            attemptLater();
+            return;
+        }
+        statements
+                .pool()
+                .lease(statements.leaseRequest(
+                        database, choice.get().member(), command.account(), command.deadlineNanos(), false))
+                .whenComplete((connection, failure) -> {
+                    if (failure == null) {
+                        begin(choice.get(), connection);
+                    } else {
+                        fail(choice.get(), Refusals.unwrap(failure));
+                    }
+                });
+    }
+
+    private void begin(MemberChoice choice, LeasedConnection connection) {
+        LOGGER.info(
+                "request {} account {} database {} begins a transaction at member {} in term {}: {}",
+                command.requestId(),
+                command.account(),
+                database.name(),
+                choice.member().name(),
+                choice.term(),
+                choice.reason());
+        Duration timeout = remaining();
+        connection.send(BackendRequest.begin(choice.term()), timeout).whenComplete((answer, failure) -> {
+            if (failure == null) {
+                boolean writes = command.beginRoute().kind().writes();
+                result.complete(new OpenTransaction(connection, choice, writes));
+            } else {
+                connection.discard();
+                fail(choice, Refusals.unwrap(failure));
+            }
+        });
+    }
+
+    private void fail(MemberChoice choice, Throwable failure) {
+        if (!(failure instanceof BackendException backendFailure)) {
+            result.completeExceptionally(Refusals.from(failure));
+            return;
+        }
+        AttemptOutcome outcome = BackendOutcomes.of(backendFailure);
+        lastKind = outcome == AttemptOutcome.PRIMARY_CHANGED
+                ? RefusalKind.PRIMARY_CHANGED
+                : RefusalKind.BACKEND_UNAVAILABLE;
+        boolean reachable = backendFailure.kind() == BackendException.Kind.REFUSED;
+        statements
+                .directory()
+                .reportOutcome(database.name(), choice.member().name(), reachable, backendFailure.observedTerm());
+        attemptLater();
+    }
+
+    private void attemptLater() {
+        long nanos = Math.min(
+                TimeUnit.MILLISECONDS.toNanos(BACKOFF_MILLIS), remaining().toNanos());
+        CompletableFuture.delayedExecutor(nanos, TimeUnit.NANOSECONDS).execute(this::attempt);
+    }
+
+    private void refuse() {
+        result.completeExceptionally(RefusalException.builder(lastKind)
+                .detail("No transaction could begin on database " + database.name() + " in time.")
+                .retryAfter(RETRY_AFTER)
+                .build());
+    }
+
+    private Duration remaining() {
+        return Duration.ofNanos(Math.max(0, command.deadlineNanos() - System.nanoTime()));
+    }
+}
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/forwarding/ForwardedStatementHandler.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/forwarding/ForwardedStatementHandler.java
@@ -4,9 +4,7 @@
 
 import java.util.concurrent.CompletableFuture;
 import org.banyanhook.core.configuration.Route;
-import org.banyanhook.core.configuration.Service;
 import org.banyanhook.core.error.RefusalException;
-import org.banyanhook.core.error.RefusalKind;
 import org.banyanhook.daemon.configuration.ConfigurationSource;
 import org.banyanhook.daemon.execution.StatementExecutor;
 import org.banyanhook.daemon.execution.WorkGate;
@@ -42,18 +40,7 @@
     }
 
     private Route route(ForwardedStatement statement) throws RefusalException {
-        Service service = configuration
-                .current()
-                .service(statement.getService())
-                .orElseThrow(() -> RefusalException.notRun(
-                        RefusalKind.SERVICE_UNKNOWN, "This home knows no service " + statement.getService() + "."));
-        if (service.database(statement.getDatabase()).isEmpty()) {
-            throw RefusalException.notRun(
-                    RefusalKind.DATABASE_UNKNOWN,
-                    "Service " + service.name() + " has no database " + statement.getDatabase() + " at this home.");
-        }
-        return service.route(statement.getRoute())
-                .orElseThrow(() -> RefusalException.notRun(
-                        RefusalKind.ROUTE_UNKNOWN, "This home knows no route " + statement.getRoute() + "."));
+        return ForwardedRoutes.find(
+                configuration.current(), statement.getService(), statement.getDatabase(), statement.getRoute());
     }
 }
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/forwarding/ForwardedTransactions.java
@@ -0,0 +1,84 @@
+package org.banyanhook.daemon.forwarding;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.banyanhook.core.configuration.Route;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.transaction.TransactionId;
+import org.banyanhook.core.transaction.TransactionStep;
+import org.banyanhook.daemon.execution.TransactionCommand;
+import org.banyanhook.daemon.execution.TransactionOutcome;
+import org.banyanhook.protocol.generated.ForwardedTransactionStep;
+import org.banyanhook.protocol.generated.PeerEnvelope;
+import org.banyanhook.protocol.generated.StatementResult;
+
+/**
+ * Translates steps of transactions and their outcomes to and from peer messages.
+ *
+ * <p>The message of a begin carries the name of the route in its field {@code statement}.
+ */
+final class ForwardedTransactions {
+
+    private ForwardedTransactions() {}
+
+    static PeerEnvelope step(TransactionCommand command, Duration remaining) {
+        boolean begins = command.step() == TransactionStep.BEGIN;
+        ForwardedTransactionStep.Builder step = ForwardedTransactionStep.newBuilder()
+                .setRequestId(command.requestId())
+                .setClientAccount(command.account())
+                .setService(command.service())
+                .setDatabase(command.database())
+                .setStep(ForwardedTransactionStep.Step.valueOf(command.step().name()))
+                .setStatement(begins ? command.beginRoute().name() : command.statement())
+                .setSessionPosition(ForwardedMessages.position(command.sessionPosition()))
+                .setRemainingMillis(ForwardedMessages.remainingMillis(remaining));
+        if (!begins) {
+            step.setTransactionId(command.transaction().encode());
+        }
+        command.idempotencyKey().ifPresent(step::setIdempotencyKey);
+        return PeerEnvelope.newBuilder().setForwardedTransactionStep(step).build();
+    }
+
+    static TransactionCommand begin(ForwardedTransactionStep message, Route route, long nowNanos) {
+        return common(message, TransactionStep.BEGIN, nowNanos).route(route).build();
+    }
+
+    static TransactionCommand continuation(ForwardedTransactionStep message, long nowNanos) throws RefusalException {
+        TransactionStep step = TransactionStep.valueOf(message.getStep().name());
+        return common(message, step, nowNanos)
+                .transaction(TransactionId.decode(message.getTransactionId()))
+                .statement(message.getStatement())
+                .build();
+    }
+
+    static PeerEnvelope result(TransactionOutcome outcome) {
+        PeerEnvelope envelope = ForwardedMessages.result(outcome.outcome());
+        StatementResult result = envelope.getStatementResult().toBuilder()
+                .setTransactionId(outcome.transaction().encode())
+                .build();
+        return envelope.toBuilder().setStatementResult(result).build();
+    }
+
+    static CompletableFuture<TransactionOutcome> outcome(StatementResult result, TransactionCommand command) {
+        try {
+            TransactionId id = TransactionId.decode(result.getTransactionId());
+            return CompletableFuture.completedFuture(new TransactionOutcome(id, ForwardedMessages.outcome(result)));
+        } catch (RefusalException exception) {
+            return CompletableFuture.failedFuture(new IllegalStateException(
+                    "the home's answer to request " + command.requestId() + " names no transaction", exception));
+        }
+    }
+
+    private static TransactionCommand.Builder common(
+            ForwardedTransactionStep message, TransactionStep step, long nowNanos) {
+        return TransactionCommand.builder(step)
+                .requestId(message.getRequestId())
+                .account(message.getClientAccount())
+                .service(message.getService())
+                .database(message.getDatabase())
+                .idempotencyKey(message.getIdempotencyKey().isEmpty() ? null : message.getIdempotencyKey())
+                .sessionPosition(ForwardedMessages.position(message.getSessionPosition()))
+                .deadlineNanos(nowNanos
+                        + Duration.ofMillis(message.getRemainingMillis()).toNanos());
+    }
+}
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/forwarding/ForwardingTransactionExecutor.java
@@ -0,0 +1,129 @@
+package org.banyanhook.daemon.forwarding;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.banyanhook.core.error.Execution;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+import org.banyanhook.core.transaction.TransactionStep;
+import org.banyanhook.daemon.execution.Refusals;
+import org.banyanhook.daemon.execution.TransactionCommand;
+import org.banyanhook.daemon.execution.TransactionExecutor;
+import org.banyanhook.daemon.execution.TransactionOutcome;
+import org.banyanhook.daemon.membership.EntryVm;
+import org.banyanhook.daemon.peer.PeerException;
+import org.banyanhook.daemon.peer.PeerMessenger;
+import org.banyanhook.protocol.generated.PeerEnvelope;
+
+/**
+ * Runs each step of a transaction at its home, wherever the caller is connected.
+ *
+ * <p>A step is sent to its home once. What is said when the home is gone: a begin or statement did not run, since
+ * nobody can commit any more; a commit is unknown, since an earlier one may have been sent through another entry VM.
+ * Safe for use by several threads.
+ */
+public final class ForwardingTransactionExecutor implements TransactionExecutor {
+
+    private static final Logger LOGGER = LogManager.getLogger(ForwardingTransactionExecutor.class);
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+    private final HomeDirectory homes;
+    private final TransactionExecutor local;
+    private final PeerMessenger messenger;
+
+    /**
+     * Creates an executor.
+     *
+     * @param homes knows the homes
+     * @param local holds the transactions whose home is this entry VM
+     * @param messenger the links to other daemons
+     */
+    public ForwardingTransactionExecutor(HomeDirectory homes, TransactionExecutor local, PeerMessenger messenger) {
+        this.homes = requireNonNull(homes, "homes");
+        this.local = requireNonNull(local, "local");
+        this.messenger = requireNonNull(messenger, "messenger");
+    }
+
+    @Override
+    public CompletableFuture<TransactionOutcome> execute(TransactionCommand command) {
+        boolean begins = command.step() == TransactionStep.BEGIN;
+        List<EntryVm> candidates = begins
+                ? homes.homes(command.database())
+                : homes.entryVm(command.transaction().homeEntryVm());
+        if (candidates.isEmpty()) {
+            return CompletableFuture.failedFuture(begins ? noHome(command) : homeGone(command));
+        }
+        return execute(command, candidates, 0);
+    }
+
+    private CompletableFuture<TransactionOutcome> execute(
+            TransactionCommand command, List<EntryVm> candidates, int index) {
+        EntryVm home = candidates.get(index);
+        LOGGER.info(
+                "request {} account {} database {} step {} goes to home {}: {}",
+                command.requestId(),
+                command.account(),
+                command.database(),
+                command.step(),
+                home.name(),
+                command.step() == TransactionStep.BEGIN ? "nearest home" : "it holds the transaction");
+        if (home.name().equals(homes.selfName())) {
+            return local.execute(command);
+        }
+        Duration remaining = Duration.ofNanos(Math.max(1, command.deadlineNanos() - System.nanoTime()));
+        PeerEnvelope envelope = ForwardedTransactions.step(command, remaining);
+        return messenger
+                .request(home.peerAddress(), envelope, remaining)
+                .thenCompose(reply -> ForwardedTransactions.outcome(reply.getStatementResult(), command))
+                .exceptionallyCompose(failure -> fail(command, candidates, index, Refusals.unwrap(failure)));
+    }
+
+    private CompletableFuture<TransactionOutcome> fail(
+            TransactionCommand command, List<EntryVm> candidates, int index, Throwable failure) {
+        if (!(failure instanceof PeerException peerFailure)) {
+            return CompletableFuture.failedFuture(failure);
+        }
+        LOGGER.warn(
+                "request {} got no answer from home {}: {}",
+                command.requestId(),
+                candidates.get(index).name(),
+                failure.getMessage());
+        boolean begins = command.step() == TransactionStep.BEGIN;
+        if (begins && !peerFailure.maybeSent() && index + 1 < candidates.size()) {
+            return execute(command, candidates, index + 1);
+        }
+        return CompletableFuture.failedFuture(refusal(command, candidates.get(index), peerFailure));
+    }
+
+    private RefusalException refusal(TransactionCommand command, EntryVm home, PeerException failure) {
+        boolean begins = command.step() == TransactionStep.BEGIN;
+        if (!begins && homes.entryVm(home.name()).isEmpty()) {
+            return homeGone(command);
+        }
+        boolean unknown = !begins && failure.maybeSent();
+        return RefusalException.builder(unknown ? RefusalKind.OUTCOME_UNKNOWN : RefusalKind.PEER_UNAVAILABLE)
+                .execution(unknown ? Execution.UNKNOWN : Execution.NOT_RUN)
+                .detail("Home " + home.name() + " did not answer.")
+                .retryAfter(RETRY_AFTER)
+                .build();
+    }
+
+    private static RefusalException noHome(TransactionCommand command) {
+        return RefusalException.notRun(
+                RefusalKind.FAILURE_DOMAIN_TAKEN_OUT,
+                "No live entry VM takes new work for database " + command.database() + ".");
+    }
+
+    private static RefusalException homeGone(TransactionCommand command) {
+        boolean commits = command.step() == TransactionStep.COMMIT;
+        return RefusalException.builder(commits ? RefusalKind.OUTCOME_UNKNOWN : RefusalKind.TRANSACTION_LOST)
+                .execution(commits ? Execution.UNKNOWN : Execution.NOT_RUN)
+                .detail("The home of the transaction is gone.")
+                .build();
+    }
+}
--- a/banyanhook-daemon/src/test/java/org/banyanhook/daemon/caller/CallerServerTest.java
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/caller/CallerServerTest.java
@@ -16,6 +16,7 @@
 import org.banyanhook.core.error.RefusalKind;
 import org.banyanhook.daemon.backend.ScriptedBackendServer.Reply;
 import org.banyanhook.daemon.execution.ExecutionFixture;
+import org.banyanhook.daemon.execution.OutcomeReader;
 import org.banyanhook.daemon.execution.WorkGate;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -45,6 +46,8 @@
                         ? CompletableFuture.failedFuture(RefusalException.notRun(RefusalKind.RATE_EXCEEDED, "rate"))
                         : CompletableFuture.completedFuture(null))
                 .statements(fixture.executor)
+                .transactions(fixture.transactions)
+                .outcomes(new OutcomeReader(fixture.executor))
                 .gate(gate)
                 .meters(fixture.meters)
                 .build();
--- a/banyanhook-daemon/src/test/java/org/banyanhook/daemon/execution/ExecutionFixture.java
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/execution/ExecutionFixture.java
@@ -48,6 +48,7 @@
     public volatile PositionConfirmer confirmer =
             (database, position, timeout) -> CompletableFuture.completedFuture(null);
     public volatile FleetConfiguration configuration;
+    public final LocalTransactionExecutor transactions;
     private final HttpClient client;
 
     public ExecutionFixture() throws Exception {
@@ -63,6 +64,7 @@
                 .chooser(new MemberChooser(() -> configuration, directory, member -> true))
                 .meters(meters)
                 .build();
+        transactions = new LocalTransactionExecutor("vm-1", 7, executor);
     }
 
     public FleetConfiguration configuration(Set<String> withdrawn) {
@@ -109,6 +111,7 @@
             closer.register(primary::close);
             closer.register(replica::close);
             closer.register(pool::close);
+            closer.register(transactions::close);
             closer.register(() -> {
                 try {
                     client.stop();
--- /dev/null
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/forwarding/ForwardingExecutorTest.java
@@ -0,0 +1,223 @@
+package org.banyanhook.daemon.forwarding;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.util.Objects.requireNonNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.banyanhook.core.error.Execution;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.error.RefusalKind;
+import org.banyanhook.core.transaction.TransactionId;
+import org.banyanhook.core.transaction.TransactionStep;
+import org.banyanhook.daemon.backend.ScriptedBackendServer.Reply;
+import org.banyanhook.daemon.execution.ExecutionFixture;
+import org.banyanhook.daemon.execution.StatementOutcome;
+import org.banyanhook.daemon.execution.TransactionCommand;
+import org.banyanhook.daemon.execution.TransactionOutcome;
+import org.banyanhook.daemon.execution.WorkGate;
+import org.banyanhook.daemon.membership.EntryVm;
+import org.banyanhook.daemon.peer.PeerException;
+import org.banyanhook.daemon.peer.PeerHandler;
+import org.banyanhook.daemon.peer.PeerMessenger;
+import org.banyanhook.protocol.generated.PeerEnvelope;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class ForwardingExecutorTest {
+
+    private final LoopMessenger messenger = new LoopMessenger();
+    private final WorkGate gate = new WorkGate();
+    private ExecutionFixture fixture;
+    private List<EntryVm> live = List.of(
+            new EntryVm("vm-1", "east", "peer-1", false),
+            new EntryVm("vm-2", "west", "peer-2", false),
+            new EntryVm("vm-0", "north", "peer-0", true));
+    private ForwardingExecutor statements;
+    private ForwardingTransactionExecutor transactions;
+
+    @BeforeEach
+    void start() throws Exception {
+        fixture = new ExecutionFixture();
+        HomeDirectory homes = new HomeDirectory("vm-0", "north", () -> live, () -> fixture.configuration);
+        statements = ForwardingExecutor.builder()
+                .homes(homes)
+                .local(command -> CompletableFuture.failedFuture(new IllegalStateException("no home")))
+                .messenger(messenger)
+                .configuration(() -> fixture.configuration)
+                .meters(fixture.meters)
+                .build();
+        transactions = new ForwardingTransactionExecutor(
+                homes, command -> CompletableFuture.failedFuture(new IllegalStateException("no home")), messenger);
+        messenger.handle(
+                PeerEnvelope.BodyCase.FORWARDED_STATEMENT,
+                new ForwardedStatementHandler(() -> fixture.configuration, fixture.executor, gate));
+        messenger.handle(
+                PeerEnvelope.BodyCase.FORWARDED_TRANSACTION_STEP,
+                new ForwardedTransactionHandler(() -> fixture.configuration, fixture.transactions, gate));
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        fixture.close();
+    }
+
+    private StatementOutcome run(String route) throws Exception {
+        return statements
+                .execute(fixture.command(route).idempotencyKey("k").build())
+                .get(5, TimeUnit.SECONDS);
+    }
+
+    private TransactionOutcome run(TransactionStep step, @Nullable TransactionId id) throws Exception {
+        TransactionCommand.Builder command = TransactionCommand.builder(step)
+                .requestId("r-1")
+                .account("acme")
+                .service("orders-db")
+                .database("db")
+                .route(fixture.configuration
+                        .service("orders-db")
+                        .orElseThrow()
+                        .route("put")
+                        .orElseThrow())
+                .statement("put k 1")
+                .deadlineNanos(System.nanoTime() + Duration.ofSeconds(2).toNanos());
+        if (id != null) {
+            command.transaction(id);
+        }
+        return transactions.execute(command.build()).get(5, TimeUnit.SECONDS);
+    }
+
+    private static RefusalException refusal(ExecutionException exception) {
+        assertThat(exception).hasCauseThat().isInstanceOf(RefusalException.class);
+        return (RefusalException) requireNonNull(exception.getCause());
+    }
+
+    @Test
+    void carriesAStatementToAHomeAndItsAnswerBack() throws Exception {
+        fixture.primary.script(request -> Reply.ok(request.body(), 1, 8, "\"late\""));
+        StatementOutcome outcome = run("append");
+        assertThat(outcome.resultJson()).isEqualTo("\"late\"");
+        assertThat(outcome.position().position()).isEqualTo(8);
+        assertThat(outcome.servedBy()).isEqualTo("db-1");
+        assertThat(fixture.primary.received().get(0)).contains("\"key\":\"k\"");
+        assertThat(messenger.addresses).containsNoneOf("peer-0", "");
+    }
+
+    /** The faults meet the homes in their order; then homes answer. */
+    @ParameterizedTest
+    @CsvSource({
+        // route, faults, executed, kind, execution
+        "append, unsent, 1, , ",
+        "append, draining, 1, , ",
+        "append, unsent unsent, 0, PEER_UNAVAILABLE, NOT_RUN",
+        "append, lost, 0, OUTCOME_UNKNOWN, UNKNOWN",
+        "append, answer-lost, 1, OUTCOME_UNKNOWN, UNKNOWN",
+        "put, answer-lost, 1, OUTCOME_UNKNOWN, UNKNOWN",
+        "read, lost, 1, , ",
+        "read, answer-lost, 2, , ",
+        "read, lost unsent, 0, PEER_UNAVAILABLE, UNKNOWN",
+        "read, lost draining, 0, ENTRY_VM_DRAINING, UNKNOWN",
+    })
+    void triesAnotherHomeOnlyWhereThatIsSafe(
+            String route, String faults, int executed, @Nullable RefusalKind kind, @Nullable Execution execution)
+            throws Exception {
+        messenger.faults.addAll(List.of(faults.split(" ")));
+        if (kind == null) {
+            run(route);
+        } else {
+            RefusalException refusal = refusal(assertThrows(ExecutionException.class, () -> run(route)));
+            assertThat(refusal.kind()).isEqualTo(kind);
+            assertThat(refusal.execution()).isEqualTo(execution);
+        }
+        assertThat(fixture.primary.received()).hasSize(executed);
+    }
+
+    @Test
+    void drainingHomeTakesNoStatementButFinishesTransactions() throws Exception {
+        TransactionId id = run(TransactionStep.BEGIN, null).transaction();
+        gate.close();
+        assertThat(refusal(assertThrows(ExecutionException.class, () -> run("append")))
+                        .kind())
+                .isEqualTo(RefusalKind.ENTRY_VM_DRAINING);
+        run(TransactionStep.STATEMENT, id);
+        assertThat(run(TransactionStep.COMMIT, id).outcome().servedBy()).isEqualTo("db-1");
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // step, fault, home still alive, kind, execution
+        "STATEMENT, unsent, true, PEER_UNAVAILABLE, NOT_RUN",
+        "STATEMENT, lost, true, OUTCOME_UNKNOWN, UNKNOWN",
+        "STATEMENT, lost, false, TRANSACTION_LOST, NOT_RUN",
+        "ROLLBACK, lost, false, TRANSACTION_LOST, NOT_RUN",
+        "COMMIT, unsent, true, PEER_UNAVAILABLE, NOT_RUN",
+        "COMMIT, lost, true, OUTCOME_UNKNOWN, UNKNOWN",
+        "COMMIT, answer-lost, true, OUTCOME_UNKNOWN, UNKNOWN",
+        "COMMIT, lost, false, OUTCOME_UNKNOWN, UNKNOWN",
+    })
+    void labelsALostHomeTruly(TransactionStep step, String fault, boolean alive, RefusalKind kind, Execution execution)
+            throws Exception {
+        TransactionId id = run(TransactionStep.BEGIN, null).transaction();
+        assertThat(id.homeEntryVm()).isEqualTo("vm-1");
+        messenger.faults.add(fault);
+        if (!alive) {
+            messenger.onFault = () -> live = List.of();
+        }
+        RefusalException refusal = refusal(assertThrows(ExecutionException.class, () -> run(step, id)));
+        assertThat(refusal.kind()).isEqualTo(kind);
+        assertThat(refusal.execution()).isEqualTo(execution);
+    }
+
+    /** Delivers to the handlers of one home, after the faults that a test wants. */
+    private static final class LoopMessenger implements PeerMessenger {
+        private final Map<PeerEnvelope.BodyCase, PeerHandler> handlers = new EnumMap<>(PeerEnvelope.BodyCase.class);
+        private final Deque<String> faults = new ArrayDeque<>();
+        private final List<String> addresses = new ArrayList<>();
+        private Runnable onFault = () -> {};
+
+        @Override
+        public CompletableFuture<PeerEnvelope> request(String peerAddress, PeerEnvelope body, Duration timeout) {
+            addresses.add(peerAddress);
+            String fault = faults.isEmpty() ? "" : faults.removeFirst();
+            if (!fault.isEmpty()) {
+                onFault.run();
+            }
+            return switch (fault) {
+                case "unsent" -> CompletableFuture.failedFuture(new PeerException("unsent", false));
+                case "lost" -> CompletableFuture.failedFuture(new PeerException("lost", true));
+                case "draining" ->
+                    CompletableFuture.failedFuture(RefusalException.notRun(RefusalKind.ENTRY_VM_DRAINING, "draining"));
+                case "answer-lost" ->
+                    deliver(body).thenCompose(reply -> CompletableFuture.failedFuture(new PeerException("lost", true)));
+                default -> deliver(body);
+            };
+        }
+
+        private CompletableFuture<PeerEnvelope> deliver(PeerEnvelope body) {
+            return requireNonNull(handlers.get(body.getBodyCase())).handle(body);
+        }
+
+        @Override
+        public void send(String peerAddress, PeerEnvelope body) {
+            deliver(body);
+        }
+
+        @Override
+        public void handle(PeerEnvelope.BodyCase kind, PeerHandler handler) {
+            handlers.put(kind, handler);
+        }
+    }
+}
