--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/platform/PlatformStandIn.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/platform/PlatformStandIn.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
+import org.banyanhook.daemon.platform.VirtualMachine;
 import org.banyanhook.testbed.http.ErrorBody;
 import org.banyanhook.testbed.http.JsonHttpServer;
 import org.banyanhook.testbed.http.JsonReply;
@@ -46,7 +47,7 @@
 
     private record LeaseAnswer(String leaseId, long timeToLiveMillis) {}
 
-    private record MachineList(@Nullable List<PlatformState.Machine> virtualMachines) {}
+    private record MachineList(@Nullable List<VirtualMachine> virtualMachines) {}
 
     private PlatformStandIn(Builder builder) {
         state.setListLagMillis(builder.virtualMachineLagMillis);
@@ -63,6 +64,11 @@
         return server.address();
     }
 
+    /** Replaces the list of virtual machines; the change becomes visible after the lag. */
+    public void listVirtualMachines(List<VirtualMachine> machines) {
+        state.listMachines(machines);
+    }
+
     /** Returns how many calls of each kind were made, a waiting watch counting as one. */
     public Map<String, Long> calls() {
         Map<String, Long> result = new TreeMap<>();
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/platform/PlatformState.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/platform/PlatformState.java
@@ -1,6 +1,5 @@
 package org.banyanhook.testbed.platform;
 
-import com.fasterxml.jackson.annotation.JsonInclude;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -12,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
+import org.banyanhook.daemon.platform.VirtualMachine;
 import org.jspecify.annotations.Nullable;
 
 /** The values, leases and list of virtual machines of the platform's service. Safe for use by several threads. */
@@ -34,32 +34,20 @@
      */
     record SwapResult(boolean applied, long revision) {}
 
-    /**
-     * An entry of the list of virtual machines.
-     *
-     * @param name its name
-     * @param kind {@code entry} or {@code backend}
-     * @param failureDomain the failure domain that it runs in
-     * @param address its IP number and port
-     * @param state {@code live} or {@code leaving}
-     */
-    @JsonInclude(JsonInclude.Include.NON_NULL)
-    record Machine(String name, String kind, String failureDomain, String address, String state) {}
-
     private record Slot(Value value, @Nullable String leaseId) {}
 
     private record Lease(long timeToLiveNanos, long lapsesNanos) {}
 
     private record Watch(String key, long afterRevision, CompletableFuture<Value> result) {}
 
-    private record ListVersion(long visibleNanos, List<Machine> machines) {}
+    private record ListVersion(long visibleNanos, List<VirtualMachine> machines) {}
 
     private final LongSupplier nanoClock;
     private final Map<String, Slot> slots = new HashMap<>();
     private final Map<String, Lease> leases = new HashMap<>();
     private final List<Watch> watches = new ArrayList<>();
     private final Deque<ListVersion> lists = new ArrayDeque<>();
-    private List<Machine> visibleMachines = List.of();
+    private List<VirtualMachine> visibleMachines = List.of();
     private long listLagNanos;
     private long lastRevision;
     private long lastLease;
@@ -142,7 +130,7 @@
         return known;
     }
 
-    synchronized void listMachines(List<Machine> machines) {
+    synchronized void listMachines(List<VirtualMachine> machines) {
         lists.addLast(new ListVersion(nanoClock.getAsLong() + listLagNanos, List.copyOf(machines)));
     }
 
@@ -150,7 +138,7 @@
         listLagNanos = lagMillis * 1_000_000;
     }
 
-    synchronized List<Machine> machines() {
+    synchronized List<VirtualMachine> machines() {
         long now = nanoClock.getAsLong();
         while (!lists.isEmpty() && now - lists.getFirst().visibleNanos() >= 0) {
             visibleMachines = lists.removeFirst().machines();
--- a/banyanhook-testbed/src/test/java/org/banyanhook/testbed/platform/PlatformStateTest.java
+++ b/banyanhook-testbed/src/test/java/org/banyanhook/testbed/platform/PlatformStateTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicLong;
+import org.banyanhook.daemon.platform.VirtualMachine;
 import org.junit.jupiter.api.Test;
 
 final class PlatformStateTest {
@@ -73,7 +74,7 @@
     @Test
     void listOfVirtualMachinesLags() {
         state.setListLagMillis(1000);
-        state.listMachines(List.of(new PlatformState.Machine("vm", "entry", "a", "127.0.0.1:1", "live")));
+        state.listMachines(List.of(new VirtualMachine("vm", "entry", "a", "127.0.0.1:1", "live")));
         now.addAndGet(999 * MILLIS);
         assertThat(state.machines()).isEmpty();
         now.addAndGet(MILLIS);
