--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/Readiness.java
@@ -0,0 +1,85 @@
+package org.banyanhook.daemon;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+import org.banyanhook.core.configuration.Database;
+import org.banyanhook.core.configuration.FailureDomain;
+import org.banyanhook.core.configuration.FleetConfiguration;
+import org.banyanhook.daemon.administration.ReadinessProbe;
+import org.banyanhook.daemon.configuration.ConfigurationSource;
+import org.banyanhook.daemon.forwarding.HomeDirectory;
+import org.banyanhook.daemon.primary.PrimaryDirectory;
+
+/**
+ * Tells whether callers should be sent to this entry VM. Safe for use by several threads.
+ *
+ * <p>A primary must have been seen of each database that this entry VM is a home for, once after the start. A primary
+ * that fails later does not make its homes unready.
+ */
+final class Readiness implements ReadinessProbe {
+
+    private final String entryVm;
+    private final String failureDomain;
+    private final ConfigurationSource configuration;
+    private final HomeDirectory homes;
+    private final PrimaryDirectory primaries;
+    private volatile boolean primariesSeen;
+    private volatile boolean stopping;
+
+    Readiness(
+            String entryVm,
+            String failureDomain,
+            ConfigurationSource configuration,
+            HomeDirectory homes,
+            PrimaryDirectory primaries) {
+        this.entryVm = requireNonNull(entryVm, "entryVm");
+        this.failureDomain = requireNonNull(failureDomain, "failureDomain");
+        this.configuration = requireNonNull(configuration, "configuration");
+        this.homes = requireNonNull(homes, "homes");
+        this.primaries = requireNonNull(primaries, "primaries");
+    }
+
+    /** Makes the entry VM unready for good. */
+    void stop() {
+        stopping = true;
+    }
+
+    @Override
+    public List<String> obstacles() {
+        FleetConfiguration current = configuration.current();
+        if (stopping) {
+            return List.of("This entry VM shuts down.");
+        }
+        if (current.version() == 0) {
+            return List.of("This entry VM has read no configuration yet.");
+        }
+        if (current.failureDomain(failureDomain).map(FailureDomain::takenOut).orElse(false)) {
+            return List.of("Failure domain " + failureDomain + " is taken out.");
+        }
+        if (current.drainedEntryVms().contains(entryVm)) {
+            return List.of("Operators drain this entry VM.");
+        }
+        return primariesObstacles(current);
+    }
+
+    private List<String> primariesObstacles(FleetConfiguration current) {
+        if (primariesSeen) {
+            return List.of();
+        }
+        List<String> unknown = current.services().stream()
+                .flatMap(service -> service.databases().stream())
+                .map(Database::name)
+                .filter(this::isHome)
+                .filter(database -> primaries.primary(database).isEmpty())
+                .toList();
+        primariesSeen = unknown.isEmpty();
+        return unknown.isEmpty()
+                ? List.of()
+                : List.of("No primary was seen yet of " + String.join(", ", unknown) + ".");
+    }
+
+    private boolean isHome(String database) {
+        return homes.homes(database).stream().anyMatch(home -> home.name().equals(entryVm));
+    }
+}
