Add the operators' command-line tool

Cause: operators drive the fleet by the command language from a shell or a script. Ruled out: parsing the grammar in the tool too (two grammars drift apart); one try for each command (an answer lost after the change leaves the operator guessing); the key on the command line (other users of the machine see it). Change: banyanhook passes the words of each verb on, tries the addresses in turn, repeats a command whose outcome is unknown under one id and one base version, writes tables, JSON or YAML, runs scripts up to the first refusal, and documents its exit codes in the help. Result: BanyanhookToolTest, 10 cases against a scripted port, passes.

--- /dev/null
+++ b/banyanhook-cli/src/main/java/org/banyanhook/cli/CommandLineWords.java
@@ -0,0 +1,24 @@
+package org.banyanhook.cli;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** Joins the words that the shell split to one line of the command language. */
+final class CommandLineWords {
+
+    private CommandLineWords() {}
+
+    static String join(String verb, List<String> words) {
+        String rest = words.stream().map(CommandLineWords::quote).collect(Collectors.joining(" "));
+        return rest.isEmpty() ? verb : verb + " " + rest;
+    }
+
+    private static String quote(String word) {
+        boolean plain = !word.isEmpty() && word.chars().noneMatch(CommandLineWords::isSpecial);
+        return plain ? word : '"' + word.replace("\\", "\\\\").replace("\"", "\\\"") + '"';
+    }
+
+    private static boolean isSpecial(int character) {
+        return Character.isWhitespace(character) || character == '"' || character == '\\' || character == '#';
+    }
+}
--- /dev/null
+++ b/banyanhook-cli/src/test/java/org/banyanhook/cli/BanyanhookToolTest.java
@@ -0,0 +1,185 @@
+package org.banyanhook.cli;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import picocli.CommandLine;
+
+class BanyanhookToolTest {
+
+    private static final String ROWS =
+            "{\"command\":\"c\",\"version\":7,\"rows\":[{\"account\":\"plant\",\"keys\":[\"k1\",\"k2\"],\"rate\":10.0},"
+                    + "{\"account\":\"lab\",\"keys\":[],\"rate\":2.5}]}";
+    private static final String REFUSAL =
+            "{\"kind\":\"%s\",\"execution\":\"%s\",\"detail\":\"It is so.\"," + "\"remedy\":\"Do this.\"}";
+
+    @TempDir
+    private Path directory;
+
+    private final Server server = new Server();
+    private final List<String> seen = new ArrayList<>();
+    private final StringWriter out = new StringWriter();
+    private final StringWriter err = new StringWriter();
+    private final List<Answer> answers = new ArrayList<>();
+    private int port;
+    private Map<String, String> environment = Map.of(ConnectionOptions.KEY_VARIABLE, "kim's key");
+
+    @BeforeEach
+    void start() throws Exception {
+        ServerConnector connector = new ServerConnector(server);
+        connector.setHost("127.0.0.1");
+        server.addConnector(connector);
+        server.setHandler(new ScriptedHandler());
+        server.start();
+        port = connector.getLocalPort();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        server.stop();
+    }
+
+    @Test
+    void writesATable() {
+        answers.add(new Answer(200, ROWS));
+
+        assertThat(run("show", "accounts")).isEqualTo(ExitCodes.DONE);
+
+        assertThat(out.toString().lines().toList())
+                .containsExactly(
+                        "account  keys   rate",
+                        "plant    k1,k2  10.0",
+                        "lab      -      2.5",
+                        "configuration version 7")
+                .inOrder();
+        assertThat(seen.get(0)).contains("Bearer kim's key {\"command\":\"show accounts\"");
+        assertThat(seen.get(0)).doesNotContain("basedOnVersion");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"json, '\"account\" : \"plant\"'", "yaml, 'account: \"plant\"'"})
+    void writesOtherFormats(String format, String content) {
+        answers.add(new Answer(200, ROWS));
+
+        assertThat(run("show", "accounts", "--output", format)).isEqualTo(ExitCodes.DONE);
+        assertThat(out.toString()).contains(content);
+    }
+
+    @Test
+    void basesAChangeOnTheVersionInForceAndRepeatsItUnderOneId() {
+        answers.add(new Answer(200, "{\"version\":\"x\",\"configurationVersion\":6}"));
+        answers.add(new Answer(503, String.format(REFUSAL, "platform-unavailable", "unknown")));
+        answers.add(new Answer(200, ROWS));
+
+        assertThat(run("set", "account", "plant", "rate=10")).isEqualTo(ExitCodes.DONE);
+
+        assertThat(seen).hasSize(3);
+        assertThat(seen.get(1)).contains("\"command\":\"set account plant rate=10\"");
+        assertThat(seen.get(1)).contains("\"basedOnVersion\":6");
+        assertThat(seen.get(2)).isEqualTo(seen.get(1));
+    }
+
+    @Test
+    void quotesWordsWithSpaces() {
+        answers.add(new Answer(200, ROWS));
+
+        run("explain", "inject-db", "status", "partition-key=valve 7");
+
+        assertThat(seen.get(0)).contains("explain inject-db status \\\"partition-key=valve 7\\\"");
+    }
+
+    @Test
+    void tellsARefusalWithItsRemedy() {
+        answers.add(new Answer(409, String.format(REFUSAL, "configuration-conflict", "not-run")));
+
+        assertThat(run("drain", "entry-vm", "e1", "--based-on-version", "3")).isEqualTo(ExitCodes.REFUSED);
+        assertThat(err.toString())
+                .isEqualTo("banyanhook: configuration-conflict (not-run): It is so. Do this." + System.lineSeparator());
+    }
+
+    @Test
+    void runsAScriptUpToTheFirstRefusal() throws Exception {
+        Path script = Files.writeString(directory.resolve("s"), "# first\n\nshow accounts\nshow zones\nshow routes\n");
+        answers.add(new Answer(200, ROWS));
+        answers.add(new Answer(400, String.format(REFUSAL, "command-unknown", "not-run")));
+
+        assertThat(run("run", script.toString())).isEqualTo(ExitCodes.REFUSED);
+        assertThat(err.toString()).contains(script + ":4: command-unknown");
+        assertThat(seen).hasSize(2);
+    }
+
+    @Test
+    void readsTheKeyFromAFile() throws Exception {
+        Path file = Files.writeString(directory.resolve("key"), "lee's key\n");
+        answers.add(new Answer(200, ROWS));
+
+        run("--key-file", file.toString(), "show", "accounts");
+
+        assertThat(seen.get(0)).contains("Bearer lee's key {");
+    }
+
+    @Test
+    void tellsWrongUseAndUnreachablePorts() throws Exception {
+        assertThat(run("show", "--no-such-option")).isEqualTo(ExitCodes.USAGE);
+        assertThat(run("frobnicate")).isEqualTo(ExitCodes.USAGE);
+        assertThat(run("run", directory.resolve("none").toString())).isEqualTo(ExitCodes.USAGE);
+        environment = Map.of();
+        assertThat(run("show", "accounts")).isEqualTo(ExitCodes.USAGE);
+        environment = Map.of(ConnectionOptions.KEY_VARIABLE, "k");
+        server.stop();
+        assertThat(run("show", "accounts")).isEqualTo(ExitCodes.UNREACHABLE);
+        assertThat(err.toString()).contains("did not answer");
+    }
+
+    @Test
+    void documentsExitCodesAndGeneratesCompletion() {
+        assertThat(run("--help")).isEqualTo(ExitCodes.DONE);
+        assertThat(out.toString()).contains("3   no entry VM answered");
+        assertThat(run("generate-completion")).isEqualTo(ExitCodes.DONE);
+        assertThat(out.toString()).contains("take-out");
+    }
+
+    private int run(String... arguments) {
+        List<String> all = new ArrayList<>(List.of(arguments));
+        if (!arguments[0].startsWith("--help") && !arguments[0].equals("generate-completion")) {
+            all.add("--address=127.0.0.1:" + port);
+        }
+        CommandLine line = BanyanhookTool.newCommandLine(environment::get);
+        line.setOut(new PrintWriter(out, true));
+        line.setErr(new PrintWriter(err, true));
+        return line.execute(all.toArray(String[]::new));
+    }
+
+    private record Answer(int status, String body) {}
+
+    private final class ScriptedHandler extends Handler.Abstract {
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) throws Exception {
+            seen.add(request.getHttpURI().getPath() + " " + request.getHeaders().get("Authorization") + " "
+                    + Content.Source.asString(request));
+            Answer answer = answers.remove(0);
+            response.setStatus(answer.status());
+            Content.Sink.write(response, true, answer.body(), callback);
+            return true;
+        }
+    }
+}
