--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/settings/CheckCommand.java
@@ -0,0 +1,45 @@
+package org.banyanhook.daemon.settings;
+
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Checks a settings file without starting anything. */
+@Command(
+        name = "check",
+        mixinStandardHelpOptions = true,
+        description = "Checks a settings file and starts nothing.",
+        exitCodeListHeading = "Exit codes:%n",
+        exitCodeList = {"0:the settings can be used", "2:the settings cannot be used"})
+public final class CheckCommand implements Callable<Integer> {
+
+    private static final int USABLE = 0;
+    private static final int NOT_USABLE = 2;
+
+    @Spec
+    @SuppressWarnings("NullAway.Init")
+    private CommandSpec spec;
+
+    @Option(names = "--settings", required = true, paramLabel = "FILE", description = "The settings file.")
+    @SuppressWarnings("NullAway.Init")
+    private Path file;
+
+    @Override
+    public Integer call() {
+        PrintWriter out = spec.commandLine().getOut();
+        try {
+            DaemonSettings settings = new SettingsLoader().load(file);
+            SettingsAdvice.of(settings).forEach(advice -> out.println("note: " + advice));
+            out.println(file + " can be used: entry VM " + settings.entryVm() + " of failure domain "
+                    + settings.failureDomain());
+            return USABLE;
+        } catch (SettingsException exception) {
+            spec.commandLine().getErr().println(exception.getMessage());
+            return NOT_USABLE;
+        }
+    }
+}
