Find the account of a key in one place

Cause: the callers' filter kept its own table of keys beside the one of the key gate, and so knew nothing of the policy for a failure domain that is cut off. Change: the filter asks an account finder; the daemon gives it the key gate. Conclusion: one check of keys is left.

--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/AuthenticationFilter.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/AuthenticationFilter.java
@@ -1,22 +1,16 @@
 package org.banyanhook.daemon.caller;
 
-import com.google.common.collect.ImmutableMap;
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
-import java.util.Map;
+import static java.util.Objects.requireNonNull;
+
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.banyanhook.core.configuration.ClientAccount;
 import org.banyanhook.core.configuration.FleetConfiguration;
-import org.banyanhook.core.configuration.GrantedKey;
 import org.banyanhook.core.configuration.Route;
 import org.banyanhook.core.error.RefusalException;
 import org.banyanhook.core.error.RefusalKind;
-import org.jspecify.annotations.Nullable;
 
 /**
- * Finds the client account of each request by its key, against the configuration in force when the request arrived.
+ * Finds the client account of each request by its key, against the configuration in force.
  *
  * <p>Nothing is remembered about a connection: a key that was withdrawn is refused on its next request. A request
  * without a key passes only on a route open to all. Safe for use by several threads.
@@ -26,7 +20,11 @@
     private static final String SCHEME = "Bearer ";
     private static final int MAXIMUM_KEY_LENGTH = 512;
 
-    private volatile KeyTable table = new KeyTable(FleetConfiguration.EMPTY, ImmutableMap.of());
+    private final AccountFinder accounts;
+
+    AuthenticationFilter(AccountFinder accounts) {
+        this.accounts = requireNonNull(accounts, "accounts");
+    }
 
     @Override
     public CompletableFuture<CallerReply> handle(CallerExchange exchange, FilterChain next) throws RefusalException {
@@ -35,7 +33,7 @@
         if (authorization == null) {
             requireOpenRoute(exchange);
         } else {
-            exchange.account(accountOf(key(authorization), exchange.configuration()));
+            exchange.account(accounts.accountOf(key(authorization)).name());
         }
         return next.proceed(exchange);
     }
@@ -70,47 +68,4 @@
         }
         return key;
     }
-
-    private String accountOf(String key, FleetConfiguration configuration) throws RefusalException {
-        String hash = Hashing.sha256().hashString(key, StandardCharsets.UTF_8).toString();
-        if (configuration.withdrawnKeyHashes().contains(hash)) {
-            throw RefusalException.notRun(RefusalKind.KEY_WITHDRAWN, "The key was withdrawn.");
-        }
-        String account = tableOf(configuration).accountByHash().get(hash);
-        if (account == null) {
-            throw RefusalException.notRun(RefusalKind.KEY_UNKNOWN, "The key is granted to no client account.");
-        }
-        return account;
-    }
-
-    private KeyTable tableOf(FleetConfiguration configuration) {
-        KeyTable current = table;
-        if (current.configuration() != configuration) {
-            current = KeyTable.of(configuration);
-            table = current;
-        }
-        return current;
-    }
-
-    /** The keys of one configuration. */
-    private record KeyTable(FleetConfiguration configuration, ImmutableMap<String, String> accountByHash) {
-        static KeyTable of(FleetConfiguration configuration) {
-            Map<String, String> accounts = new HashMap<>();
-            for (ClientAccount account : configuration.accounts()) {
-                for (GrantedKey key : account.keys()) {
-                    addUnlessShared(accounts, key.hash(), account.name());
-                }
-            }
-            accounts.values().removeIf(String::isEmpty);
-            return new KeyTable(configuration, ImmutableMap.copyOf(accounts));
-        }
-
-        /** A key that two accounts hold works for neither. */
-        private static void addUnlessShared(Map<String, String> accounts, String hash, String account) {
-            @Nullable String other = accounts.putIfAbsent(hash, account);
-            if (other != null && !other.equals(account)) {
-                accounts.put(hash, "");
-            }
-        }
-    }
 }
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerServer.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerServer.java
@@ -94,7 +94,7 @@
         SessionFilter sessions = new SessionFilter();
         StatementExecutor statements = requireNonNull(builder.statements, "statements");
         List<RequestFilter> filters = new ArrayList<>(builder.firstFilters);
-        filters.add(new AuthenticationFilter());
+        filters.add(new AuthenticationFilter(requireNonNull(builder.accounts, "accounts")));
         filters.add(sessions);
         filters.add(new TargetFilter());
         filters.add(new RateFilter(requireNonNull(builder.rateLimiter, "rateLimiter")));
@@ -110,6 +110,7 @@
         private int port;
         private final List<RequestFilter> firstFilters = new ArrayList<>();
         private @Nullable ConfigurationSource configuration;
+        private @Nullable AccountFinder accounts;
         private @Nullable RateLimiter rateLimiter;
         private @Nullable StatementExecutor statements;
         private @Nullable TransactionExecutor transactions;
@@ -143,6 +144,12 @@
             return this;
         }
 
+        /** Sets what finds the client account of a key. */
+        public Builder accounts(AccountFinder value) {
+            this.accounts = value;
+            return this;
+        }
+
         /** Sets what holds accounts to their rate. */
         public Builder rateLimiter(RateLimiter value) {
             this.rateLimiter = value;
