--- /dev/null
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/rate/TokenBucketTest.java
@@ -0,0 +1,97 @@
+package org.banyanhook.core.rate;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class TokenBucketTest {
+
+    private static final long TOKEN = Tokens.MICROS_PER_TOKEN;
+    private static final long SECOND = 1_000_000_000;
+
+    /**
+     * Own tokens of an empty bucket of 5 at 2 a second, after some seconds with a right that ends at another second.
+     */
+    @ParameterizedTest
+    @CsvSource({"1, 9, 2", "9, 9, 5", "3, 1, 2", "3, 0, 0", "3, -5, 0"})
+    void accruesOnlyUpToTheDeadline(long seconds, long deadlineSeconds, long tokens) {
+        TokenBucket bucket = bucket();
+        bucket.accrue(seconds * SECOND, deadlineSeconds * SECOND);
+        assertThat(bucket.ownMicros()).isEqualTo(tokens * TOKEN);
+    }
+
+    @Test
+    void createsNothingForTheTimeWithoutRight() {
+        TokenBucket bucket = bucket();
+        bucket.accrue(60 * SECOND, SECOND);
+        bucket.accrue(61 * SECOND, 90 * SECOND);
+        assertThat(bucket.ownMicros()).isEqualTo(4 * TOKEN);
+    }
+
+    @Test
+    void roomOfLentTokensStaysEmptyUntilTheLoanLapses() {
+        TokenBucket bucket = bucket();
+        bucket.accrue(10 * SECOND, 90 * SECOND);
+        assertThat(bucket.lend(3 * TOKEN, 20 * SECOND)).isEqualTo(3 * TOKEN);
+        bucket.accrue(19 * SECOND, 90 * SECOND);
+        assertThat(bucket.ownMicros()).isEqualTo(2 * TOKEN);
+        bucket.accrue(21 * SECOND, 90 * SECOND);
+        assertThat(bucket.ownMicros()).isEqualTo(5 * TOKEN);
+    }
+
+    @Test
+    void borrowedTokensAreSpentFirstAndLapse() {
+        TokenBucket bucket = bucket();
+        bucket.accrue(SECOND, 90 * SECOND);
+        bucket.borrow(2 * TOKEN, 3 * SECOND);
+        assertThat(bucket.spend(TOKEN, true)).isTrue();
+        assertThat(bucket.borrowedMicros()).isEqualTo(TOKEN);
+        assertThat(bucket.spend(2 * TOKEN, false)).isFalse();
+        bucket.accrue(3 * SECOND, SECOND);
+        assertThat(bucket.availableMicros(true)).isEqualTo(2 * TOKEN);
+    }
+
+    @Test
+    void smallerCapacityDropsTokens() {
+        TokenBucket bucket = bucket();
+        bucket.accrue(10 * SECOND, 90 * SECOND);
+        bucket.limit(TOKEN, 2);
+        assertThat(bucket.ownMicros()).isEqualTo(TOKEN);
+        bucket.limit(5 * TOKEN, 2);
+        assertThat(bucket.ownMicros()).isEqualTo(TOKEN);
+    }
+
+    /** Loans between buckets, lost, late or in time, never lift what can be spent over the sum of the capacities. */
+    @Test
+    void stockOfAllBucketsStaysWithinTheCapacities() {
+        for (long seed = 1; seed <= 300; seed++) {
+            Random random = new Random(seed);
+            TokenBucket[] buckets = {bucket(), bucket(), bucket()};
+            for (int step = 1; step <= 400; step++) {
+                long now = step * SECOND / 20;
+                long stock = 0;
+                for (TokenBucket bucket : buckets) {
+                    bucket.accrue(now, Long.MAX_VALUE);
+                    stock += bucket.availableMicros(true);
+                }
+                assertWithMessage("seed %s step %s", seed, step).that(stock).isAtMost(15 * TOKEN);
+                long asked = now - random.nextInt(200_000_000);
+                long lent = buckets[random.nextInt(3)].lend(random.nextInt(3) * TOKEN, now + 250_000_000);
+                if (random.nextInt(4) > 0) {
+                    buckets[random.nextInt(3)].borrow(lent, asked + 200_000_000);
+                }
+                buckets[random.nextInt(3)].spend(TOKEN, true);
+            }
+        }
+    }
+
+    private static TokenBucket bucket() {
+        TokenBucket bucket = new TokenBucket(0);
+        bucket.limit(5 * TOKEN, 2);
+        return bucket;
+    }
+}
--- /dev/null
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/rate/TokenExchangeTest.java
@@ -0,0 +1,95 @@
+package org.banyanhook.core.rate;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.banyanhook.core.rate.TokenAction.Accept;
+import org.banyanhook.core.rate.TokenAction.AskPeer;
+import org.banyanhook.core.rate.TokenAction.Refuse;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+final class TokenExchangeTest {
+
+    private static final long TOKEN = Tokens.MICROS_PER_TOKEN;
+    private static final long MILLI = 1_000_000;
+    private static final long FOREVER = Long.MAX_VALUE;
+
+    private final TokenExchange exchange =
+            new TokenExchange(RateTimings.DEFAULT, account -> List.of("near", "far"), 100, 0);
+
+    @BeforeEach
+    void limitAccount() {
+        exchange.limit(Map.of("hanbit", new AccountLimit(1, 2 * TOKEN)), 0);
+    }
+
+    @Test
+    void requestShortOfTokensAsksThenWaitsThenIsRefused() {
+        List<TokenAction> first = exchange.acquire("hanbit", 1, 100 * MILLI, FOREVER, 0);
+        AskPeer ask = (AskPeer) first.get(0);
+        assertThat(ask.request().peer()).isEqualTo("near");
+        assertThat(ask.request().micros()).isEqualTo(TOKEN);
+        AskPeer second = (AskPeer)
+                exchange.onTransfer(ask.request().sequence(), 0, FOREVER, MILLI).get(0);
+        assertThat(second.request().peer()).isEqualTo("far");
+        assertThat(exchange.onAskFailed(second.request().sequence(), FOREVER, 2 * MILLI))
+                .isEmpty();
+        assertThat(exchange.onTick(FOREVER, 101 * MILLI).get(0)).isInstanceOf(Refuse.class);
+    }
+
+    @Test
+    void transferIsAppliedOnceAndNotAfterItsTime() {
+        AskPeer ask =
+                (AskPeer) exchange.acquire("hanbit", 1, 500 * MILLI, FOREVER, 0).get(0);
+        long sequence = ask.request().sequence();
+        assertThat(exchange.onTransfer(sequence, TOKEN, FOREVER, MILLI)).containsExactly(new Accept(1));
+        assertThat(exchange.onTransfer(sequence, TOKEN, FOREVER, MILLI)).isEmpty();
+        AskPeer late = (AskPeer)
+                exchange.acquire("hanbit", 2, 900 * MILLI, FOREVER, MILLI).get(0);
+        assertThat(exchange.onTransfer(late.request().sequence(), TOKEN, FOREVER, 300 * MILLI).stream()
+                        .filter(Accept.class::isInstance))
+                .isEmpty();
+    }
+
+    @Test
+    void lendsWholeTokensUnlessOwnRequestsWait() {
+        exchange.onTick(FOREVER, 0);
+        assertThat(exchange.lend("hanbit", 3 * TOKEN, false, FOREVER, 1_500 * MILLI)
+                        .micros())
+                .isEqualTo(TOKEN);
+        exchange.acquire("hanbit", 1, 5_000 * MILLI, FOREVER, 1_500 * MILLI);
+        assertThat(exchange.lend("hanbit", TOKEN, true, FOREVER, 1_600 * MILLI).micros())
+                .isEqualTo(0);
+    }
+
+    @Test
+    void withoutRightNothingOwnIsSpentOrLent() {
+        long deadline = 2_000 * MILLI;
+        exchange.accrueAll(2_000 * MILLI, deadline);
+        assertThat(exchange.lend("hanbit", TOKEN, false, deadline, 2_000 * MILLI)
+                        .micros())
+                .isEqualTo(0);
+        assertThat(exchange.acquire("hanbit", 1, 9_000 * MILLI, deadline, 2_000 * MILLI)
+                        .get(0))
+                .isInstanceOf(AskPeer.class);
+    }
+
+    @Test
+    void accountWithoutRateIsRefused() {
+        assertThat(exchange.acquire("unknown", 1, 0, FOREVER, 0).get(0)).isInstanceOf(Refuse.class);
+        exchange.limit(Map.of(), 5_000 * MILLI);
+        assertThat(exchange.acquire("hanbit", 2, 0, FOREVER, 5_000 * MILLI).get(0))
+                .isInstanceOf(Refuse.class);
+    }
+
+    @Test
+    void partsOfTokensGatherAtTheFirstName() {
+        exchange.limit(Map.of("hanbit", new AccountLimit(1, TOKEN / 2)), 0);
+        exchange.acquire("hanbit", 1, 9_000 * MILLI, FOREVER, 1_000 * MILLI);
+        assertThat(exchange.lend("hanbit", TOKEN, false, FOREVER, 1_000 * MILLI).micros())
+                .isEqualTo(0);
+        assertThat(exchange.lend("hanbit", TOKEN, true, FOREVER, 1_000 * MILLI).micros())
+                .isEqualTo(TOKEN / 2);
+    }
+}
