Add the experiment tool

Cause: the users measure the share of reads served by replicas, the failover gap, the worst-served client account, wrongful refusals and service while a failure domain moves. Ruled out: a closed loop of callers (it hides waiting, as slow answers lower the load).

--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/Testbed.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/Testbed.java
@@ -1,6 +1,7 @@
 package org.banyanhook.testbed;
 
 import org.banyanhook.testbed.demo.DemoCommand;
+import org.banyanhook.testbed.load.ExperimentCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -9,7 +10,7 @@
         name = "testbed",
         description = "Runs a fleet of real processes on 127.0.0.1.",
         mixinStandardHelpOptions = true,
-        subcommands = DemoCommand.class)
+        subcommands = {DemoCommand.class, ExperimentCommand.class})
 public final class Testbed {
 
     private Testbed() {}
