Probe each database densely and warm up before measuring

Cause: nine writes a second on a database leave gaps of half a second by chance, and the cold start set the p99 of every account.

--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/fleet/FleetScenario.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/fleet/FleetScenario.java
@@ -72,6 +72,28 @@
         accounts = ImmutableList.copyOf(accounts);
     }
 
+    /** Returns a copy with one more client account. */
+    public FleetScenario withAccount(Account account) {
+        List<Account> more =
+                ImmutableList.<Account>builder().addAll(accounts).add(account).build();
+        return new FleetScenario(
+                name,
+                service,
+                failureDomains,
+                databases,
+                slots,
+                connectionLimit,
+                connectionCostMillis,
+                statementMillis,
+                replicationLagMillis,
+                domainLatencyMicros,
+                regionLatencyMicros,
+                clientLatencyMicros,
+                readShare,
+                readAgeMillis,
+                more);
+    }
+
     /**
      * Reads a scenario of the resources.
      *
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/load/Experiment.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/load/Experiment.java
@@ -32,7 +32,7 @@
     }
 
     /** The settings of a run. */
-    record Plan(Fault fault, Baseline baseline, long seed, long durationMillis) {
+    record Plan(Fault fault, Baseline baseline, long seed, long warmUpMillis, long durationMillis) {
         Plan {
             checkArgument(durationMillis >= 1_000, "durationMillis must be at least 1000, was %s", durationMillis);
         }
@@ -55,7 +55,9 @@
 
     Figures run() throws InterruptedException {
         try (Balancer balancer = new Balancer(fleet, plan.seed())) {
-            LoadGenerator generator = new LoadGenerator(path(balancer), loads());
+            ServicePath path = path(balancer);
+            new LoadGenerator(path, loads("warm-up")).run(plan.warmUpMillis());
+            LoadGenerator generator = new LoadGenerator(path, loads("load"));
             Thread faults = new Thread(() -> play(generator), "faults");
             faults.setDaemon(true);
             faults.start();
@@ -74,10 +76,10 @@
         };
     }
 
-    private List<AccountLoad> loads() {
+    private List<AccountLoad> loads(String phase) {
         FleetScenario scenario = fleet.scenario();
         return IntStream.range(0, scenario.accounts().size())
-                .mapToObj(number -> new AccountLoad(scenario, number, factor(number), plan.seed()))
+                .mapToObj(number -> new AccountLoad(scenario, number, factor(number), plan.seed(), phase))
                 .toList();
     }
 
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/load/ExperimentCommand.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/load/ExperimentCommand.java
@@ -64,6 +64,12 @@
     @Option(names = "--seconds", defaultValue = "30", description = "How long the load runs.")
     private long seconds;
 
+    @Option(
+            names = "--warm-up-seconds",
+            defaultValue = "8",
+            description = "How long the load runs before it is measured.")
+    private long warmUpSeconds;
+
     @Option(names = "--entry-vms", defaultValue = "1", description = "Daemons in each failure domain.")
     private int entryVmsPerDomain;
 
@@ -99,7 +105,10 @@
 
     private ExperimentReport run(long runSeed, PrintWriter output) throws IOException, InterruptedException {
         FleetScenario sizes = FleetScenario.named(scenario);
-        Experiment.Plan plan = new Experiment.Plan(fault, baseline, runSeed, seconds * 1_000);
+        if (fault == Experiment.Fault.PRIMARY) {
+            sizes = sizes.withAccount(AccountLoad.PROBE);
+        }
+        Experiment.Plan plan = new Experiment.Plan(fault, baseline, runSeed, warmUpSeconds * 1_000, seconds * 1_000);
         try (LocalFleet fleet = LocalFleet.start(sizes, entryVmsPerDomain, START_TIMEOUT_MILLIS)) {
             Figures figures = new Experiment(fleet, plan, output).run();
             return new ExperimentReport(
