Drive promotions and confirmations under random interleavings

Cause: the argument for (term, position) confirmation and for fencing a majority has to hold with lost, doubled and reordered answers, paused proposers and isolated primaries that clients still write to, and a test has to show it.

Also a planned move off a leaving server or a failure domain taken out, which passes over avoided members only if the fenced rest is a majority; the messages about holds.

Three wrong rules stay in the suite as tests that must find a violation.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/primary/PromotionProposal.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/PromotionProposal.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 import org.banyanhook.core.configuration.BackendServer;
 import org.banyanhook.core.configuration.Database;
@@ -37,6 +38,7 @@
     private final Database database;
     private final long term;
     private final ToIntFunction<BackendServer> penalty;
+    private final Predicate<BackendServer> avoided;
     private final Map<String, MemberStatus> fenced = new LinkedHashMap<>();
     private final Set<String> failed = new HashSet<>();
     private final Set<String> following = new HashSet<>();
@@ -57,12 +59,16 @@
      * @param database the group as configured
      * @param term the term, higher than any seen
      * @param penalty ranks members with equal logs, the lowest first, as for one that is leaving
+     * @param avoided tells which members are passed over, if the fenced members without them are a majority; what only
+     *     they hold was never acknowledged
      */
-    public PromotionProposal(Database database, long term, ToIntFunction<BackendServer> penalty) {
+    public PromotionProposal(
+            Database database, long term, ToIntFunction<BackendServer> penalty, Predicate<BackendServer> avoided) {
         checkArgument(term > 0, "term must be positive, was %s", term);
         this.database = requireNonNull(database, "database");
         this.term = term;
         this.penalty = requireNonNull(penalty, "penalty");
+        this.avoided = requireNonNull(avoided, "avoided");
         this.highestTermSeen = term;
     }
 
@@ -168,15 +174,22 @@
 
     private MemberStatus chooseSuccessor() {
         Comparator<MemberStatus> latestLog = Comparator.comparing(MemberStatus::position);
-        return fenced.values().stream()
-                .max(latestLog
-                        .thenComparing(
-                                status -> database.member(status.member())
-                                        .map(penalty::applyAsInt)
-                                        .orElse(Integer.MAX_VALUE),
-                                Comparator.reverseOrder())
-                        .thenComparing(MemberStatus::member, Comparator.reverseOrder()))
-                .orElseThrow();
+        List<MemberStatus> preferred =
+                fenced.values().stream().filter(this::isNotAvoided).toList();
+        return (preferred.size() >= database.majority() ? preferred : fenced.values())
+                .stream()
+                        .max(latestLog
+                                .thenComparing(
+                                        status -> database.member(status.member())
+                                                .map(penalty::applyAsInt)
+                                                .orElse(Integer.MAX_VALUE),
+                                        Comparator.reverseOrder())
+                                .thenComparing(MemberStatus::member, Comparator.reverseOrder()))
+                        .orElseThrow();
+    }
+
+    private boolean isNotAvoided(MemberStatus status) {
+        return database.member(status.member()).filter(avoided).isEmpty();
     }
 
     /**
--- /dev/null
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/primary/FakeMember.java
@@ -0,0 +1,86 @@
+package org.banyanhook.core.primary;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.banyanhook.core.replication.LogPosition;
+
+/** A member with the semantics of the interfaces page: fence, promote, follow, write and replicate. */
+final class FakeMember {
+
+    record Entry(long term, long value) {}
+
+    final String name;
+    final List<Entry> log = new ArrayList<>();
+    long term;
+    MemberRole role = MemberRole.FENCED;
+    String primaryMember = "";
+
+    FakeMember(String name) {
+        this.name = name;
+    }
+
+    MemberStatus status() {
+        long lastTerm = log.isEmpty() ? 0 : log.get(log.size() - 1).term();
+        return new MemberStatus(name, term, role, new LogPosition(lastTerm, log.size()), primaryMember, 0);
+    }
+
+    boolean fence(long wanted) {
+        if (wanted <= term) {
+            return false;
+        }
+        term = wanted;
+        role = MemberRole.FENCED;
+        primaryMember = "";
+        return true;
+    }
+
+    /** Returns false if refused; {@code role} tells whether the entry is new. */
+    boolean promote(long wanted) {
+        if (wanted != term || role == MemberRole.REPLICA) {
+            return false;
+        }
+        if (role == MemberRole.FENCED) {
+            role = MemberRole.PRIMARY;
+            primaryMember = name;
+            log.add(new Entry(term, 0));
+        }
+        return true;
+    }
+
+    boolean follow(long wanted, String primary) {
+        if (wanted < term || (wanted == term && role == MemberRole.PRIMARY)) {
+            return false;
+        }
+        term = wanted;
+        role = MemberRole.REPLICA;
+        primaryMember = primary;
+        return true;
+    }
+
+    Optional<LogPosition> write(long wantedTerm, long value) {
+        if (role != MemberRole.PRIMARY || term != wantedTerm) {
+            return Optional.empty();
+        }
+        log.add(new Entry(term, value));
+        return Optional.of(new LogPosition(term, log.size()));
+    }
+
+    void replicateFrom(FakeMember primary, int limit) {
+        boolean allowed = role == MemberRole.REPLICA
+                && primaryMember.equals(primary.name)
+                && primary.role == MemberRole.PRIMARY
+                && primary.term == term;
+        if (!allowed) {
+            return;
+        }
+        int common = 0;
+        while (common < Math.min(log.size(), primary.log.size())
+                && log.get(common).equals(primary.log.get(common))) {
+            common++;
+        }
+        log.subList(common, log.size()).clear();
+        int end = Math.min(primary.log.size(), common + limit);
+        log.addAll(primary.log.subList(common, end));
+    }
+}
--- /dev/null
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/primary/PromotionHistory.java
@@ -0,0 +1,106 @@
+package org.banyanhook.core.primary;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.banyanhook.core.replication.LogPosition;
+
+/** Records what was acknowledged and promoted in a run, and finds what contradicts the promises. */
+final class PromotionHistory {
+
+    /** The value of an operation that is a read. */
+    static final long READ = -1;
+
+    final List<String> violations = new ArrayList<>();
+
+    private final List<Acknowledged> writes = new ArrayList<>();
+    private final List<Operation> reads = new ArrayList<>();
+    private final List<Promoted> promotions = new ArrayList<>();
+
+    /** A commit or read at a place of a member's log, with the step of the run when it happened. */
+    record Operation(LogPosition position, long value, int step) {}
+
+    private record Acknowledged(Operation write, int step) {}
+
+    private record Promoted(long term, String member, int step, List<FakeMember.Entry> log) {}
+
+    void acknowledged(Operation operation, int step) {
+        if (operation.value() == READ) {
+            reads.add(operation);
+        } else {
+            writes.add(new Acknowledged(operation, step));
+        }
+    }
+
+    void promoted(FakeMember member, int step) {
+        promotions.add(new Promoted(member.term, member.name, step, List.copyOf(member.log)));
+    }
+
+    int acknowledgedWrites() {
+        return writes.size();
+    }
+
+    int promotions() {
+        return promotions.size();
+    }
+
+    int confirmedReads() {
+        return reads.size();
+    }
+
+    void check(Collection<FakeMember> members) {
+        checkTerms();
+        writes.forEach(acknowledged -> promotions.forEach(promoted -> checkKept(acknowledged.write(), promoted)));
+        reads.forEach(this::checkRead);
+        Optional<FakeMember> last = members.stream()
+                .filter(member -> member.role == MemberRole.PRIMARY)
+                .max(Comparator.comparingLong(member -> member.term));
+        if (last.isEmpty()) {
+            violations.add("no primary after all faults ended");
+            return;
+        }
+        writes.stream()
+                .filter(acknowledged -> !holds(last.get().log, acknowledged.write()))
+                .forEach(acknowledged -> violations.add("the last primary lost " + acknowledged));
+    }
+
+    private void checkTerms() {
+        Map<Long, String> primaryOfTerm = new HashMap<>();
+        for (Promoted promoted : promotions) {
+            String other = primaryOfTerm.putIfAbsent(promoted.term(), promoted.member());
+            if (other != null && !other.equals(promoted.member())) {
+                violations.add("term " + promoted.term() + " has primaries " + other + " and " + promoted.member());
+            }
+        }
+    }
+
+    private void checkKept(Operation write, Promoted promoted) {
+        if (write.position().term() >= promoted.term()) {
+            return;
+        }
+        if (!holds(promoted.log(), write)) {
+            violations.add("primary of term " + promoted.term() + " lost " + write);
+        }
+        if (promoted.step() < write.step()) {
+            violations.add("superseded by term " + promoted.term() + " before the commit of " + write);
+        }
+    }
+
+    private void checkRead(Operation read) {
+        writes.stream()
+                .filter(acknowledged -> acknowledged.step() < read.step())
+                .filter(acknowledged ->
+                        !read.position().covers(acknowledged.write().position()))
+                .forEach(acknowledged -> violations.add(read + " did not see " + acknowledged));
+    }
+
+    private static boolean holds(List<FakeMember.Entry> log, Operation write) {
+        int index = (int) write.position().position() - 1;
+        return index < log.size()
+                && log.get(index).equals(new FakeMember.Entry(write.position().term(), write.value()));
+    }
+}
--- /dev/null
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/primary/PromotionSafetyTest.java
@@ -0,0 +1,94 @@
+package org.banyanhook.core.primary;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+import java.util.stream.LongStream;
+import org.banyanhook.core.configuration.Database;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class PromotionSafetyTest {
+
+    private static final int SEEDS = 400;
+    private static final int STEPS_PER_MEMBER = 1300;
+
+    @ParameterizedTest
+    @ValueSource(ints = {3, 5})
+    void keepsEveryAcknowledgedWriteUnderFaults(int size) {
+        int acknowledged = 0;
+        int reads = 0;
+        int promotions = 0;
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            PromotionInterleaving run = run(seed, size, PromotionInterleaving.RULE, Function.identity());
+            assertWithMessage("size %s seed %s", size, seed)
+                    .that(run.history.violations)
+                    .isEmpty();
+            acknowledged += run.history.acknowledgedWrites();
+            reads += run.history.confirmedReads();
+            promotions += run.history.promotions();
+        }
+        assertThat(acknowledged).isGreaterThan(SEEDS * 5);
+        assertThat(reads).isGreaterThan(SEEDS * 2);
+        assertThat(promotions).isGreaterThan(SEEDS * 3);
+    }
+
+    @Test
+    void findsARuleThatCountsByTermAlone() {
+        assertThat(firstSeedInViolation(
+                        (observations, majority, wanted, afterNanos) -> observations.stream()
+                                                .filter(observation ->
+                                                        observation.status().term() == wanted.term())
+                                                .count()
+                                        >= majority
+                                ? ConfirmationResult.CONFIRMED
+                                : ConfirmationResult.WAITING,
+                        Function.identity()))
+                .isGreaterThan(0);
+    }
+
+    @Test
+    void findsARuleThatIgnoresTheTermOfTheLastEntry() {
+        assertThat(firstSeedInViolation(
+                        (observations, majority, wanted, afterNanos) -> observations.stream()
+                                                .map(MemberObservation::status)
+                                                .filter(status -> status.term() == wanted.term()
+                                                        && status.position().position() >= wanted.position())
+                                                .count()
+                                        >= majority
+                                ? ConfirmationResult.CONFIRMED
+                                : ConfirmationResult.WAITING,
+                        Function.identity()))
+                .isGreaterThan(0);
+    }
+
+    @Test
+    void findsAProposerThatSkipsTheMajority() {
+        AtomicInteger proposals = new AtomicInteger();
+        Function<Database, Database> oneMember = database -> new Database(
+                database.name(),
+                List.of(database.members().get(proposals.getAndIncrement() % 3)),
+                database.connectionLimit(),
+                database.slots());
+        assertThat(firstSeedInViolation(PromotionInterleaving.RULE, oneMember)).isGreaterThan(0);
+    }
+
+    /** Returns the first seed whose run shows a violation, 0 if none does. */
+    private static long firstSeedInViolation(
+            PromotionInterleaving.ConfirmationRule rule, Function<Database, Database> fencedGroup) {
+        return LongStream.rangeClosed(1, SEEDS)
+                .filter(seed ->
+                        !run(seed, 3, rule, fencedGroup).history.violations.isEmpty())
+                .findFirst()
+                .orElse(0);
+    }
+
+    private static PromotionInterleaving run(
+            long seed, int size, PromotionInterleaving.ConfirmationRule rule, Function<Database, Database> fenced) {
+        return new PromotionInterleaving(seed, size, rule, fenced).run(STEPS_PER_MEMBER * size);
+    }
+}
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/PrimaryController.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/PrimaryController.java
@@ -2,7 +2,6 @@
 
 import static java.util.Objects.requireNonNull;
 
-import com.google.common.collect.ImmutableList;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
@@ -16,17 +15,16 @@
 import java.util.concurrent.ForkJoinPool;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.DoubleSupplier;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.banyanhook.core.configuration.BackendServer;
 import org.banyanhook.core.configuration.Database;
 import org.banyanhook.core.configuration.FleetConfiguration;
 import org.banyanhook.core.error.Execution;
 import org.banyanhook.core.error.RefusalException;
 import org.banyanhook.core.error.RefusalKind;
 import org.banyanhook.core.primary.AgeHistory;
-import org.banyanhook.core.primary.BelievedPrimary;
 import org.banyanhook.core.primary.ReplicaSelection;
 import org.banyanhook.core.replication.LogPosition;
 import org.banyanhook.daemon.configuration.ConfigurationSource;
@@ -35,10 +33,6 @@
 import org.banyanhook.daemon.membership.MembershipSource;
 import org.banyanhook.daemon.peer.PeerMessenger;
 import org.banyanhook.daemon.platform.PlatformClient;
-import org.banyanhook.protocol.generated.PeerEnvelope;
-import org.banyanhook.protocol.generated.PrimaryAnnouncement;
-import org.banyanhook.protocol.generated.PrimaryEvidence;
-import org.banyanhook.protocol.generated.PrimaryEvidenceRequest;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -54,7 +48,6 @@
     private static final long MINIMUM_PLAN_INTERVAL_NANOS =
             Duration.ofMillis(200).toNanos();
     private static final long PLAN_INTERVAL_PER_COST = 100;
-    private static final int ANNOUNCE_TO_ALL_LIMIT = 32;
 
     private final String entryVm;
     private final String failureDomain;
@@ -64,7 +57,6 @@
     private final LongSupplier nanoClock;
     private final DoubleSupplier random;
     private final ControllerContext context;
-    private final EvidenceExchange evidence;
     private final PrimaryPublisher publisher;
     private final ConcurrentHashMap<String, GroupSnapshot> snapshots = new ConcurrentHashMap<>();
     private final ConcurrentHashMap<String, DatabaseInterest> interests = new ConcurrentHashMap<>();
@@ -86,8 +78,8 @@
         BackendControl control = required(builder.control, "control");
         PrimaryMetrics metrics = new PrimaryMetrics(builder.meterRegistry);
         this.context = new ControllerContext(control, this::execute, builder.callbacks, nanoClock, metrics);
-        this.evidence = new EvidenceExchange(messenger, context);
-        this.publisher = new PrimaryPublisher(required(builder.platform, "platform"), messenger);
+        this.publisher = new PrimaryPublisher(
+                required(builder.platform, "platform"), messenger, () -> plan, builder.homeEntryVms);
         this.plan = WatchPlan.of(FleetConfiguration.EMPTY, List.of(), entryVm, failureDomain);
     }
 
@@ -102,17 +94,8 @@
 
     /** Registers the handlers of peer messages and starts the controller's thread. Call once. */
     public void start() {
-        messenger.handle(
-                PeerEnvelope.BodyCase.PRIMARY_EVIDENCE_REQUEST,
-                message -> onEvidenceRequest(message.getPrimaryEvidenceRequest()));
-        messenger.handle(PeerEnvelope.BodyCase.PRIMARY_EVIDENCE, message -> {
-            onEvidenceNotice(message);
-            return CompletableFuture.completedFuture(PeerEnvelope.getDefaultInstance());
-        });
-        messenger.handle(PeerEnvelope.BodyCase.PRIMARY_ANNOUNCEMENT, message -> {
-            onAnnouncement(message.getPrimaryAnnouncement());
-            return CompletableFuture.completedFuture(PeerEnvelope.getDefaultInstance());
-        });
+        EvidenceExchange evidence = new EvidenceExchange(messenger, context);
+        new PrimaryMessages(context, evidence, new GroupAccess()).register(messenger);
         duty = Duty.builder("primary-controller").tick(TICK, this::tick).start();
     }
 
@@ -257,7 +240,7 @@
     private WatchedGroup newGroup(Database database) {
         GroupMonitor monitor =
                 new GroupMonitor(context, database, snapshot -> snapshots.put(database.name(), snapshot));
-        PromotionDriver driver = new PromotionDriver(context, monitor, random, this::publish);
+        PromotionDriver driver = new PromotionDriver(context, monitor, random, publisher);
         return new WatchedGroup(context, monitor, driver, new EvidenceExchange(messenger, context));
     }
 
@@ -305,42 +288,22 @@
                                 plan.databases().get(group.monitor().database().name()))));
     }
 
-    private CompletableFuture<PeerEnvelope> onEvidenceRequest(PrimaryEvidenceRequest request) {
-        String database = request.getDatabase();
-        Optional<BackendServer> primary = Optional.ofNullable(snapshots.get(database))
-                .flatMap(snapshot -> snapshot.view()
-                        .primary()
-                        .flatMap(known -> snapshot.view().database().member(known.member())));
-        if (primary.isPresent()) {
-            return evidence.probe(database, request.getTerm(), primary.get());
+    private final class GroupAccess implements PrimaryMessages.Groups {
+        @Override
+        public Optional<GroupSnapshot> snapshot(String database) {
+            interest(database).use(nanoClock.getAsLong());
+            return Optional.ofNullable(snapshots.get(database));
         }
-        interest(database).use(nanoClock.getAsLong());
-        return CompletableFuture.failedFuture(RefusalException.notRun(
-                RefusalKind.PRIMARY_UNAVAILABLE, "this entry VM does not know the primary of " + database + " yet"));
-    }
-
-    private void onEvidenceNotice(PeerEnvelope message) {
-        PrimaryEvidence notice = message.getPrimaryEvidence();
-        execute(() -> group(notice.getDatabase())
-                .ifPresent(group ->
-                        group.onPeerEvidence(message.getSenderEntryVm(), message.getSenderFailureDomain(), notice)));
-    }
 
-    private void onAnnouncement(PrimaryAnnouncement announcement) {
-        String database = announcement.getDatabase();
-        execute(() -> Optional.ofNullable(groups.get(database))
-                .ifPresent(group -> group.monitor()
-                        .announce(new BelievedPrimary(announcement.getTerm(), announcement.getPrimaryMember()))));
-    }
+        @Override
+        public Optional<WatchedGroup> group(String database) {
+            return PrimaryController.this.group(database);
+        }
 
-    private void publish(String database, BelievedPrimary primary) {
-        List<EntryVm> recipients =
-                plan.peers().size() <= ANNOUNCE_TO_ALL_LIMIT ? plan.peers() : plan.candidatePeers(database);
-        publisher.announce(
-                database,
-                primary,
-                recipients.stream().map(EntryVm::peerAddress).collect(ImmutableList.toImmutableList()));
-        publisher.writeHint(database, primary);
+        @Override
+        public Optional<WatchedGroup> known(String database) {
+            return Optional.ofNullable(groups.get(database));
+        }
     }
 
     /** Builds a {@link PrimaryController}. Not safe for use by several threads. */
@@ -352,6 +315,7 @@
         private @Nullable PeerMessenger messenger;
         private @Nullable PlatformClient platform;
         private @Nullable BackendControl control;
+        private Function<String, List<EntryVm>> homeEntryVms = database -> List.of();
         private MeterRegistry meterRegistry = new SimpleMeterRegistry();
         private Executor callbacks = ForkJoinPool.commonPool();
         private LongSupplier nanoClock = System::nanoTime;
@@ -389,6 +353,14 @@
             return this;
         }
 
+        /**
+         * Sets the entry VMs that use a database, which hear of its changes first in a large fleet; none unless set.
+         */
+        public Builder homeEntryVms(Function<String, List<EntryVm>> value) {
+            this.homeEntryVms = requireNonNull(value, "homeEntryVms");
+            return this;
+        }
+
         /** Sets the platform's service, which gets the hints. */
         public Builder platform(PlatformClient value) {
             this.platform = value;
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/PrimaryPublisher.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/PrimaryPublisher.java
@@ -3,11 +3,17 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.banyanhook.core.primary.BelievedPrimary;
+import org.banyanhook.daemon.membership.EntryVm;
 import org.banyanhook.daemon.peer.PeerMessenger;
 import org.banyanhook.daemon.platform.PlatformClient;
 import org.banyanhook.daemon.platform.StoredValue;
@@ -18,31 +24,64 @@
  * Tells the platform and the peers who is primary. Only a hint, so nothing waits for it and a failure is only logged.
  * Safe for use by several threads.
  */
-final class PrimaryPublisher {
+final class PrimaryPublisher implements PrimaryChanges {
 
     private static final Logger LOGGER = LogManager.getLogger(PrimaryPublisher.class);
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final String KEY_PREFIX = "primary/";
 
+    private static final int ANNOUNCE_TO_ALL_LIMIT = 32;
+
     private final PlatformClient platform;
     private final PeerMessenger messenger;
+    private final Supplier<WatchPlan> plan;
+    private final Function<String, List<EntryVm>> homeEntryVms;
 
-    PrimaryPublisher(PlatformClient platform, PeerMessenger messenger) {
+    PrimaryPublisher(
+            PlatformClient platform,
+            PeerMessenger messenger,
+            Supplier<WatchPlan> plan,
+            Function<String, List<EntryVm>> homeEntryVms) {
         this.platform = platform;
         this.messenger = messenger;
+        this.plan = plan;
+        this.homeEntryVms = homeEntryVms;
+    }
+
+    @Override
+    public void published(String database, BelievedPrimary primary) {
+        announce(database, primary);
+        writeHint(database, primary);
+    }
+
+    @Override
+    public void hold(String database, long term) {
+        announce(database, new BelievedPrimary(term, ""));
     }
 
-    void announce(String database, BelievedPrimary primary, Iterable<String> peerAddresses) {
+    private void announce(String database, BelievedPrimary primary) {
         PeerEnvelope envelope = PeerEnvelope.newBuilder()
                 .setPrimaryAnnouncement(PrimaryAnnouncement.newBuilder()
                         .setDatabase(database)
                         .setTerm(primary.term())
                         .setPrimaryMember(primary.member()))
                 .build();
-        peerAddresses.forEach(address -> messenger.send(address, envelope));
+        recipients(database).forEach(address -> messenger.send(address, envelope));
+    }
+
+    private Set<String> recipients(String database) {
+        WatchPlan current = plan.get();
+        Set<String> addresses = new LinkedHashSet<>();
+        if (current.peers().size() <= ANNOUNCE_TO_ALL_LIMIT) {
+            current.peers().forEach(peer -> addresses.add(peer.peerAddress()));
+            return addresses;
+        }
+        current.candidatePeers(database).forEach(peer -> addresses.add(peer.peerAddress()));
+        homeEntryVms.apply(database).forEach(home -> addresses.add(home.peerAddress()));
+        return addresses;
     }
 
-    void writeHint(String database, BelievedPrimary primary) {
+    private void writeHint(String database, BelievedPrimary primary) {
         String key = KEY_PREFIX + database;
         platform.read(key)
                 .thenCompose(stored -> replaceIfNewer(key, stored, primary))
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/PromotionDriver.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/PromotionDriver.java
@@ -9,12 +9,14 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.banyanhook.core.configuration.BackendServer;
 import org.banyanhook.core.primary.BelievedPrimary;
 import org.banyanhook.core.primary.FollowerRepair;
 import org.banyanhook.core.primary.MemberStatus;
+import org.banyanhook.core.primary.PlannedMove;
 import org.banyanhook.core.primary.PrimarySuspicion;
 import org.banyanhook.core.primary.PromotionBackoff;
 import org.banyanhook.core.primary.PromotionCommand;
@@ -31,14 +33,16 @@
     private static final Duration CONTROL_TIMEOUT = Duration.ofMillis(1000);
     private static final long REPAIR_INTERVAL_NANOS = Duration.ofSeconds(1).toNanos();
     private static final long FOLLOW_INTERVAL_NANOS = Duration.ofMillis(400).toNanos();
+    private static final Duration MOVE_READ_INTERVAL = Duration.ofMillis(40);
     private static final Duration INVESTIGATION_INTERVAL = Duration.ofMillis(300);
 
     private final ControllerContext context;
     private final GroupMonitor monitor;
     private final DoubleSupplier random;
-    private final BiConsumer<String, BelievedPrimary> publisher;
+    private final PrimaryChanges changes;
     private final PrimarySuspicion suspicion = new PrimarySuspicion();
     private final PromotionBackoff backoff = new PromotionBackoff();
+    private final PlannedMove plannedMove = new PlannedMove();
 
     private Set<String> takenOutFailureDomains = Set.of();
     private @Nullable PromotionProposal proposal;
@@ -46,15 +50,11 @@
     private long lastRepairNanos;
     private long lastFollowNanos;
 
-    PromotionDriver(
-            ControllerContext context,
-            GroupMonitor monitor,
-            DoubleSupplier random,
-            BiConsumer<String, BelievedPrimary> publisher) {
+    PromotionDriver(ControllerContext context, GroupMonitor monitor, DoubleSupplier random, PrimaryChanges changes) {
         this.context = context;
         this.monitor = monitor;
         this.random = random;
-        this.publisher = publisher;
+        this.changes = changes;
         this.lastRepairNanos = context.now();
     }
 
@@ -86,11 +86,12 @@
             case NONE -> {
                 backoff.onSuccess();
                 repair(now);
+                move(position.rank(), now);
             }
             case INVESTIGATE -> monitor.readStale(INVESTIGATION_INTERVAL, INVESTIGATION_INTERVAL);
             default -> {
                 if (backoff.mayPropose(now)) {
-                    propose(decision.reason(), now);
+                    propose(decision.reason(), server -> false, now);
                 }
             }
         }
@@ -122,9 +123,35 @@
         }
     }
 
-    private void propose(String reason, long now) {
+    private void move(int rank, long now) {
+        PlannedMove.Decision decision = plannedMove.decide(monitor.view(), takenOutFailureDomains, rank, now);
+        switch (decision.step()) {
+            case READ -> monitor.readStale(MOVE_READ_INTERVAL, MOVE_READ_INTERVAL);
+            case HOLD -> {
+                LOGGER.info(
+                        "database {}: holding new work; reason: {}",
+                        monitor.database().name(),
+                        decision.reason());
+                monitor.view().primary().ifPresent(primary -> {
+                    monitor.hold(primary.term(), PlannedMove.HOLD);
+                    changes.hold(monitor.database().name(), primary.term());
+                });
+                monitor.readAll();
+            }
+            case PROPOSE ->
+                propose(
+                        "planned move, " + decision.reason(),
+                        server -> !PlannedMove.mayHoldPrimary(server, takenOutFailureDomains),
+                        now);
+            default ->
+                LOGGER.trace(
+                        "database {}: no move; reason: {}", monitor.database().name(), decision.reason());
+        }
+    }
+
+    private void propose(String reason, Predicate<BackendServer> avoided, long now) {
         long term = monitor.view().highestTerm() + 1;
-        PromotionProposal started = new PromotionProposal(monitor.database(), term, this::penalty);
+        PromotionProposal started = new PromotionProposal(monitor.database(), term, this::penalty, avoided);
         LOGGER.info(
                 "database {}: proposing term {}; reason: {}", monitor.database().name(), term, reason);
         proposal = started;
@@ -177,7 +204,7 @@
                     execute(current, List.of());
                 });
             default ->
-                publisher.accept(
+                changes.published(
                         monitor.database().name(), new BelievedPrimary(command.term(), command.primaryMember()));
         }
     }
