Lend parts of tokens by hint, test the rate controller

With half of the traffic on one entry VM small accounts were refused up to 22% within their rate: their tokens lay in parts in many buckets, and parts were never lent. An answer now says what the peer could still lend (lendable_tokens in TokenTransfer), and parts are asked for only if together they complete a token. An account has one holder for each 4 tokens of its failure domain's burst.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/rate/AccountQueue.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/rate/AccountQueue.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -15,6 +16,8 @@
 
     private static final long MINIMUM_PAUSE_NANOS = 50_000_000;
     private static final long MAXIMUM_PAUSE_NANOS = 800_000_000;
+    private static final long HINT_NANOS = 500_000_000;
+    private static final long MINIMUM_PART_MICROS = Tokens.MICROS_PER_TOKEN / 10;
     private static final int MAXIMUM_PAUSES = 1_024;
 
     private final String account;
@@ -22,11 +25,18 @@
     private final Deque<Waiter> waiters = new ArrayDeque<>();
     private final Map<String, PeerPause> pauses = new HashMap<>();
     private final Set<String> askedPeers = new HashSet<>();
+    private final Map<String, Hint> hints = new HashMap<>();
     private boolean known;
     private long askedMicros;
 
     private record Waiter(long number, long untilNanos) {}
 
+    /** A part of a token to ask a peer for. */
+    record Part(String peer, long micros) {}
+
+    /** What a peer could lend at a moment. */
+    private record Hint(long micros, long atNanos) {}
+
     /** Until when a peer is not asked again, and for how long it was not. */
     private record PeerPause(long untilNanos, long lengthNanos) {}
 
@@ -89,6 +99,7 @@
     }
 
     void peerAsked(String peer) {
+        hints.remove(peer);
         askedPeers.add(peer);
     }
 
@@ -109,6 +120,35 @@
         pauses.put(peer, new PeerPause(nowNanos + length, length));
     }
 
+    /** Notes what a peer said that it could still lend. */
+    void hint(String peer, long micros, long nowNanos) {
+        hints.values().removeIf(hint -> nowNanos - hint.atNanos() > HINT_NANOS);
+        if (micros >= MINIMUM_PART_MICROS) {
+            hints.put(peer, new Hint(micros, nowNanos));
+        } else {
+            hints.remove(peer);
+        }
+    }
+
+    /** Chooses peers that together have an amount, the richest first; none if all together have less. */
+    List<Part> partsOf(long micros, long nowNanos) {
+        List<Part> parts = new ArrayList<>();
+        long rest = micros;
+        List<Map.Entry<String, Hint>> richest = hints.entrySet().stream()
+                .filter(entry -> nowNanos - entry.getValue().atNanos() <= HINT_NANOS)
+                .filter(entry -> !askedPeers.contains(entry.getKey()))
+                .sorted(Comparator.comparingLong(entry -> -entry.getValue().micros()))
+                .toList();
+        for (Map.Entry<String, Hint> entry : richest) {
+            if (rest > 0) {
+                parts.add(
+                        new Part(entry.getKey(), Math.min(rest, entry.getValue().micros())));
+                rest -= entry.getValue().micros();
+            }
+        }
+        return rest > 0 ? List.of() : parts;
+    }
+
     /** Chooses the first peer that is neither being asked nor left alone. */
     Optional<String> choosePeer(List<String> peers, long nowNanos) {
         return peers.stream().filter(peer -> mayAsk(peer, nowNanos)).findFirst();
--- a/banyanhook-core/src/main/java/org/banyanhook/core/rate/AllotmentPlanner.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/rate/AllotmentPlanner.java
@@ -14,16 +14,20 @@
     /** How many entry VMs of a failure domain hold a part of one group at most. */
     public static final int HOLDERS_PER_GROUP = 8;
 
+    private static final int TOKENS_PER_HOLDER = 4;
+
     private AllotmentPlanner() {}
 
     /**
-     * Counts the holders that an account should have in a failure domain, so that each can hold at least one token.
+     * Counts the holders that an account should have in a failure domain, so that each can hold a few tokens: parts of
+     * tokens spread over many buckets serve nobody.
      *
      * @param domainBurst the failure domain's part of the account's burst, in tokens
      * @return a number from 1 to {@link #HOLDERS_PER_GROUP}
      */
     public static int holderCount(double domainBurst) {
-        return (int) Math.max(1, Math.min(HOLDERS_PER_GROUP, Tokens.toMicros(domainBurst) / Tokens.MICROS_PER_TOKEN));
+        long count = Tokens.toMicros(domainBurst) / (TOKENS_PER_HOLDER * Tokens.MICROS_PER_TOKEN);
+        return (int) Math.max(1, Math.min(HOLDERS_PER_GROUP, count));
     }
 
     /**
--- a/banyanhook-core/src/main/java/org/banyanhook/core/rate/RateNode.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/rate/RateNode.java
@@ -87,8 +87,8 @@
     }
 
     /** Takes in tokens that a peer lent; see {@link TokenExchange#onTransfer}. */
-    public List<TokenAction> onTransfer(long sequence, long micros, long nowNanos) {
-        return exchange.onTransfer(sequence, micros, coordinator.deadlineNanos(), nowNanos);
+    public List<TokenAction> onTransfer(long sequence, long micros, long lendableMicros, long nowNanos) {
+        return exchange.onTransfer(sequence, micros, lendableMicros, coordinator.deadlineNanos(), nowNanos);
     }
 
     /** Takes in that a peer did not answer a request for tokens. */
--- a/banyanhook-core/src/main/java/org/banyanhook/core/rate/TokenExchange.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/rate/TokenExchange.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Function;
 
@@ -76,8 +77,18 @@
         return serve(queue, deadlineNanos, nowNanos);
     }
 
-    /** Takes in the answer to a request for tokens; a duplicate or late one is dropped. */
-    public List<TokenAction> onTransfer(long sequence, long micros, long deadlineNanos, long nowNanos) {
+    /**
+     * Takes in the answer to a request for tokens; a duplicate or late one is dropped.
+     *
+     * @param sequence the number of the request
+     * @param micros millionths of a token lent
+     * @param lendableMicros what the peer could still lend, as a hint
+     * @param deadlineNanos when the right to use own tokens ends
+     * @param nowNanos the time on this entry VM's monotonic clock
+     * @return what to do now
+     */
+    public List<TokenAction> onTransfer(
+            long sequence, long micros, long lendableMicros, long deadlineNanos, long nowNanos) {
         TransferLedger.Request request = ledger.close(sequence).orElse(null);
         if (request == null) {
             return List.of();
@@ -90,12 +101,13 @@
         queue.bucket().borrow(accepted, request.sentNanos() + timings.borrowedNanos());
         queue.asked(-request.micros());
         queue.peerGave(request.peer(), accepted, request.micros(), nowNanos);
+        queue.hint(request.peer(), lendableMicros, nowNanos);
         return serve(queue, deadlineNanos, nowNanos);
     }
 
     /** Takes in that a request for tokens was not answered; what its answer held is lost. */
     public List<TokenAction> onAskFailed(long sequence, long deadlineNanos, long nowNanos) {
-        return onTransfer(sequence, 0, deadlineNanos, nowNanos);
+        return onTransfer(sequence, 0, 0, deadlineNanos, nowNanos);
     }
 
     /**
@@ -112,19 +124,20 @@
     public LendingDecision lend(String account, long micros, boolean borrowerFirst, long deadlineNanos, long nowNanos) {
         AccountQueue queue = queues.get(account);
         if (queue == null) {
-            return new LendingDecision(0, "the account is unknown");
+            return new LendingDecision(0, 0, "the account is unknown");
         }
         queue.bucket().accrue(nowNanos, deadlineNanos);
         if (nowNanos - deadlineNanos >= 0) {
-            return new LendingDecision(0, "without contact");
+            return new LendingDecision(0, 0, "without contact");
         }
         boolean partsOnly = queue.bucket().capacityMicros() < Tokens.MICROS_PER_TOKEN;
         if (queue.size() > 0 && !(partsOnly && borrowerFirst)) {
-            return new LendingDecision(0, "own requests wait");
+            return new LendingDecision(0, 0, "own requests wait");
         }
-        long lendable = partsOnly ? micros : usefulMicros(micros, queue.bucket().ownMicros());
-        long lent = queue.bucket().lend(lendable, nowNanos + timings.lentNanos());
-        return new LendingDecision(lent, lent < micros ? "no more whole tokens" : "asked for no more");
+        long lent =
+                queue.bucket().lend(usefulMicros(micros, queue.bucket().ownMicros()), nowNanos + timings.lentNanos());
+        String reason = lent < micros ? "no more whole tokens" : "asked for no more";
+        return new LendingDecision(lent, queue.bucket().ownMicros(), reason);
     }
 
     /** Lets time pass: serves what can be served, refuses what waited too long, asks peers. */
@@ -165,13 +178,28 @@
         if (shortMicros <= 0 || queue.asks() >= MAXIMUM_ASKS_PER_ACCOUNT) {
             return;
         }
-        queue.choosePeer(peersOfAccount.apply(queue.account()), nowNanos)
-                .filter(peer -> askBudget.take(nowNanos))
-                .ifPresent(peer -> {
-                    queue.asked(shortMicros);
-                    queue.peerAsked(peer);
-                    actions.add(new TokenAction.AskPeer(ledger.open(queue.account(), peer, shortMicros, nowNanos)));
-                });
+        Optional<String> peer = queue.choosePeer(peersOfAccount.apply(queue.account()), nowNanos);
+        if (peer.isPresent()) {
+            askPeer(queue, peer.get(), shortMicros, nowNanos, actions);
+        } else {
+            askForParts(queue, shortMicros, nowNanos, actions);
+        }
+    }
+
+    /** Asks several peers for parts of one token, if together they were said to have enough. */
+    private void askForParts(AccountQueue queue, long shortMicros, long nowNanos, List<TokenAction> actions) {
+        long rest = Math.min(shortMicros, Tokens.MICROS_PER_TOKEN);
+        for (AccountQueue.Part part : queue.partsOf(rest, nowNanos)) {
+            askPeer(queue, part.peer(), part.micros(), nowNanos, actions);
+        }
+    }
+
+    private void askPeer(AccountQueue queue, String peer, long micros, long nowNanos, List<TokenAction> actions) {
+        if (askBudget.take(nowNanos)) {
+            queue.asked(micros);
+            queue.peerAsked(peer);
+            actions.add(new TokenAction.AskPeer(ledger.open(queue.account(), peer, micros, nowNanos)));
+        }
     }
 
     /** Returns all that is wanted, or else whole tokens only, because a part that completes no token lapses unused. */
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/rate/AllotmentController.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/rate/AllotmentController.java
@@ -245,7 +245,9 @@
             act(node.onAskFailed(request.sequence(), now));
             return;
         }
-        act(node.onTransfer(request.sequence(), Tokens.received(transfer.getTokens()), now));
+        long lentMicros = Tokens.received(transfer.getTokens());
+        long lendableMicros = Tokens.received(transfer.getLendableTokens());
+        act(node.onTransfer(request.sequence(), lentMicros, lendableMicros, now));
     }
 
     private PeerEnvelope lend(PeerEnvelope message) {
@@ -267,6 +269,7 @@
                         .setClientAccount(request.getClientAccount())
                         .setRequestSequence(request.getRequestSequence())
                         .setTokens(Tokens.toTokens(decision.micros()))
+                        .setLendableTokens(Tokens.toTokens(decision.lendableMicros()))
                         .setAllotmentEpoch(request.getAllotmentEpoch()))
                 .build();
     }
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/rate/FakePlatform.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/rate/FakePlatform.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.BiConsumer;
 import org.banyanhook.core.rate.AllotmentRecord;
 
 /** The platform's value of each failure domain and its lagging list of virtual machines. */
@@ -12,6 +13,7 @@
 
     private final Map<String, Stored> values = new HashMap<>();
     private final Map<String, Set<String>> listed = new HashMap<>();
+    private BiConsumer<String, Stored> watcher = (domain, stored) -> {};
     private long revision;
     private long calls;
     private boolean down;
@@ -32,6 +34,7 @@
             return Optional.empty();
         }
         values.put(domain, new Stored(record, ++revision));
+        watcher.accept(domain, new Stored(record, revision));
         return Optional.of(revision);
     }
 
@@ -39,6 +42,11 @@
         return listed.computeIfAbsent(domain, name -> new TreeSet<>());
     }
 
+    /** Sets who is told every change. */
+    void watch(BiConsumer<String, Stored> value) {
+        watcher = value;
+    }
+
     long calls() {
         return calls;
     }
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/rate/RateProcess.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/rate/RateProcess.java
@@ -186,6 +186,12 @@
                 () -> event(() -> node.allotment().onReadFailed(now())));
     }
 
+    /** Takes in a change that a watch brought; a watch that was sent long ago renews no right. */
+    void onWatched(FakePlatform.Stored stored) {
+        long longAgo = now() - 60_000_000_000L;
+        event(() -> node.allotment().onRecordRead(stored.record(), stored.revision(), longAgo, now()));
+    }
+
     private void swapRecord(AllotmentAction.SwapRecord swap, long sent) {
         ask(
                 world.platform(),
@@ -244,10 +250,8 @@
         }
         ask(
                 peer,
-                () -> peer.node
-                        .lend(request.clientAccount(), request.micros(), name, peer.now())
-                        .micros(),
-                micros -> act(node.onTransfer(request.sequence(), micros, now())),
+                () -> peer.node.lend(request.clientAccount(), request.micros(), name, peer.now()),
+                lent -> act(node.onTransfer(request.sequence(), lent.micros(), lent.lendableMicros(), now())),
                 () -> act(node.onAskFailed(request.sequence(), now())));
     }
 
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/rate/RateWorld.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/rate/RateWorld.java
@@ -38,6 +38,9 @@
             outcomes.put(account.name(), new long[2]);
         }
         queue.every(1_000_000_000, this::updateList);
+        platform.watch((domain, stored) -> processes.stream()
+                .filter(process -> process.failureDomain().equals(domain))
+                .forEach(process -> network.send(platform, process, true, () -> process.onWatched(stored))));
     }
 
     EventQueue queue() {
