--- a/banyanhook-daemon/src/test/java/org/banyanhook/daemon/configuration/ConfigurationControllerTest.java
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/configuration/ConfigurationControllerTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
 import org.banyanhook.core.command.Change;
 import org.banyanhook.core.command.ChangeRequest;
 import org.banyanhook.core.command.CommandParser;
@@ -20,6 +21,7 @@
 import org.banyanhook.core.configuration.FailureDomain;
 import org.banyanhook.core.configuration.FleetConfiguration;
 import org.banyanhook.core.configuration.GrantedKey;
+import org.banyanhook.core.configuration.WatcherElection;
 import org.banyanhook.core.error.RefusalException;
 import org.banyanhook.core.error.RefusalKind;
 import org.banyanhook.core.key.KeyAdmission;
@@ -65,6 +67,21 @@
         assertThat(report).isEqualTo(new ForceReport(2, List.of(), List.of()));
     }
 
+    @Test
+    void relaysPastEntryVmsThatDoNotAnswer() throws Exception {
+        List<String> names =
+                IntStream.range(0, 30).mapToObj(index -> "a-" + index).toList();
+        names.forEach(name -> fleet.start(name, "a"));
+        awaitVersion(1, WITHDRAWAL_BOUND);
+        fleet.setHeartbeats(false);
+        List<String> watchers = WatcherElection.watchers(names);
+        names.stream().filter(name -> !watchers.contains(name)).limit(10).forEach(fleet::crash);
+
+        change("c1", "set account plant rate=20");
+
+        awaitVersion(2, IN_FORCE_BOUND);
+    }
+
     @Test
     void putsAWithdrawalInForceWhileThePlatformIsDownAndWritesItOnceLater() throws Exception {
         startAll();
--- a/banyanhook-daemon/src/test/java/org/banyanhook/daemon/configuration/FakeFleet.java
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/configuration/FakeFleet.java
@@ -59,8 +59,13 @@
         return controller;
     }
 
-    public void stop(String name) {
+    /** Ends a controller that the others go on taking for alive. */
+    public void crash(String name) {
         requireNonNull(controllers.remove(name)).close();
+    }
+
+    public void stop(String name) {
+        crash(name);
         live.removeIf(member -> member.name().equals(name));
     }
 
