--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/BanyanhookDaemon.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/BanyanhookDaemon.java
@@ -5,12 +5,18 @@
 import java.util.concurrent.CountDownLatch;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.banyanhook.daemon.logging.LogConfigurator;
+import org.banyanhook.daemon.settings.CheckCommand;
 import org.banyanhook.daemon.settings.DaemonSettings;
 import org.banyanhook.daemon.settings.SettingsException;
 import org.banyanhook.daemon.settings.SettingsLoader;
+import org.jspecify.annotations.Nullable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
 
 /** The command {@code banyanhookd}: runs the daemon of one entry VM until it is told to stop. */
 @Command(
@@ -18,6 +24,7 @@
         description = "Runs the daemon of one entry VM.",
         mixinStandardHelpOptions = true,
         version = "banyanhookd " + BanyanhookDaemon.VERSION,
+        subcommands = CheckCommand.class,
         exitCodeListHeading = "Exit codes:%n",
         exitCodeList = {"0:stopped as told", "1:could not start", "2:wrong arguments or settings"})
 public final class BanyanhookDaemon implements Callable<Integer> {
@@ -32,11 +39,13 @@
 
     @Option(
             names = "--settings",
-            required = true,
             paramLabel = "FILE",
             description = "The YAML file with the settings.")
+    private @Nullable Path settingsFile;
+
+    @Spec
     @SuppressWarnings("NullAway.Init")
-    private Path settingsFile;
+    private CommandSpec spec;
 
     /**
      * Runs the command.
@@ -49,13 +58,18 @@
 
     @Override
     public Integer call() throws InterruptedException {
+        Path file = settingsFile;
+        if (file == null) {
+            throw new ParameterException(spec.commandLine(), "Missing required option: '--settings=FILE'");
+        }
         DaemonSettings settings;
         try {
-            settings = new SettingsLoader().load(settingsFile);
+            settings = new SettingsLoader().load(file);
         } catch (SettingsException exception) {
             LOGGER.error("the settings are wrong: {}", exception.getMessage());
             return EXIT_WRONG_SETTINGS;
         }
+        LogConfigurator.apply(settings.log());
         return run(settings);
     }
 
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/CallerPath.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/CallerPath.java
@@ -12,9 +12,9 @@
 import org.banyanhook.core.transaction.TransactionStep;
 import org.banyanhook.daemon.backend.BackendConnectionPool;
 import org.banyanhook.daemon.backend.BackendHttpClients;
+import org.banyanhook.daemon.caller.AccountFinder;
 import org.banyanhook.daemon.caller.CallerDrain;
 import org.banyanhook.daemon.caller.CallerServer;
-import org.banyanhook.daemon.caller.RequestFilter;
 import org.banyanhook.daemon.caller.ServiceFilter;
 import org.banyanhook.daemon.configuration.ConfigurationSource;
 import org.banyanhook.daemon.execution.DepartureWatch;
@@ -72,7 +72,7 @@
                 .meters(meters)
                 .build();
         this.localTransactions =
-                new LocalTransactionExecutor(settings.entryVm(), System.currentTimeMillis(), localStatements);
+                new LocalTransactionExecutor(settings.entryVm(), builder.incarnation, localStatements);
         closer.register(localTransactions::close);
         messenger.handle(
                 PeerEnvelope.BodyCase.FORWARDED_STATEMENT,
@@ -83,6 +83,7 @@
                 new ForwardedTransactionHandler(configuration, guardBegin(departures), gate));
         CallerServer.Builder callers = CallerServer.builder()
                 .configuration(configuration)
+                .accounts(requireNonNull(builder.accounts, "accounts"))
                 .rateLimiter(requireNonNull(builder.rateLimiter, "rateLimiter"))
                 .closesConnections(departures::isTakenOut)
                 .firstFilter(new ServiceFilter(departures))
@@ -98,9 +99,6 @@
                 .gate(gate)
                 .meters(meters);
         applySettings(callers, settings.callers());
-        if (builder.keyFilter != null) {
-            callers.firstFilter(builder.keyFilter);
-        }
         this.server = callers.build();
     }
 
@@ -177,7 +175,8 @@
         private @Nullable HomeDirectory homes;
         private @Nullable Executor callbacks;
         private @Nullable MeterRegistry meters;
-        private @Nullable RequestFilter keyFilter;
+        private long incarnation;
+        private @Nullable AccountFinder accounts;
 
         private Builder() {}
 
@@ -187,6 +186,12 @@
             return this;
         }
 
+        /** Sets the incarnation of this daemon, another one after each start. */
+        Builder incarnation(long value) {
+            this.incarnation = value;
+            return this;
+        }
+
         /** Sets what gives the configuration. */
         Builder configuration(ConfigurationSource value) {
             this.configuration = value;
@@ -235,9 +240,9 @@
             return this;
         }
 
-        /** Sets a filter that may refuse keyed requests before their keys are checked. */
-        Builder keyFilter(RequestFilter value) {
-            this.keyFilter = value;
+        /** Sets what finds the client account of a key. */
+        Builder accounts(AccountFinder value) {
+            this.accounts = value;
             return this;
         }
 
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/DaemonAssembly.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/DaemonAssembly.java
@@ -5,13 +5,19 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.concurrent.CompletableFuture;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.banyanhook.core.membership.Member;
 import org.banyanhook.core.membership.MemberState;
+import org.banyanhook.daemon.administration.AdministrationServer;
+import org.banyanhook.daemon.administration.CommandInterpreter;
+import org.banyanhook.daemon.administration.DatabaseStatus;
 import org.banyanhook.daemon.configuration.ConfigurationController;
 import org.banyanhook.daemon.forwarding.HomeDirectory;
 import org.banyanhook.daemon.membership.EntryVm;
@@ -21,6 +27,7 @@
 import org.banyanhook.daemon.platform.HttpPlatformClient;
 import org.banyanhook.daemon.primary.BackendControlClient;
 import org.banyanhook.daemon.primary.PrimaryController;
+import org.banyanhook.daemon.rate.AllotmentController;
 import org.banyanhook.daemon.settings.Addresses;
 import org.banyanhook.daemon.settings.DaemonSettings;
 import org.jspecify.annotations.Nullable;
@@ -32,8 +39,10 @@
     private static final int CALLBACK_THREADS = 4;
     private static final Duration DRAIN_ANNOUNCEMENT = Duration.ofSeconds(1);
     private static final Duration DRAIN_LIMIT = Duration.ofSeconds(20);
+    private static final Duration ALLOTMENT_LIMIT = Duration.ofSeconds(3);
 
     private final DaemonSettings settings;
+    private final long incarnation = System.currentTimeMillis();
     private final Closer closer = Closer.create();
     private final PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final ExecutorService callbacks;
@@ -43,6 +52,8 @@
     private final MembershipController membership;
     private final HomeDirectory homes;
     private final PrimaryController primaries;
+    private final AllotmentController allotments;
+    private final Readiness readiness;
     private @Nullable CallerPath callerPath;
 
     private DaemonAssembly(DaemonSettings settings) {
@@ -59,6 +70,9 @@
         liveEntryVms.set(membership);
         this.homes = new HomeDirectory(settings.entryVm(), settings.failureDomain(), membership, configuration);
         this.primaries = newPrimaries();
+        this.allotments = newAllotments();
+        this.readiness =
+                new Readiness(settings.entryVm(), settings.failureDomain(), configuration, homes, primaries);
     }
 
     /**
@@ -84,8 +98,10 @@
     /** Finishes the work in progress and closes all parts. Later calls change nothing. */
     @Override
     public void close() {
+        readiness.stop();
         membership.leave();
         drainCallers();
+        giveAllotmentBack();
         try {
             closer.close();
         } catch (IOException exception) {
@@ -109,6 +125,17 @@
         }
     }
 
+    private void giveAllotmentBack() {
+        try {
+            allotments.leave().get(ALLOTMENT_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            LOGGER.warn("giving the allotment back was interrupted; peers take it back once this entry VM is gone");
+        } catch (ExecutionException | TimeoutException exception) {
+            LOGGER.warn("the allotment was not given back; peers take it back once this entry VM is gone", exception);
+        }
+    }
+
     private void startParts() throws Exception {
         platform.start();
         closer.register(platform::close);
@@ -119,24 +146,63 @@
         closer.register(membership::close);
         primaries.start();
         closer.register(primaries::close);
-        startCallerPath();
+        allotments.start();
+        closer.register(allotments::close);
+        prepareCallerPath().start();
         messenger.start();
+        startAdministration();
     }
 
-    private void startCallerPath() throws Exception {
-        callerPath = CallerPath.builder()
+    private CallerPath prepareCallerPath() throws Exception {
+        CallerPath path = CallerPath.builder()
                 .settings(settings)
+                .incarnation(incarnation)
                 .configuration(configuration)
+                .accounts(configuration.keyGate()::accountOf)
                 .directory(primaries)
                 .confirmer(primaries)
-                .rateLimiter((account, wait) -> CompletableFuture.completedFuture(null))
+                .rateLimiter(allotments)
                 .messenger(messenger)
                 .homes(homes)
                 .callbacks(callbacks)
                 .meters(meters)
                 .build();
-        registerClosing(callerPath);
-        callerPath.start();
+        registerClosing(path);
+        callerPath = path;
+        return path;
+    }
+
+    private void startAdministration() throws IOException {
+        CommandInterpreter interpreter = new CommandInterpreter(
+                configuration,
+                membership,
+                this::primaryOf,
+                new RouteExplanations(configuration, homes, primaries));
+        AdministrationServer administration = AdministrationServer.builder(settings.administration())
+                .interpreter(interpreter)
+                .readiness(readiness)
+                .metrics(meters::scrape)
+                .version(BanyanhookDaemon.VERSION)
+                .configurationVersion(() -> configuration.current().version())
+                .build();
+        administration.start();
+        closer.register(administration::close);
+    }
+
+    private Optional<DatabaseStatus.Primary> primaryOf(String database) {
+        return primaries
+                .primary(database)
+                .map(primary -> new DatabaseStatus.Primary(primary.primaryMember(), primary.term()));
+    }
+
+    private AllotmentController newAllotments() {
+        return AllotmentController.builder(settings.entryVm(), settings.failureDomain(), incarnation)
+                .messenger(messenger)
+                .platform(platform)
+                .membership(membership)
+                .configuration(configuration)
+                .meterRegistry(meters)
+                .build();
     }
 
     private NettyPeerMessenger newMessenger() {
@@ -154,6 +220,7 @@
                 .messenger(messenger)
                 .membership(liveEntryVms)
                 .seeds(settings.peers().seeds())
+                .keyPolicy(settings.isolation().keyPolicy())
                 .meterRegistry(meters)
                 .build();
     }
@@ -163,7 +230,7 @@
                 settings.entryVm(),
                 settings.failureDomain(),
                 settings.peers().address(),
-                System.currentTimeMillis(),
+                incarnation,
                 MemberState.ALIVE);
         return MembershipController.builder(self, messenger)
                 .platform(platform)
--- a/banyanhook-daemon/src/test/java/org/banyanhook/daemon/caller/CallerServerTest.java
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/caller/CallerServerTest.java
@@ -19,6 +19,7 @@
 import java.util.stream.Stream;
 import org.banyanhook.core.error.RefusalException;
 import org.banyanhook.core.error.RefusalKind;
+import org.banyanhook.core.key.KeyRegistry;
 import org.banyanhook.daemon.backend.ScriptedBackendServer.Reply;
 import org.banyanhook.daemon.execution.DepartureWatch;
 import org.banyanhook.daemon.execution.ExecutionFixture;
@@ -52,6 +53,7 @@
                 .firstFilter(new ServiceFilter(departures))
                 .closesConnections(departures::isTakenOut)
                 .configuration(() -> fixture.configuration)
+                .accounts(key -> KeyRegistry.of(fixture.configuration).accountOf(key))
                 .rateLimiter((account, wait) -> rateExceeded
                         ? CompletableFuture.failedFuture(RefusalException.notRun(RefusalKind.RATE_EXCEEDED, "rate"))
                         : CompletableFuture.completedFuture(null))
--- a/banyanhook-daemon/src/test/java/org/banyanhook/daemon/caller/CallerTlsTest.java
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/caller/CallerTlsTest.java
@@ -47,7 +47,8 @@
         try (ExecutionFixture fixture = new ExecutionFixture();
                 CallerServer server = CallerServer.builder()
                         .configuration(() -> fixture.configuration)
-                        .rateLimiter((account, wait) -> CompletableFuture.completedFuture(null))
+                        .accounts(key -> KeyRegistry.of(fixture.configuration).accountOf(key))
+                .rateLimiter((account, wait) -> CompletableFuture.completedFuture(null))
                         .statements(fixture.executor)
                         .transactions(fixture.transactions)
                         .outcomes(new OutcomeReader(fixture.executor))
