--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/fleet/ChildProcess.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/fleet/ChildProcess.java
@@ -20,6 +20,7 @@
 
     private final Process process;
     private final Path output;
+    private volatile boolean frozen;
 
     private ChildProcess(Process process, Path output) {
         this.process = process;
@@ -78,11 +79,16 @@
         return process.pid();
     }
 
-    /** Returns whether the process runs. */
+    /** Returns whether the process has not ended. */
     public boolean isAlive() {
         return process.isAlive();
     }
 
+    /** Returns whether the process has not ended and is not frozen. */
+    public boolean isRunning() {
+        return process.isAlive() && !frozen;
+    }
+
     /** Returns the file that takes what the process prints. */
     public Path output() {
         return output;
@@ -101,16 +107,21 @@
     /** Pauses the process until it is thawed. */
     public void freeze() throws IOException, InterruptedException {
         signal("-STOP");
+        frozen = true;
     }
 
     /** Goes on after a freeze. */
     public void thaw() throws IOException, InterruptedException {
         signal("-CONT");
+        frozen = false;
     }
 
     /** Stops the process and waits; kills it after 20 s. */
     @Override
     public void close() throws IOException {
+        if (frozen) {
+            process.destroyForcibly();
+        }
         process.destroy();
         try {
             if (!process.waitFor(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/fleet/LocalFleet.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/fleet/LocalFleet.java
@@ -103,7 +103,7 @@
         long highestTerm = 0;
         Optional<FleetMember> result = Optional.empty();
         for (FleetMember member : members) {
-            if (!member.database().equals(database) || !member.process().isAlive()) {
+            if (!member.database().equals(database) || !member.process().isRunning()) {
                 continue;
             }
             JsonAnswer status = member.status(client);
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/load/Experiment.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/load/Experiment.java
@@ -2,7 +2,9 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import java.io.IOException;
 import java.io.PrintWriter;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
@@ -20,6 +22,7 @@
     enum Fault {
         NONE,
         PRIMARY,
+        FROZEN_PRIMARY,
         DOMAIN,
         FLOOD
     }
@@ -90,16 +93,18 @@
     private void play(LoadGenerator generator) {
         try {
             switch (plan.fault()) {
-                case PRIMARY -> killPrimaries(generator);
+                case PRIMARY, FROZEN_PRIMARY -> failPrimaries(generator);
                 case DOMAIN -> moveDomain(generator);
                 default -> say(generator, "no fault is played");
             }
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
+        } catch (IOException exception) {
+            throw new UncheckedIOException("the fault could not be played", exception);
         }
     }
 
-    private void killPrimaries(LoadGenerator generator) throws InterruptedException {
+    private void failPrimaries(LoadGenerator generator) throws InterruptedException, IOException {
         List<String> databases = fleet.scenario().databases();
         long intervalMillis = plan.durationMillis() / (databases.size() + 1);
         for (int number = 0; number < databases.size(); number++) {
@@ -107,11 +112,15 @@
             String database = databases.get(number);
             FleetMember primary = fleet.primary(database)
                     .orElseThrow(() -> new IllegalStateException("database " + database + " has no primary"));
-            primary.process().kill();
-            long killedMillis = generator.elapsedMillis();
+            long failedMillis = generator.elapsedMillis();
+            if (plan.fault() == Fault.PRIMARY) {
+                primary.process().kill();
+            } else {
+                primary.process().freeze();
+            }
             windows.add(
-                    new FigureCalculator.GapWindow(database, killedMillis - intervalMillis / 2, plan.durationMillis()));
-            say(generator, "killed " + primary.name());
+                    new FigureCalculator.GapWindow(database, failedMillis - intervalMillis / 2, plan.durationMillis()));
+            say(generator, plan.fault() + " at " + primary.name());
         }
     }
 
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/load/ExperimentCommand.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/load/ExperimentCommand.java
@@ -43,7 +43,8 @@
     @Option(
             names = "--fault",
             defaultValue = "NONE",
-            description = "NONE, PRIMARY (kill each primary once), DOMAIN (take a failure domain out and return it), "
+            description = "NONE, PRIMARY (kill each primary once), FROZEN_PRIMARY (pause each primary once, for good), "
+                    + "DOMAIN (take a failure domain out and return it), "
                     + "FLOOD (one account sends six times as much).")
     @SuppressWarnings("NullAway.Init")
     private Experiment.Fault fault;
@@ -105,7 +106,7 @@
 
     private ExperimentReport run(long runSeed, PrintWriter output) throws IOException, InterruptedException {
         FleetScenario sizes = FleetScenario.named(scenario);
-        if (fault == Experiment.Fault.PRIMARY) {
+        if (fault == Experiment.Fault.PRIMARY || fault == Experiment.Fault.FROZEN_PRIMARY) {
             sizes = sizes.withAccount(AccountLoad.PROBE);
         }
         Experiment.Plan plan = new Experiment.Plan(fault, baseline, runSeed, warmUpSeconds * 1_000, seconds * 1_000);
@@ -129,7 +130,7 @@
                 .toList();
         if (!gaps.isEmpty()) {
             long worst = gaps.stream().mapToLong(Long::longValue).max().orElse(0);
-            output.println("failover gap over " + gaps.size() + " kills: median " + ExperimentReport.median(gaps)
+            output.println("failover gap over " + gaps.size() + " primaries: median " + ExperimentReport.median(gaps)
                     + " ms, worst " + worst + " ms");
             output.flush();
         }
--- a/banyanhook-testbed/src/test/java/org/banyanhook/testbed/fleet/WholePathIT.java
+++ b/banyanhook-testbed/src/test/java/org/banyanhook/testbed/fleet/WholePathIT.java
@@ -10,6 +10,8 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** The whole path with real processes: callers, daemons, backend servers, the platform and operators. */
 final class WholePathIT {
@@ -62,6 +64,20 @@
         }
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "show services, inject-db",
+        "show databases, inject-db-1",
+        "explain inject-db read database=inject-db-1, inject-db-1"
+    })
+    void operatorsQueryIsAnswered(String command, String expected) {
+        JsonAnswer answer = fleet.command(fleet.entryVms().get(0), command);
+        assertWithMessage("%s: %s", command, answer.body())
+                .that(answer.status())
+                .isEqualTo(200);
+        assertThat(answer.body().path("rows").toString()).contains(expected);
+    }
+
     @Test
     void noBackendServerSeesACallersKeyOrSession() {
         FleetCaller caller = fleet.caller(0);
