--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/DaemonAssembly.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/DaemonAssembly.java
@@ -4,24 +4,21 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
-import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.banyanhook.core.configuration.BackendServer;
-import org.banyanhook.core.configuration.FailureDomain;
 import org.banyanhook.core.membership.Member;
 import org.banyanhook.core.membership.MemberState;
-import org.banyanhook.daemon.backend.BackendConnectionPool;
-import org.banyanhook.daemon.backend.BackendHttpClients;
-import org.banyanhook.daemon.caller.CallerServer;
+import org.banyanhook.daemon.administration.AdministrationServer;
+import org.banyanhook.daemon.administration.CommandInterpreter;
+import org.banyanhook.daemon.administration.DatabaseStatus;
 import org.banyanhook.daemon.configuration.ConfigurationController;
-import org.banyanhook.daemon.execution.LocalStatementExecutor;
-import org.banyanhook.daemon.execution.MemberChooser;
-import org.banyanhook.daemon.execution.WorkGate;
-import org.banyanhook.daemon.forwarding.ForwardedStatementHandler;
-import org.banyanhook.daemon.forwarding.ForwardingExecutor;
 import org.banyanhook.daemon.forwarding.HomeDirectory;
 import org.banyanhook.daemon.membership.EntryVm;
 import org.banyanhook.daemon.membership.MembershipController;
@@ -30,21 +27,24 @@
 import org.banyanhook.daemon.platform.HttpPlatformClient;
 import org.banyanhook.daemon.primary.BackendControlClient;
 import org.banyanhook.daemon.primary.PrimaryController;
+import org.banyanhook.daemon.rate.AllotmentController;
 import org.banyanhook.daemon.settings.Addresses;
 import org.banyanhook.daemon.settings.DaemonSettings;
-import org.banyanhook.protocol.generated.PeerEnvelope;
-import org.eclipse.jetty.client.HttpClient;
+import org.jspecify.annotations.Nullable;
 
 /** The parts of one daemon, connected, started in order and closed in the opposite order. */
 final class DaemonAssembly implements AutoCloseable {
 
     private static final Logger LOGGER = LogManager.getLogger(DaemonAssembly.class);
     private static final int CALLBACK_THREADS = 4;
+    private static final Duration DRAIN_ANNOUNCEMENT = Duration.ofSeconds(1);
+    private static final Duration DRAIN_LIMIT = Duration.ofSeconds(20);
+    private static final Duration ALLOTMENT_LIMIT = Duration.ofSeconds(3);
 
     private final DaemonSettings settings;
+    private final long incarnation = System.currentTimeMillis();
     private final Closer closer = Closer.create();
     private final PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-    private final WorkGate gate = new WorkGate();
     private final ExecutorService callbacks;
     private final HttpPlatformClient platform;
     private final NettyPeerMessenger messenger;
@@ -52,6 +52,9 @@
     private final MembershipController membership;
     private final HomeDirectory homes;
     private final PrimaryController primaries;
+    private final AllotmentController allotments;
+    private final Readiness readiness;
+    private @Nullable CallerPath callerPath;
 
     private DaemonAssembly(DaemonSettings settings) {
         this.settings = settings;
@@ -67,6 +70,8 @@
         liveEntryVms.set(membership);
         this.homes = new HomeDirectory(settings.entryVm(), settings.failureDomain(), membership, configuration);
         this.primaries = newPrimaries();
+        this.allotments = newAllotments();
+        this.readiness = new Readiness(settings.entryVm(), settings.failureDomain(), configuration, homes, primaries);
     }
 
     /**
@@ -92,8 +97,10 @@
     /** Finishes the work in progress and closes all parts. Later calls change nothing. */
     @Override
     public void close() {
-        gate.close();
+        readiness.stop();
         membership.leave();
+        drainCallers();
+        giveAllotmentBack();
         try {
             closer.close();
         } catch (IOException exception) {
@@ -101,6 +108,33 @@
         }
     }
 
+    private void drainCallers() {
+        CallerPath path = callerPath;
+        callerPath = null;
+        if (path == null) {
+            return;
+        }
+        try {
+            path.drain(DRAIN_ANNOUNCEMENT, DRAIN_LIMIT);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            LOGGER.warn("the drain was interrupted; requests in flight may be cut");
+        } catch (Exception exception) {
+            LOGGER.warn("the callers' server did not close; the process ends all the same", exception);
+        }
+    }
+
+    private void giveAllotmentBack() {
+        try {
+            allotments.leave().get(ALLOTMENT_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            LOGGER.warn("giving the allotment back was interrupted; peers take it back once this entry VM is gone");
+        } catch (ExecutionException | TimeoutException exception) {
+            LOGGER.warn("the allotment was not given back; peers take it back once this entry VM is gone", exception);
+        }
+    }
+
     private void startParts() throws Exception {
         platform.start();
         closer.register(platform::close);
@@ -111,58 +145,60 @@
         closer.register(membership::close);
         primaries.start();
         closer.register(primaries::close);
-        startCallerPath();
+        allotments.start();
+        closer.register(allotments::close);
+        prepareCallerPath().start();
         messenger.start();
+        startAdministration();
     }
 
-    private void startCallerPath() throws Exception {
-        HttpClient client = BackendHttpClients.start(callbacks);
-        closer.register(() -> stop(client));
-        BackendConnectionPool pool = new BackendConnectionPool(client, meters);
-        closer.register(pool::close);
-        LocalStatementExecutor local = LocalStatementExecutor.builder()
+    private CallerPath prepareCallerPath() throws Exception {
+        CallerPath path = CallerPath.builder()
+                .settings(settings)
+                .incarnation(incarnation)
                 .configuration(configuration)
+                .accounts(configuration.keyGate()::accountOf)
                 .directory(primaries)
                 .confirmer(primaries)
-                .pool(pool)
-                .connectionShare(homes::connectionShare)
-                .chooser(new MemberChooser(configuration, primaries, this::takesWork))
-                .meters(meters)
-                .build();
-        messenger.handle(
-                PeerEnvelope.BodyCase.FORWARDED_STATEMENT, new ForwardedStatementHandler(configuration, local, gate));
-        ForwardingExecutor statements = ForwardingExecutor.builder()
-                .homes(homes)
-                .local(local)
+                .rateLimiter(allotments)
                 .messenger(messenger)
-                .configuration(configuration)
+                .homes(homes)
+                .callbacks(callbacks)
                 .meters(meters)
                 .build();
-        startCallerServer(statements);
+        registerClosing(path);
+        callerPath = path;
+        return path;
     }
 
-    private void startCallerServer(ForwardingExecutor statements) throws Exception {
-        InetSocketAddress address = Addresses.parse(settings.callers().address());
-        CallerServer callers = CallerServer.builder()
-                .host(address.getAddress().getHostAddress())
-                .port(address.getPort())
-                .configuration(configuration)
-                .rateLimiter((account, wait) -> java.util.concurrent.CompletableFuture.completedFuture(null))
-                .statements(statements)
-                .gate(gate)
-                .meters(meters)
+    private void startAdministration() throws IOException {
+        CommandInterpreter interpreter = new CommandInterpreter(
+                configuration, membership, this::primaryOf, new RouteExplanations(configuration, homes, primaries));
+        AdministrationServer administration = AdministrationServer.builder(settings.administration())
+                .interpreter(interpreter)
+                .readiness(readiness)
+                .metrics(meters::scrape)
+                .version(BanyanhookDaemon.VERSION)
+                .configurationVersion(() -> configuration.current().version())
                 .build();
-        callers.start();
-        registerClosing(callers);
+        administration.start();
+        closer.register(administration::close);
     }
 
-    private boolean takesWork(BackendServer server) {
-        boolean domainTakenOut = configuration
-                .current()
-                .failureDomain(server.failureDomain())
-                .map(FailureDomain::takenOut)
-                .orElse(false);
-        return !server.leaving() && !domainTakenOut;
+    private Optional<DatabaseStatus.Primary> primaryOf(String database) {
+        return primaries
+                .primary(database)
+                .map(primary -> new DatabaseStatus.Primary(primary.primaryMember(), primary.term()));
+    }
+
+    private AllotmentController newAllotments() {
+        return AllotmentController.builder(settings.entryVm(), settings.failureDomain(), incarnation)
+                .messenger(messenger)
+                .platform(platform)
+                .membership(membership)
+                .configuration(configuration)
+                .meterRegistry(meters)
+                .build();
     }
 
     private NettyPeerMessenger newMessenger() {
@@ -180,6 +216,7 @@
                 .messenger(messenger)
                 .membership(liveEntryVms)
                 .seeds(settings.peers().seeds())
+                .keyPolicy(settings.isolation().keyPolicy())
                 .meterRegistry(meters)
                 .build();
     }
@@ -189,7 +226,7 @@
                 settings.entryVm(),
                 settings.failureDomain(),
                 settings.peers().address(),
-                System.currentTimeMillis(),
+                incarnation,
                 MemberState.ALIVE);
         return MembershipController.builder(self, messenger)
                 .platform(platform)
@@ -226,14 +263,6 @@
         });
     }
 
-    private static void stop(HttpClient client) throws IOException {
-        try {
-            client.stop();
-        } catch (Exception exception) {
-            throw new IOException("the client of backend servers could not be stopped", exception);
-        }
-    }
-
     private static Thread callbackThread(Runnable task) {
         Thread thread = new Thread(task, "callbacks");
         thread.setDaemon(true);
