Keep concurrency imports out of the rate decisions

Change: durations instead. Before: DecisionPurityTest failed, 239 of 240 core tests passed. The test is unchanged.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/rate/RateTimings.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/rate/RateTimings.java
@@ -2,7 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
-import java.util.concurrent.TimeUnit;
+import java.time.Duration;
 
 /**
  * How long rights and loans last, in nanoseconds.
@@ -19,11 +19,11 @@
 
     /** The timings of a fleet in service. */
     public static final RateTimings DEFAULT = new RateTimings(
-            TimeUnit.SECONDS.toNanos(10),
-            TimeUnit.SECONDS.toNanos(15),
-            TimeUnit.SECONDS.toNanos(30),
-            TimeUnit.MILLISECONDS.toNanos(200),
-            TimeUnit.MILLISECONDS.toNanos(250));
+            Duration.ofSeconds(10).toNanos(),
+            Duration.ofSeconds(15).toNanos(),
+            Duration.ofSeconds(30).toNanos(),
+            Duration.ofMillis(200).toNanos(),
+            Duration.ofMillis(250).toNanos());
 
     public RateTimings {
         checkArgument(contactNanos > 0, "contactNanos must be positive, was %s", contactNanos);
