--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/BanyanhookDaemon.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/BanyanhookDaemon.java
@@ -37,10 +37,7 @@
     private static final int EXIT_COULD_NOT_START = 1;
     private static final int EXIT_WRONG_SETTINGS = 2;
 
-    @Option(
-            names = "--settings",
-            paramLabel = "FILE",
-            description = "The YAML file with the settings.")
+    @Option(names = "--settings", paramLabel = "FILE", description = "The YAML file with the settings.")
     private @Nullable Path settingsFile;
 
     @Spec
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/CallerPath.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/CallerPath.java
@@ -71,8 +71,7 @@
                 .chooser(new MemberChooser(configuration, directory, departures))
                 .meters(meters)
                 .build();
-        this.localTransactions =
-                new LocalTransactionExecutor(settings.entryVm(), builder.incarnation, localStatements);
+        this.localTransactions = new LocalTransactionExecutor(settings.entryVm(), builder.incarnation, localStatements);
         closer.register(localTransactions::close);
         messenger.handle(
                 PeerEnvelope.BodyCase.FORWARDED_STATEMENT,
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/DaemonAssembly.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/DaemonAssembly.java
@@ -71,8 +71,7 @@
         this.homes = new HomeDirectory(settings.entryVm(), settings.failureDomain(), membership, configuration);
         this.primaries = newPrimaries();
         this.allotments = newAllotments();
-        this.readiness =
-                new Readiness(settings.entryVm(), settings.failureDomain(), configuration, homes, primaries);
+        this.readiness = new Readiness(settings.entryVm(), settings.failureDomain(), configuration, homes, primaries);
     }
 
     /**
@@ -174,10 +173,7 @@
 
     private void startAdministration() throws IOException {
         CommandInterpreter interpreter = new CommandInterpreter(
-                configuration,
-                membership,
-                this::primaryOf,
-                new RouteExplanations(configuration, homes, primaries));
+                configuration, membership, this::primaryOf, new RouteExplanations(configuration, homes, primaries));
         AdministrationServer administration = AdministrationServer.builder(settings.administration())
                 .interpreter(interpreter)
                 .readiness(readiness)
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/backend/BackendAnswerParser.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/backend/BackendAnswerParser.java
@@ -78,9 +78,7 @@
 
     private static BackendException refusal(int status, JsonNode body, @Nullable String answerId)
             throws BackendException {
-        if (body.has("answerId")) {
-            requireAnswerId(body, answerId);
-        }
+        requireAnswerId(body, answerId);
         String errorCode = body.path("error").asText("");
         if (!BackendErrors.NOT_RUN.contains(errorCode)) {
             throw BackendException.maybeSent("the backend server answered status " + status, null);
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerReplies.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerReplies.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.databind.util.RawValue;
+import java.util.HashMap;
 import java.util.Map;
 import org.banyanhook.core.error.RefusalException;
 import org.banyanhook.daemon.execution.StatementOutcome;
@@ -16,6 +17,7 @@
     private static final String JSON = "application/json";
     private static final String PROBLEM_JSON = "application/problem+json";
     private static final int OK = 200;
+    private static final int UNAUTHORIZED = 401;
     private static final long MILLIS_PER_SECOND = 1000;
 
     private CallerReplies() {}
@@ -72,9 +74,12 @@
                 .put("detail", refusal.detail())
                 .put("remedy", refusal.kind().remedy())
                 .put("requestId", requestId);
-        Map<String, String> headers = refusal.retryAfter()
-                .map(wait -> Map.of("Retry-After", Long.toString(wholeSeconds(wait.toMillis()))))
-                .orElse(Map.of());
+        Map<String, String> headers = new HashMap<>();
+        refusal.retryAfter()
+                .ifPresent(wait -> headers.put("Retry-After", Long.toString(wholeSeconds(wait.toMillis()))));
+        if (refusal.kind().httpStatus() == UNAUTHORIZED) {
+            headers.put("WWW-Authenticate", "Bearer");
+        }
         return new CallerReply(refusal.kind().httpStatus(), PROBLEM_JSON, headers, bytes(body));
     }
 
--- a/banyanhook-daemon/src/test/java/org/banyanhook/daemon/backend/BackendConnectionPoolTest.java
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/backend/BackendConnectionPoolTest.java
@@ -92,6 +92,7 @@
                 Arguments.of(
                         "a refusal of another request",
                         Reply.json(409, "{\"answerId\":\"x\",\"error\":\"wrong-term\"}")),
+                Arguments.of("a refusal without an id", Reply.json(409, "{\"error\":\"wrong-term\"}")),
                 Arguments.of("declared longer than sent", new Reply(Reply.http(200, foreign, 500), false)),
                 Arguments.of("declared shorter than sent", new Reply(Reply.http(200, foreign, 20), false)),
                 Arguments.of("broken JSON", Reply.json(200, "{\"answerId\":")),
@@ -138,7 +139,7 @@
 
     @Test
     void tellsARefusalOfTheServerAndKeepsTheConnection() throws Exception {
-        server.script(request -> Reply.json(409, "{\"error\":\"wrong-term\",\"term\":7}"));
+        server.script(request -> Reply.refusal(request.body(), 409, "wrong-term", 7));
         LeasedConnection connection = leaseNow();
         BackendException refusal = failure(connection);
         assertThat(refusal.kind()).isEqualTo(BackendException.Kind.REFUSED);
--- a/banyanhook-daemon/src/test/java/org/banyanhook/daemon/backend/ScriptedBackendServer.java
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/backend/ScriptedBackendServer.java
@@ -26,6 +26,7 @@
     private static final Pattern LENGTH = Pattern.compile("(?i)content-length: (\\d+)");
 
     private final ServerSocket serverSocket;
+    private final Thread acceptor;
     private final List<String> received = new CopyOnWriteArrayList<>();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final AtomicInteger connections = new AtomicInteger();
@@ -33,7 +34,7 @@
 
     public ScriptedBackendServer() throws IOException {
         serverSocket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        startThread(this::accept);
+        acceptor = startThread(this::accept);
     }
 
     /** A request as it arrived: its number over all connections from 1, its connection from 1, and its body. */
@@ -60,6 +61,13 @@
             return new Reply(http(status, body, body.length()), false);
         }
 
+        public static Reply refusal(ObjectNode request, int status, String error, long term) {
+            return json(
+                    status,
+                    "{\"answerId\":" + request.path("answerId") + ",\"error\":\"" + error + "\",\"term\":" + term
+                            + "}");
+        }
+
         public static Reply halfOf(Reply whole) {
             return new Reply(java.util.Arrays.copyOf(whole.bytes, whole.bytes.length - 5), true);
         }
@@ -96,9 +104,15 @@
         return connections.get();
     }
 
+    /** Stops listening before it returns: an accept in progress could otherwise still take a connection. */
     @Override
     public void close() throws IOException {
         serverSocket.close();
+        try {
+            acceptor.join();
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
         for (Socket socket : sockets) {
             socket.close();
         }
@@ -109,6 +123,10 @@
             try {
                 Socket socket = serverSocket.accept();
                 sockets.add(socket);
+                if (serverSocket.isClosed()) {
+                    socket.close();
+                    return;
+                }
                 int connection = connections.incrementAndGet();
                 startThread(() -> serve(socket, connection));
             } catch (IOException exception) {
@@ -157,7 +175,7 @@
         return "";
     }
 
-    private static void startThread(Runnable task) {
+    private static Thread startThread(Runnable task) {
         Thread thread = new Thread(
                 () -> {
                     try {
@@ -169,5 +187,6 @@
                 "scripted-backend");
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 }
--- a/banyanhook-daemon/src/test/java/org/banyanhook/daemon/caller/CallerTlsTest.java
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/caller/CallerTlsTest.java
@@ -19,6 +19,7 @@
 import javax.net.ssl.SSLSocket;
 import javax.net.ssl.TrustManager;
 import javax.net.ssl.X509TrustManager;
+import org.banyanhook.core.key.KeyRegistry;
 import org.banyanhook.daemon.execution.ExecutionFixture;
 import org.banyanhook.daemon.execution.OutcomeReader;
 import org.banyanhook.daemon.execution.WorkGate;
@@ -48,7 +49,7 @@
                 CallerServer server = CallerServer.builder()
                         .configuration(() -> fixture.configuration)
                         .accounts(key -> KeyRegistry.of(fixture.configuration).accountOf(key))
-                .rateLimiter((account, wait) -> CompletableFuture.completedFuture(null))
+                        .rateLimiter((account, wait) -> CompletableFuture.completedFuture(null))
                         .statements(fixture.executor)
                         .transactions(fixture.transactions)
                         .outcomes(new OutcomeReader(fixture.executor))
--- a/banyanhook-daemon/src/test/java/org/banyanhook/daemon/execution/LocalStatementExecutorTest.java
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/execution/LocalStatementExecutorTest.java
@@ -52,9 +52,9 @@
             case "half" -> Reply.halfOf(whole);
             case "silence" -> Reply.silence();
             case "foreign" -> Reply.json(200, "{\"answerId\":\"x\",\"position\":1}");
-            case "rejected" -> Reply.json(422, "{\"error\":\"statement-rejected\",\"detail\":\"bad\"}");
-            case "term" -> Reply.json(409, "{\"error\":\"wrong-term\",\"term\":1}");
-            case "room" -> Reply.json(503, "{\"error\":\"too-many-connections\"}");
+            case "rejected" -> Reply.refusal(request.body(), 422, "statement-rejected", 1);
+            case "term" -> Reply.refusal(request.body(), 409, "wrong-term", 1);
+            case "room" -> Reply.refusal(request.body(), 503, "too-many-connections", 1);
             case "fault" -> Reply.json(500, "{}");
             default -> whole;
         };
@@ -105,7 +105,7 @@
 
     @Test
     void retriesAtTheNewPrimaryWhatTheOldOneRefused() throws Exception {
-        fixture.primary.script(request -> Reply.json(409, "{\"error\":\"wrong-term\",\"term\":2}"));
+        fixture.primary.script(request -> Reply.refusal(request.body(), 409, "wrong-term", 2));
         fixture.replica.script(request -> Reply.ok(request.body(), 2, 7, "7"));
         fixture.directory.onChangedTerm = () -> fixture.directory.view = Optional.of(new PrimaryView("db", 2, "db-2"));
         StatementOutcome outcome = run(fixture.command("append").idempotencyKey("k"));
--- a/banyanhook-daemon/src/test/java/org/banyanhook/daemon/execution/LocalTransactionExecutorTest.java
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/execution/LocalTransactionExecutorTest.java
@@ -100,8 +100,8 @@
             case "half" -> Reply.halfOf(Reply.ok(request.body()));
             case "silence" -> Reply.silence();
             case "foreign" -> Reply.json(200, "{\"answerId\":\"x\"}");
-            case "statement-rejected" -> Reply.json(422, "{\"error\":\"statement-rejected\"}");
-            default -> Reply.json(409, "{\"error\":\"" + fault + "\",\"term\":2}");
+            case "statement-rejected" -> Reply.refusal(request.body(), 422, fault, 1);
+            default -> Reply.refusal(request.body(), 409, fault, 2);
         });
         RefusalException refusal = refusal(command(step).transaction(id).statement("add k 1"));
         assertThat(refusal.kind()).isEqualTo(kind);
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/backend/MemberCalls.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/backend/MemberCalls.java
@@ -113,8 +113,10 @@
             return CompletableFuture.completedFuture(JsonReply.of(404, ErrorBody.of("unknown-call")));
         }
         if (!connections.admit(request.connection())) {
-            JsonReply refusal = new JsonReply(503, ErrorBody.of("too-many-connections"), true);
-            return CompletableFuture.completedFuture(refusal);
+            long term = state.standing().term();
+            Messages.Refusal refusal =
+                    new Messages.Refusal(answerId(request), "too-many-connections", term, null, null);
+            return CompletableFuture.completedFuture(new JsonReply(503, refusal, true));
         }
         long ageMillis = TimeUnit.NANOSECONDS.toMillis(
                 System.nanoTime() - request.connection().openedNanos());
@@ -125,10 +127,25 @@
         if (remainingMillis <= 0) {
             opened.complete(null);
         }
-        opened.thenCompose(done -> runWork(request, action.get())).thenAccept(reply::complete);
+        @Nullable String answerId = answerId(request);
+        opened.thenCompose(done -> runWork(request, action.get()))
+                .thenApply(answer -> withAnswerId(answer, answerId))
+                .thenAccept(reply::complete);
         return reply;
     }
 
+    private static @Nullable String answerId(JsonRequest request) throws MalformedRequestException {
+        return request.route().startsWith("POST ")
+                ? request.body(Messages.Work.class).answerId()
+                : null;
+    }
+
+    private static JsonReply withAnswerId(JsonReply reply, @Nullable String answerId) {
+        return reply.body() instanceof Messages.Refusal refusal
+                ? new JsonReply(reply.status(), refusal.withAnswerId(answerId), reply.closesConnection())
+                : reply;
+    }
+
     private CompletableFuture<JsonReply> runWork(JsonRequest request, Action action) {
         boolean takesSlot = request.rawPath().endsWith("statements");
         if (!takesSlot) {
@@ -254,7 +271,7 @@
             Messages.Status status = kind == MemberException.Kind.STALE_TERM ? status() : null;
             long term = state.standing().term();
             return JsonReply.of(
-                    kind.httpStatus(), new Messages.Refusal(kind.label(), term, exception.getMessage(), status));
+                    kind.httpStatus(), new Messages.Refusal(null, kind.label(), term, exception.getMessage(), status));
         }
     }
 
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/backend/Messages.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/backend/Messages.java
@@ -53,8 +53,13 @@
 
     @JsonInclude(JsonInclude.Include.NON_NULL)
     record Refusal(
+            @Nullable String answerId,
             String error,
             long term,
             @Nullable String detail,
-            @Nullable Status status) {}
+            @Nullable Status status) {
+        Refusal withAnswerId(@Nullable String value) {
+            return new Refusal(value, error, term, detail, status);
+        }
+    }
 }
