--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/execution/StatementRun.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/execution/StatementRun.java
@@ -50,7 +50,7 @@
     }
 
     private void attempt() {
-        if (remainingNanos() <= 0) {
+        if (isTooLate()) {
             refuse(lastKind, lastDetail);
             return;
         }
@@ -75,9 +75,9 @@
     }
 
     private void send(MemberChoice choice, LeasedConnection connection) {
-        if (remainingNanos() <= 0) {
+        if (isTooLate()) {
             connection.release();
-            refuse(RefusalKind.DEADLINE_EXCEEDED, "The deadline passed before the statement was sent.");
+            refuse(lastKind, lastDetail);
             return;
         }
         BackendRequest.Idempotency idempotency = command.idempotencyKey()
@@ -210,8 +210,11 @@
         result.completeExceptionally(refusal.build());
     }
 
+    /** Passes on why no connection was had; at the deadline the failure of an earlier attempt says more. */
     private void failRefused(RefusalException refusal) {
-        if (maybeSent) {
+        if (refusal.kind() == RefusalKind.DEADLINE_EXCEEDED) {
+            refuse(lastKind, lastDetail);
+        } else if (maybeSent) {
             refuse(refusal.kind(), refusal.detail());
         } else {
             result.completeExceptionally(refusal);
@@ -225,6 +228,11 @@
         return Duration.ofNanos(Math.max(1, Math.min(nanos, remainingNanos())));
     }
 
+    /** A retry without the time for an answer would only turn what provably did not run into an unknown outcome. */
+    private boolean isTooLate() {
+        return remainingNanos() <= (attempts == 0 ? 0 : MINIMUM_ATTEMPT_NANOS);
+    }
+
     private long remainingNanos() {
         return command.deadlineNanos() - System.nanoTime();
     }
--- a/banyanhook-daemon/src/test/java/org/banyanhook/daemon/execution/ExecutionFixture.java
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/execution/ExecutionFixture.java
@@ -48,6 +48,7 @@
     public volatile PositionConfirmer confirmer =
             (database, position, timeout) -> CompletableFuture.completedFuture(null);
     public volatile FleetConfiguration configuration;
+    public final LocalTransactionExecutor transactions;
     private final HttpClient client;
 
     public ExecutionFixture() throws Exception {
@@ -60,9 +61,10 @@
                 .confirmer((database, position, timeout) -> confirmer.confirm(database, position, timeout))
                 .pool(pool)
                 .connectionShare(database -> 4)
-                .chooser(new MemberChooser(() -> configuration, directory, member -> true))
+                .chooser(new MemberChooser(() -> configuration, directory, (member, asPrimary) -> true))
                 .meters(meters)
                 .build();
+        transactions = new LocalTransactionExecutor("vm-1", 7, executor);
     }
 
     public FleetConfiguration configuration(Set<String> withdrawn) {
@@ -87,6 +89,19 @@
                 List.of());
     }
 
+    /** Returns the configuration with one failure domain taken out. */
+    public FleetConfiguration takenOut(String failureDomain) {
+        FleetConfiguration base = configuration(Set.of());
+        List<FailureDomain> domains = base.failureDomains().stream()
+                .map(domain -> new FailureDomain(
+                        domain.name(),
+                        domain.region(),
+                        domain.rateShare(),
+                        domain.name().equals(failureDomain)))
+                .toList();
+        return base.toBuilder().version(2).failureDomains(domains).build();
+    }
+
     public StatementCommand.Builder command(String routeName) {
         Route route = configuration
                 .service("orders-db")
@@ -109,6 +124,7 @@
             closer.register(primary::close);
             closer.register(replica::close);
             closer.register(pool::close);
+            closer.register(transactions::close);
             closer.register(() -> {
                 try {
                     client.stop();
