--- /dev/null
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/primary/PrimarySuspicionTest.java
@@ -0,0 +1,111 @@
+package org.banyanhook.core.primary;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.banyanhook.core.primary.Groups.SECOND;
+import static org.banyanhook.core.primary.Groups.fenced;
+import static org.banyanhook.core.primary.Groups.primary;
+import static org.banyanhook.core.primary.Groups.replica;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.banyanhook.core.primary.PromotionDecision.Kind;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class PrimarySuspicionTest {
+
+    private static final long START = 100 * SECOND;
+
+    /**
+     * Peers are {@code domain=finding} with u for unreachable, r for reachable, s for silent. The proposer runs in d1,
+     * the primary failed {@code failures} probes over {@code millis}.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "0, 0, 0, d0=u d2=u, NONE",
+        "1, 2000, 0, d0=u d2=u, INVESTIGATE",
+        "3, 500, 0, d0=u d2=u, INVESTIGATE",
+        "3, 1200, 0, d0=u d2=u, PROPOSE",
+        "3, 1200, 0, d0=s d2=u, PROPOSE",
+        "3, 1200, 1, d0=u d2=u, INVESTIGATE",
+        "3, 2600, 1, d0=u d2=u, PROPOSE",
+        "5, 6000, 0, d0=s d2=s, INVESTIGATE",
+        "5, 18000, 0, d0=r d2=r, INVESTIGATE",
+        "5, 6000, 0, d0=r d2=u, PROPOSE",
+        "5, 6000, 0, d0=r d1=u d1=u, INVESTIGATE",
+        "5, 6000, 0, d0=r d2=s d1=u, INVESTIGATE",
+        "5, 6000, 0, d1=u, PROPOSE",
+        "5, 6000, 0, d1=r, INVESTIGATE",
+        "5, 6000, 0, , INVESTIGATE",
+        "9, 8200, 0, , PROPOSE",
+    })
+    void decidesByEvidence(int failures, long millis, int rank, String peers, Kind expected) {
+        PrimarySuspicion suspicion = new PrimarySuspicion();
+        long end = START + millis * 1_000_000;
+        GroupView view = Groups.view(
+                primary("m0", 3, 10, START), replica("m1", 3, "m0", 10, end), replica("m2", 3, "m0", 9, end));
+        suspicion.onView(view, START);
+        for (int failure = 0; failure < failures; failure++) {
+            suspicion.onOutcome("m0", false, START + failure);
+        }
+        Map<String, String> live = new HashMap<>();
+        for (String peer : peers == null ? new String[0] : peers.split(" ", -1)) {
+            String domain = peer.substring(0, 2);
+            String name = "peer-" + live.size();
+            live.put(name, domain);
+            if (!peer.endsWith("s")) {
+                suspicion.onPeerEvidence(name, domain, 3, peer.endsWith("u"), end);
+            }
+        }
+        PromotionDecision decision = suspicion.decide(view, new ProposerPosition(rank, "d1", live), end);
+        assertWithMessage("%s", decision.reason()).that(decision.kind()).isEqualTo(expected);
+    }
+
+    @Test
+    void proposesNothingWithoutAMajorityThatAnswers() {
+        PrimarySuspicion suspicion = new PrimarySuspicion();
+        GroupView view = Groups.view(
+                primary("m0", 3, 10, START), replica("m1", 3, "m0", 10, START), replica("m2", 3, "m0", 9, START));
+        suspicion.onView(view, START);
+        for (int failure = 0; failure < 9; failure++) {
+            suspicion.onOutcome("m0", false, START);
+        }
+        assertDecision(suspicion, view, START + 15 * SECOND, Kind.INVESTIGATE);
+    }
+
+    @Test
+    void bringsUpAGroupThatHasNoPrimary() {
+        PrimarySuspicion suspicion = new PrimarySuspicion();
+        GroupView view = Groups.view(fenced("m0", 0, 0, 0, START), fenced("m1", 0, 0, 0, START));
+        assertDecision(suspicion, view, START, Kind.INVESTIGATE);
+        assertDecision(suspicion, view, START + SECOND, Kind.PROPOSE);
+    }
+
+    @Test
+    void givesAStrayMemberANewTerm() {
+        PrimarySuspicion suspicion = new PrimarySuspicion();
+        GroupView view = Groups.view(
+                primary("m0", 3, 10, START + 4 * SECOND),
+                replica("m1", 3, "m0", 10, START + 4 * SECOND),
+                fenced("m2", 4, 3, 8, START + 4 * SECOND));
+        assertDecision(suspicion, view, START, Kind.INVESTIGATE);
+        assertDecision(suspicion, view, START + 5 * SECOND, Kind.PROPOSE);
+    }
+
+    @Test
+    void anAnswerEndsTheSuspicion() {
+        PrimarySuspicion suspicion = new PrimarySuspicion();
+        GroupView view = Groups.view(primary("m0", 3, 10, START), replica("m1", 3, "m0", 10, START));
+        suspicion.onView(view, START);
+        suspicion.onOutcome("m0", false, START);
+        suspicion.onOutcome("m0", true, START + 1);
+        assertDecision(suspicion, view, START + SECOND, Kind.NONE);
+    }
+
+    private static void assertDecision(PrimarySuspicion suspicion, GroupView view, long now, Kind expected) {
+        ProposerPosition position = new ProposerPosition(0, "d1", Map.of("peer", "d0"));
+        PromotionDecision decision = suspicion.decide(view, position, now);
+        assertWithMessage("%s", decision.reason()).that(decision.kind()).isEqualTo(expected);
+    }
+}
