--- a/banyanhook-testbed/src/test/java/org/banyanhook/testbed/load/FigureCalculatorTest.java
+++ b/banyanhook-testbed/src/test/java/org/banyanhook/testbed/load/FigureCalculatorTest.java
@@ -13,8 +13,8 @@
 
     @Test
     void longestGapCountsTheEdgesOfTheWindowAndOnlyAcknowledgedWritesOfItsDatabase() {
-        List<Sample> samples = List.of(
-                write("db", 100, 200), write("db", 400, 503), write("other", 600, 200), write("db", 700, 200));
+        List<Sample> samples =
+                List.of(write("db", 100, 200), write("db", 400, 503), write("other", 600, 200), write("db", 700, 200));
         assertThat(gap(samples, 0, 1_000)).isEqualTo(600);
         assertThat(gap(samples, 0, 750)).isEqualTo(600);
         assertThat(gap(samples, 650, 1_500)).isEqualTo(800);
