--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/capacity/CapacityCommand.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/capacity/CapacityCommand.java
@@ -67,6 +67,7 @@
                 .addAll(PrimaryExperiments.all())
                 .addAll(MembershipExperiments.all())
                 .addAll(ConfigurationExperiments.all())
+                .addAll(RateExperiments.all())
                 .build();
     }
 
