Read somewhat oversize headers whole before refusing them

Cause: a request refused in the middle of its headers can lose its refusal to a reset of the connection. Change: the server reads headers up to 64 KB and refuses those over 16 K characters as malformed.

--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerHandler.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerHandler.java
@@ -33,6 +33,9 @@
 /** Reads callers' requests, passes them through the filter chain and writes the replies. */
 final class CallerHandler extends Handler.Abstract.NonBlocking {
 
+    /** How many characters the names and values of all headers may have. */
+    static final int MAXIMUM_HEADER_CHARACTERS = 16 * 1024;
+
     private static final Logger LOGGER = LogManager.getLogger(CallerHandler.class);
     private static final String NO_ROUTE = "";
 
@@ -148,6 +151,15 @@
     }
 
     private static CallerHeaders headers(HttpFields fields) throws RefusalException {
+        int characters = fields.stream()
+                .mapToInt(field -> field.getName().length()
+                        + String.valueOf(field.getValue()).length())
+                .sum();
+        if (characters > MAXIMUM_HEADER_CHARACTERS) {
+            throw RefusalException.notRun(
+                    RefusalKind.MALFORMED_REQUEST,
+                    "The headers have more than " + MAXIMUM_HEADER_CHARACTERS + " characters.");
+        }
         for (String name :
                 new String[] {HttpHeader.AUTHORIZATION.asString(), CallerHeaders.SESSION, CallerHeaders.IDEMPOTENCY_KEY
                 }) {
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerServer.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerServer.java
@@ -29,7 +29,9 @@
 /** The HTTP server towards callers. */
 public final class CallerServer implements AutoCloseable {
 
-    private static final int MAXIMUM_HEADER_BYTES = 16 * 1024;
+    /** More than is accepted, so that a request with somewhat larger headers is read whole and refused in order. */
+    private static final int HEADER_BUFFER_BYTES = 4 * CallerHandler.MAXIMUM_HEADER_CHARACTERS;
+
     private static final int MAXIMUM_THREADS = 64;
     private static final int MINIMUM_THREADS = 8;
     private static final long IDLE_TIMEOUT_MILLIS = 75_000;
@@ -113,7 +115,7 @@
 
     private static HttpConfiguration httpConfiguration() {
         HttpConfiguration http = new HttpConfiguration();
-        http.setRequestHeaderSize(MAXIMUM_HEADER_BYTES);
+        http.setRequestHeaderSize(HEADER_BUFFER_BYTES);
         http.setSendServerVersion(false);
         http.setSendDateHeader(false);
         return http;
