--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/backend/BackendServerStandIn.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/backend/BackendServerStandIn.java
@@ -7,12 +7,14 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.banyanhook.testbed.http.ClientConnection;
 import org.banyanhook.testbed.http.ErrorBody;
 import org.banyanhook.testbed.http.JsonClient;
 import org.banyanhook.testbed.http.JsonHttpServer;
 import org.banyanhook.testbed.http.JsonReply;
 import org.banyanhook.testbed.http.JsonRequest;
 import org.banyanhook.testbed.http.MalformedRequestException;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A stand-in of one backend server: a member of a database group with a term, a log and asynchronous replication.
@@ -61,10 +63,7 @@
 
     /** Changes the faults and costs that the member plays. */
     public void changeFaults(BackendFaults.Change change) {
-        faults.apply(change);
-        if (faults.isolated()) {
-            server.closeConnections();
-        }
+        changeFaults(change, null);
     }
 
     /** Returns the latest requests received, headers and body, without those of the stand-in's control. */
@@ -81,6 +80,13 @@
         }
     }
 
+    private void changeFaults(BackendFaults.Change change, @Nullable ClientConnection control) {
+        faults.apply(change);
+        if (faults.isolated()) {
+            server.closeConnections(control);
+        }
+    }
+
     private void record(String request) {
         if (!request.contains(CONTROL_PREFIX)) {
             received.add(request);
@@ -123,7 +129,7 @@
             case "GET /stand-in/status":
                 return JsonReply.ok(calls.status());
             case "POST /stand-in/faults":
-                changeFaults(request.body(BackendFaults.Change.class));
+                changeFaults(request.body(BackendFaults.Change.class), request.connection());
                 return JsonReply.empty(200);
             default:
                 return JsonReply.of(404, ErrorBody.of("unknown-call"));
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/http/JsonHttpServer.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/http/JsonHttpServer.java
@@ -83,9 +83,11 @@
         return LOOPBACK + ":" + connector.getLocalPort();
     }
 
-    /** Closes every open connection. */
-    public void closeConnections() {
-        connections.values().forEach(ClientConnection::close);
+    /** Closes every open connection but one; null to keep none. */
+    public void closeConnections(@Nullable ClientConnection kept) {
+        connections.values().stream()
+                .filter(connection -> !connection.equals(kept))
+                .forEach(ClientConnection::close);
     }
 
     @Override
