Say what the count of wrongful refusals leaves out

Change: the help says so. Result: compiles; no test touches the text. Conclusion: compare the flooding account's served count with its rate before taking that figure as wrongful refusals.

--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/load/ExperimentCommand.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/load/ExperimentCommand.java
@@ -27,7 +27,8 @@
             "",
             "What this tool cannot see: latencies between machines and regions are not played, all processes share "
                     + "the cores of one machine, and links between daemons have no faults. A request counts as within "
-                    + "the rate by the time it was due, so one that arrives late may be counted wrongly. A failover "
+                    + "the rate by the time it was due, so one that arrives late may be counted wrongly; of an account "
+                    + "over its rate, requests served in place of others are not set off. A failover "
                     + "gap is as fine as the writes on its database are close together. A killed backend server "
                     + "loses its log and stays away. Reads of several sessions are checked for "
                     + "read-your-writes only."
