--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/capacity/RateExperiments.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/capacity/RateExperiments.java
@@ -32,14 +32,13 @@
     }
 
     private static RateNode newNode(int accounts) {
-        RateNode node =
-                RateNode.builder(FleetShapes.entryVm(0), FleetShapes.failureDomain(0), 1).build(0);
+        RateNode node = RateNode.builder(FleetShapes.entryVm(0), FleetShapes.failureDomain(0), 1)
+                .build(0);
         node.configure(FleetShapes.configuration(3, accounts), 0);
         Map<String, List<String>> running = IntStream.range(0, FleetShapes.TARGET_ENTRY_VMS)
                 .boxed()
                 .collect(Collectors.groupingBy(
-                        FleetShapes::failureDomain,
-                        Collectors.mapping(FleetShapes::entryVm, Collectors.toList())));
+                        FleetShapes::failureDomain, Collectors.mapping(FleetShapes::entryVm, Collectors.toList())));
         node.view(running);
         return node;
     }
