Keep a hint of the newest term while members are fenced at it

Cause: logs of a whole fleet showed a daemon that went from the announced primary of term 3 back to that of term 2 for some milliseconds, because a member fenced at term 3 was seen before the new primary was.

Change: an announced primary is believed as long as no later term was seen, not only while its own term was unseen. Safety is unchanged, members refuse another term.

Result: compiled with all checks on; its tests were not run again.

--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/GroupMonitor.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/GroupMonitor.java
@@ -182,7 +182,7 @@
 
     /** Believes an announced primary until the members say otherwise. */
     void announce(BelievedPrimary primary) {
-        boolean newer = primary.term() > view.highestTerm();
+        boolean newer = primary.term() >= view.highestTerm();
         if (newer && database().member(primary.member()).isPresent()) {
             announced = primary;
             publish();
@@ -207,7 +207,7 @@
         Optional<BelievedPrimary> observed = view.primary();
         BelievedPrimary hint = announced;
         boolean hintIsNewer = hint != null
-                && hint.term() > view.highestTerm()
+                && hint.term() >= view.highestTerm()
                 && observed.map(primary -> primary.term() < hint.term()).orElse(true);
         return hintIsNewer ? Optional.ofNullable(hint) : observed;
     }
