--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/DaemonAssembly.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/DaemonAssembly.java
@@ -248,6 +248,7 @@
                 .messenger(messenger)
                 .platform(platform)
                 .control(control)
+                .homeEntryVms(homes::homes)
                 .callbacks(callbacks)
                 .meterRegistry(meters)
                 .build();
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/http/JsonClient.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/http/JsonClient.java
@@ -30,6 +30,7 @@
     private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(30);
     private static final int MAXIMUM_CONNECTIONS = 4096;
     private static final int MAXIMUM_ANSWER_BYTES = 64 << 20;
+    private static final int MAXIMUM_HEADER_BYTES = 256 << 10;
 
     private final HttpClient client;
 
@@ -44,6 +45,7 @@
         client.setExecutor(threads);
         client.setMaxConnectionsPerDestination(MAXIMUM_CONNECTIONS);
         client.setMaxRequestsQueuedPerDestination(MAXIMUM_CONNECTIONS);
+        client.setMaxRequestHeadersSize(MAXIMUM_HEADER_BYTES);
         client.setFollowRedirects(false);
         try {
             client.start();
--- a/banyanhook-testbed/src/test/java/org/banyanhook/testbed/caller/CallerIT.java
+++ b/banyanhook-testbed/src/test/java/org/banyanhook/testbed/caller/CallerIT.java
@@ -109,6 +109,7 @@
                         keyed(0),
                         "malformed-request"),
                 Arguments.of("/statements", statement("read", "x".repeat(2_000_000)), keyed(0), "body-too-large"),
+                Arguments.of("/statements", read, withHeader("Padding", "x".repeat(20_000)), "malformed-request"),
                 Arguments.of("/statements", read, Map.of(), "key-missing"),
                 Arguments.of("/statements", read, Map.of("Authorization", "Bearer no-such-key"), "key-unknown"),
                 Arguments.of("/statements", read, withHeader("Banyanhook-Session", "AAAA"), "session-invalid"),
