Authenticate peers to each other where the settings hold certificates

Cause: the settings accepted peers.tls, but the links stayed plain, without a word. Ruled out: host names in certificates; peers are met by IP number, so chains are checked against trusted certificates. Change: both ends show a certificate and check the other's; replaced files count for the next connection. Before: a peer with an untrusted certificate or none was answered.

--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/DaemonAssembly.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/DaemonAssembly.java
@@ -4,6 +4,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
@@ -24,12 +25,14 @@
 import org.banyanhook.daemon.membership.MembershipController;
 import org.banyanhook.daemon.membership.MembershipSource;
 import org.banyanhook.daemon.peer.NettyPeerMessenger;
+import org.banyanhook.daemon.peer.PeerCertificates;
 import org.banyanhook.daemon.platform.HttpPlatformClient;
 import org.banyanhook.daemon.primary.BackendControlClient;
 import org.banyanhook.daemon.primary.PrimaryController;
 import org.banyanhook.daemon.rate.AllotmentController;
 import org.banyanhook.daemon.settings.Addresses;
 import org.banyanhook.daemon.settings.DaemonSettings;
+import org.banyanhook.daemon.settings.PeerTlsSettings;
 import org.jspecify.annotations.Nullable;
 
 /** The parts of one daemon, connected, started in order and closed in the opposite order. */
@@ -56,7 +59,7 @@
     private final Readiness readiness;
     private @Nullable CallerPath callerPath;
 
-    private DaemonAssembly(DaemonSettings settings) {
+    private DaemonAssembly(DaemonSettings settings) throws IOException {
         this.settings = settings;
         this.callbacks = Executors.newFixedThreadPool(CALLBACK_THREADS, DaemonAssembly::callbackThread);
         closer.register(callbacks::shutdown);
@@ -82,7 +85,13 @@
      * @throws DaemonStartException if a part could not start; parts already started are closed
      */
     static DaemonAssembly start(DaemonSettings settings) throws DaemonStartException {
-        DaemonAssembly assembly = new DaemonAssembly(settings);
+        DaemonAssembly assembly;
+        try {
+            assembly = new DaemonAssembly(settings);
+        } catch (IOException exception) {
+            throw new DaemonStartException(
+                    "Entry VM " + settings.entryVm() + " could not start; check the files under peers.tls.", exception);
+        }
         try {
             assembly.startParts();
             return assembly;
@@ -201,11 +210,17 @@
                 .build();
     }
 
-    private NettyPeerMessenger newMessenger() {
-        return NettyPeerMessenger.builder(settings.entryVm(), settings.failureDomain())
+    private NettyPeerMessenger newMessenger() throws IOException {
+        NettyPeerMessenger.Builder builder = NettyPeerMessenger.builder(settings.entryVm(), settings.failureDomain())
                 .listenAddress(Addresses.parse(settings.peers().address()))
-                .meterRegistry(meters)
-                .build();
+                .meterRegistry(meters);
+        PeerTlsSettings tls = settings.peers().tls();
+        if (tls != null) {
+            PeerCertificates certificates = new PeerCertificates(
+                    Path.of(tls.certificateChain()), Path.of(tls.privateKey()), Path.of(tls.trustedCertificates()));
+            builder.sslContexts(certificates::client, certificates::server);
+        }
+        return builder.build();
     }
 
     private ConfigurationController newConfiguration(MembershipSource liveEntryVms) {
--- /dev/null
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/peer/PeerCertificates.java
@@ -0,0 +1,109 @@
+package org.banyanhook.daemon.peer;
+
+import static java.util.Objects.requireNonNull;
+
+import io.netty.handler.ssl.ClientAuth;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
+import javax.net.ssl.SSLException;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * The certificates of peer links: both ends show one and check the other's. Files that are replaced count for the next
+ * new connection.
+ *
+ * <p>Peers are met by IP number, so a certificate is checked against the trusted certificates only, not against a host
+ * name. Safe for use by several threads.
+ */
+public final class PeerCertificates {
+
+    private static final Logger LOGGER = LogManager.getLogger(PeerCertificates.class);
+
+    private final Path certificateChain;
+    private final Path privateKey;
+    private final Path trustedCertificates;
+    private final AtomicReference<Contexts> contexts;
+
+    /**
+     * Reads the files.
+     *
+     * @param certificateChain a PEM file with this entry VM's certificate first
+     * @param privateKey a PEM file with its key in PKCS #8
+     * @param trustedCertificates a PEM file with the certificates that peers' chains may end in
+     * @throws IOException if a file cannot be read or does not hold what it should
+     */
+    public PeerCertificates(Path certificateChain, Path privateKey, Path trustedCertificates) throws IOException {
+        this.certificateChain = requireNonNull(certificateChain, "certificateChain");
+        this.privateKey = requireNonNull(privateKey, "privateKey");
+        this.trustedCertificates = requireNonNull(trustedCertificates, "trustedCertificates");
+        this.contexts = new AtomicReference<>(read());
+    }
+
+    /** Returns the context of the next outgoing connection. */
+    public SslContext client() {
+        return current().client();
+    }
+
+    /** Returns the context of the next incoming connection. */
+    public SslContext server() {
+        return current().server();
+    }
+
+    private Contexts current() {
+        Contexts known = requireNonNull(contexts.get());
+        try {
+            if (!times().equals(known.times())) {
+                contexts.set(read());
+                LOGGER.info("read the replaced certificate {} for peer links", certificateChain);
+            }
+        } catch (IOException exception) {
+            LOGGER.warn("the certificate {} could not be read again; the old one stays", certificateChain, exception);
+        }
+        return requireNonNull(contexts.get());
+    }
+
+    private Contexts read() throws IOException {
+        List<FileTime> times = times();
+        try {
+            return new Contexts(times, clientContext(), serverContext());
+        } catch (SSLException | IllegalArgumentException exception) {
+            throw new IOException(
+                    "the peer certificate " + certificateChain + " with its key " + privateKey
+                            + " is not usable; write PEM files with a chain, a PKCS #8 key and trusted certificates",
+                    exception);
+        }
+    }
+
+    private SslContext clientContext() throws SSLException {
+        return SslContextBuilder.forClient()
+                .keyManager(certificateChain.toFile(), privateKey.toFile())
+                .trustManager(trustedCertificates.toFile())
+                .endpointIdentificationAlgorithm(null)
+                .build();
+    }
+
+    private SslContext serverContext() throws SSLException {
+        File chain = certificateChain.toFile();
+        return SslContextBuilder.forServer(chain, privateKey.toFile())
+                .trustManager(trustedCertificates.toFile())
+                .clientAuth(ClientAuth.REQUIRE)
+                .build();
+    }
+
+    private List<FileTime> times() throws IOException {
+        return List.of(
+                Files.getLastModifiedTime(certificateChain),
+                Files.getLastModifiedTime(privateKey),
+                Files.getLastModifiedTime(trustedCertificates));
+    }
+
+    private record Contexts(List<FileTime> times, SslContext client, SslContext server) {}
+}
