Give a drained entry VM no new work

Cause: 'drain entry-vm' was recorded and the entry VM left the homes and the readiness, but it went on taking new work from callers whose connections stayed open. Change: a drained entry VM asks callers to reconnect, and after the grace of 2 s refuses new work as not run; open transactions go on. Before: no test; the request was served for good.

--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/CallerPath.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/CallerPath.java
@@ -60,7 +60,7 @@
         closer.register(() -> stop(client));
         BackendConnectionPool pool = new BackendConnectionPool(client, meters);
         closer.register(pool::close);
-        DepartureWatch departures = new DepartureWatch(settings.failureDomain(), configuration);
+        DepartureWatch departures = new DepartureWatch(settings.entryVm(), settings.failureDomain(), configuration);
         closer.register(departures::close);
         LocalStatementExecutor localStatements = LocalStatementExecutor.builder()
                 .configuration(configuration)
@@ -84,7 +84,7 @@
                 .configuration(configuration)
                 .accounts(requireNonNull(builder.accounts, "accounts"))
                 .rateLimiter(requireNonNull(builder.rateLimiter, "rateLimiter"))
-                .closesConnections(departures::isTakenOut)
+                .closesConnections(departures::isDeparting)
                 .firstFilter(new ServiceFilter(departures))
                 .statements(ForwardingExecutor.builder()
                         .homes(homes)
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/execution/DepartureWatch.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/execution/DepartureWatch.java
@@ -35,7 +35,9 @@
     private static final long CALLER_GRACE_NANOS = Duration.ofSeconds(2).toNanos();
     private static final String MEMBER = "member ";
     private static final String DOMAIN = "failure domain ";
+    private static final String ENTRY_VM = "entry VM ";
 
+    private final String entryVm;
     private final String failureDomain;
     private final ConfigurationSource configuration;
     private final DepartureLedger ledger = new DepartureLedger();
@@ -46,10 +48,12 @@
     /**
      * Creates a watch and starts its duty thread.
      *
+     * @param entryVm the name of this entry VM
      * @param failureDomain the failure domain of this entry VM
      * @param configuration gives the configuration in force
      */
-    public DepartureWatch(String failureDomain, ConfigurationSource configuration) {
+    public DepartureWatch(String entryVm, String failureDomain, ConfigurationSource configuration) {
+        this.entryVm = requireNonNull(entryVm, "entryVm");
         this.failureDomain = requireNonNull(failureDomain, "failureDomain");
         this.configuration = requireNonNull(configuration, "configuration");
         this.duty = Duty.builder("departures").tick(TICK, this::observe).start();
@@ -60,29 +64,35 @@
         return takesWork(MEMBER + member.name(), asPrimary ? PRIMARY_GRACE_NANOS : 0);
     }
 
-    /** Returns whether the failure domain of this entry VM is taken out. */
-    public boolean isTakenOut() {
-        return !takesWork(DOMAIN + failureDomain, 0);
+    /** Returns whether this entry VM is drained or its failure domain is taken out. */
+    public boolean isDeparting() {
+        return !takesWork(DOMAIN + failureDomain, 0) || !takesWork(ENTRY_VM + entryVm, 0);
     }
 
     /**
      * Checks that this entry VM may start new work.
      *
-     * @throws RefusalException of kind {@code FAILURE_DOMAIN_TAKEN_OUT} if its failure domain has been taken out for
-     *     longer than the grace
+     * @throws RefusalException of kind {@code FAILURE_DOMAIN_TAKEN_OUT} or {@code ENTRY_VM_DRAINING} if its failure
+     *     domain has been taken out, or it has been drained, for longer than the grace
      */
     public void requireInService() throws RefusalException {
         if (!takesWork(DOMAIN + failureDomain, CALLER_GRACE_NANOS)) {
-            throw RefusalException.builder(RefusalKind.FAILURE_DOMAIN_TAKEN_OUT)
-                    .detail("Failure domain " + failureDomain + " is taken out.")
-                    .retryAfter(Duration.ofSeconds(1))
-                    .build();
+            throw departed(RefusalKind.FAILURE_DOMAIN_TAKEN_OUT, "Failure domain " + failureDomain + " is taken out.");
         }
+        if (!takesWork(ENTRY_VM + entryVm, CALLER_GRACE_NANOS)) {
+            throw departed(RefusalKind.ENTRY_VM_DRAINING, "Operators drain entry VM " + entryVm + ".");
+        }
+    }
+
+    private static RefusalException departed(RefusalKind kind, String detail) {
+        return RefusalException.builder(kind)
+                .detail(detail)
+                .retryAfter(Duration.ofSeconds(1))
+                .build();
     }
 
     /**
-     * Starts work that came from another entry VM, unless the failure domain has been taken out for longer than the
-     * grace.
+     * Starts work that came from another entry VM, unless this entry VM departed longer than the grace ago.
      *
      * @param work starts the work
      * @param <T> the type of its result
@@ -116,6 +126,8 @@
         }
         Set<String> inService = new HashSet<>();
         Set<String> departing = new HashSet<>();
+        boolean drained = current.drainedEntryVms().contains(entryVm);
+        (drained ? departing : inService).add(ENTRY_VM + entryVm);
         for (FailureDomain domain : current.failureDomains()) {
             (domain.takenOut() ? departing : inService).add(DOMAIN + domain.name());
         }
--- a/banyanhook-daemon/src/test/java/org/banyanhook/daemon/caller/CallerServerTest.java
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/caller/CallerServerTest.java
@@ -48,10 +48,10 @@
     @BeforeEach
     void start() throws Exception {
         fixture = new ExecutionFixture();
-        departures = new DepartureWatch("east", () -> fixture.configuration);
+        departures = new DepartureWatch("east-1", "east", () -> fixture.configuration);
         server = CallerServer.builder()
                 .firstFilter(new ServiceFilter(departures))
-                .closesConnections(departures::isTakenOut)
+                .closesConnections(departures::isDeparting)
                 .configuration(() -> fixture.configuration)
                 .accounts(key -> KeyRegistry.of(fixture.configuration).accountOf(key))
                 .rateLimiter((account, wait) -> rateExceeded
@@ -260,6 +260,21 @@
         assertRefused(post(STATEMENTS, READ, "Authorization", BEARER), "failure-domain-taken-out");
     }
 
+    @Test
+    void drainedEntryVmAsksCallersToLeaveAndThenRefuses() throws Exception {
+        assertThat(post(STATEMENTS, READ, "Authorization", BEARER).headers().firstValue("Connection"))
+                .isEmpty();
+        fixture.configuration = fixture.configuration.toBuilder()
+                .drainedEntryVms(Set.of("east-1"))
+                .build();
+        HttpResponse<String> first = post(STATEMENTS, READ, "Authorization", BEARER);
+        assertThat(first.statusCode()).isEqualTo(200);
+        assertThat(first.headers().firstValue("Connection")).hasValue("close");
+        await().atMost(5, TimeUnit.SECONDS)
+                .until(() -> post(STATEMENTS, READ, "Authorization", BEARER).statusCode() == 503);
+        assertRefused(post(STATEMENTS, READ, "Authorization", BEARER), "entry-vm-draining");
+    }
+
     @Test
     void drainCutsNoRequestInFlight() throws Exception {
         ConcurrentHashMap<String, Integer> outcomes = new ConcurrentHashMap<>();
