Score proposers and homes with one piece of code, and use neutral words in tests

Cause: the hashing of rendezvous scores stood twice, and four tests named an unknown field with a word that is not of the users. Change: ProposerRanking takes the scores of core.routing; the same hashes, so the same ranking. The words of the tests change in input and expectation alike.

--- a/banyanhook-cli/src/test/java/org/banyanhook/cli/BanyanhookToolTest.java
+++ b/banyanhook-cli/src/test/java/org/banyanhook/cli/BanyanhookToolTest.java
@@ -118,7 +118,8 @@
 
     @Test
     void runsAScriptUpToTheFirstRefusal() throws Exception {
-        Path script = Files.writeString(directory.resolve("s"), "# first\n\nshow accounts\nshow zones\nshow routes\n");
+        Path script =
+                Files.writeString(directory.resolve("s"), "# first\n\nshow accounts\nshow colours\nshow routes\n");
         answers.add(new Answer(200, ROWS));
         answers.add(new Answer(400, String.format(REFUSAL, "command-unknown", "not-run")));
 
--- a/banyanhook-core/src/main/java/org/banyanhook/core/primary/ProposerRanking.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/ProposerRanking.java
@@ -1,11 +1,8 @@
 package org.banyanhook.core.primary;
 
 import static com.google.common.base.Preconditions.checkArgument;
-import static java.nio.charset.StandardCharsets.UTF_8;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.hash.HashFunction;
-import com.google.common.hash.Hashing;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -13,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import org.banyanhook.core.routing.RendezvousScores;
 
 /**
  * Ranks the entry VMs that watch a database and may propose a primary, by rendezvous hashing.
@@ -26,8 +24,6 @@
     public static final int MAXIMUM_CANDIDATES = 6;
 
     private static final int CANDIDATES_PER_FAILURE_DOMAIN = 2;
-    private static final long MULTIPLIER = 0x9E3779B97F4A7C15L;
-    private static final HashFunction NAME_HASH = Hashing.farmHashFingerprint64();
 
     private final ImmutableList<Candidate> candidates;
     private final int failureDomainCount;
@@ -49,7 +45,7 @@
         failureDomains.forEach((entryVm, failureDomain) -> {
             Integer known = domainNumbers.putIfAbsent(failureDomain, domainNumbers.size());
             int domain = known == null ? domainNumbers.size() - 1 : known;
-            candidates.add(new Candidate(entryVm, domain, hash(entryVm)));
+            candidates.add(new Candidate(entryVm, domain, RendezvousScores.nameHash(entryVm)));
         });
         return new ProposerRanking(candidates.build(), domainNumbers.size());
     }
@@ -61,10 +57,13 @@
      * @return the names of at most {@value #MAXIMUM_CANDIDATES} entry VMs, the first to act first
      */
     public List<String> candidates(String database) {
-        long databaseHash = hash(database);
+        long databaseHash = RendezvousScores.nameHash(database);
         Scored[][] best = new Scored[failureDomainCount][CANDIDATES_PER_FAILURE_DOMAIN];
         for (Candidate candidate : candidates) {
-            insert(best[candidate.domain()], candidate.entryVm(), mix(databaseHash ^ candidate.hash()));
+            insert(
+                    best[candidate.domain()],
+                    candidate.entryVm(),
+                    RendezvousScores.score(databaseHash, candidate.hash()));
         }
         List<String> ranked = new ArrayList<>();
         for (int place = 0; place < CANDIDATES_PER_FAILURE_DOMAIN; place++) {
@@ -99,15 +98,6 @@
         }
     }
 
-    private static long hash(String name) {
-        return NAME_HASH.hashString(name, UTF_8).asLong();
-    }
-
-    private static long mix(long value) {
-        long mixed = (value ^ (value >>> 32)) * MULTIPLIER;
-        return (mixed ^ (mixed >>> 29)) * MULTIPLIER;
-    }
-
     private record Candidate(String entryVm, int domain, long hash) {}
 
     private record Scored(String entryVm, long score) {}
--- a/banyanhook-core/src/test/java/org/banyanhook/core/command/CommandParserTest.java
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/command/CommandParserTest.java
@@ -47,7 +47,7 @@
             value = {
                 "`` ~ The command is empty",
                 "frobnicate x ~ no command 'frobnicate x'; write one of: show accounts|",
-                "show zones ~ no 'zones' to show",
+                "show colours ~ no 'colours' to show",
                 "show accounts now ~ 'now' is too much",
                 "set account plant ~ nothing to set is named",
                 "set account plant rate=-1 ~ 'rate=-1' is not a number of at least 0",
--- a/banyanhook-daemon/src/test/java/org/banyanhook/daemon/administration/AdministrationServerTest.java
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/administration/AdministrationServerTest.java
@@ -119,7 +119,7 @@
                 "kim's key | {\"command\":\"set account nobody rate=1\"} | 400 | configuration-invalid",
                 "kim's key | {\"command\":\"drain entry-vm a\",\"basedOnVersion\":0} | 409 | configuration-conflict",
                 "kim's key | {\"command\":\"frobnicate\"} | 400 | command-unknown",
-                "kim's key | {\"command\":\"show services\",\"zone\":1} | 400 | no field 'zone'",
+                "kim's key | {\"command\":\"show services\",\"colour\":1} | 400 | no field 'colour'",
                 "kim's key | {\"command\":7} | 400 | malformed-request",
                 "kim's key | [] | 400 | malformed-request",
                 "kim's key | {\"command\":\"show services\",\"basedOnVersion\":-1} | 400 | basedOnVersion",
--- a/banyanhook-daemon/src/test/java/org/banyanhook/daemon/settings/SettingsLoaderTest.java
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/settings/SettingsLoaderTest.java
@@ -51,7 +51,7 @@
             value = {
                 "entryVm: entry-1 | entryVm: Entry_1 | d.yaml:1: /entryVm is \"Entry_1\" | form",
                 "entryVm: entry-1 | entryVM: entry-1 | /entryVM is \"entry-1\": no such setting | remove",
-                "region: yeongnam | zone: z | /region is missing: a required setting | add it",
+                "region: yeongnam | colour: z | /region is missing: a required setting | add it",
                 "callers:\\n  address: 127.0.0.1:0 | callers:\\n  address: ulsan:80 | d.yaml:5: /callers/address | IP",
                 "127.0.0.1:9101 | 127.0.0.1:0 | /peers/address is \"127.0.0.1:0\" | from 1 to 65535",
                 "role: operate | role: admin | /administration/operatorKeys/0/role | one of [\"read\",\"operate\"]",
