Put a new configuration into the plan of proposers at once

Cause: the plan of proposers is renewed at most every 100 times its cost, so that ranking stays under 1% of a core. At 2,200 entry VMs one ranking costs 161 ms, so a failure domain taken out was seen up to 16 s late, and its primaries were moved that late, while new writes to them are refused after 3 s. Ruled out: a shorter interval (10 times the cost would be 10% of a core). Change: only a new list of live entry VMs waits for the interval; a new configuration keeps the ranks if the databases are the same, and ranks anew only if they differ.

--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/PrimaryController.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/PrimaryController.java
@@ -269,17 +269,17 @@
 
     private void renewPlan(long now) {
         long interval = Math.max(MINIMUM_PLAN_INTERVAL_NANOS, planCostNanos * PLAN_INTERVAL_PER_COST);
-        if (now - planMadeNanos < interval) {
-            return;
-        }
         FleetConfiguration current = configuration.current();
         List<EntryVm> live = membership.liveEntryVms();
-        if (plan.isFor(current, live)) {
+        if (now - planMadeNanos >= interval && !plan.isFor(live)) {
+            plan = WatchPlan.of(current, live, entryVm, failureDomain);
+            planMadeNanos = now;
+            planCostNanos = context.now() - now;
+        } else if (!plan.isFor(current)) {
+            plan = plan.withConfiguration(current);
+        } else {
             return;
         }
-        plan = WatchPlan.of(current, live, entryVm, failureDomain);
-        planMadeNanos = now;
-        planCostNanos = context.now() - now;
         groups.keySet().removeIf(database -> !plan.databases().containsKey(database));
         snapshots.keySet().removeIf(database -> !plan.databases().containsKey(database));
         groups.values()
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/WatchPlan.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/WatchPlan.java
@@ -30,32 +30,64 @@
     private final ImmutableMap<String, Integer> ranks;
     private final ImmutableMap<String, Database> databases;
     private final Set<String> takenOutFailureDomains;
+    private final String entryVm;
     private final String failureDomain;
 
     private WatchPlan(FleetConfiguration configuration, List<EntryVm> live, String entryVm, String failureDomain) {
         this.configuration = configuration;
         this.live = live;
+        this.entryVm = entryVm;
         this.failureDomain = failureDomain;
         this.peers =
                 live.stream().filter(peer -> !peer.name().equals(entryVm)).collect(ImmutableList.toImmutableList());
         this.peerFailureDomains =
                 peers.stream().collect(ImmutableMap.toImmutableMap(EntryVm::name, EntryVm::failureDomain));
         this.ranking = ProposerRanking.of(eligible(live, entryVm, failureDomain));
-        this.databases = configuration.services().stream()
+        this.databases = databases(configuration);
+        this.ranks = rank(databases.keySet(), ranking, entryVm);
+        this.takenOutFailureDomains = takenOut(configuration);
+    }
+
+    private WatchPlan(WatchPlan earlier, FleetConfiguration configuration) {
+        this.configuration = configuration;
+        this.live = earlier.live;
+        this.entryVm = earlier.entryVm;
+        this.failureDomain = earlier.failureDomain;
+        this.peers = earlier.peers;
+        this.peerFailureDomains = earlier.peerFailureDomains;
+        this.ranking = earlier.ranking;
+        this.databases = databases(configuration);
+        this.ranks = databases.keySet().equals(earlier.databases.keySet())
+                ? earlier.ranks
+                : rank(databases.keySet(), ranking, entryVm);
+        this.takenOutFailureDomains = takenOut(configuration);
+    }
+
+    static WatchPlan of(FleetConfiguration configuration, List<EntryVm> live, String entryVm, String failureDomain) {
+        return new WatchPlan(configuration, ImmutableList.copyOf(live), entryVm, failureDomain);
+    }
+
+    /**
+     * Returns the plan for a newer configuration and the same entry VMs; ranks are kept if the databases are the same.
+     */
+    WatchPlan withConfiguration(FleetConfiguration newer) {
+        return new WatchPlan(this, newer);
+    }
+
+    private static ImmutableMap<String, Database> databases(FleetConfiguration configuration) {
+        return configuration.services().stream()
                 .map(Service::databases)
                 .flatMap(List::stream)
                 .collect(ImmutableMap.toImmutableMap(Database::name, database -> database));
-        this.ranks = rank(databases.keySet(), ranking, entryVm);
-        this.takenOutFailureDomains = configuration.failureDomains().stream()
+    }
+
+    private static Set<String> takenOut(FleetConfiguration configuration) {
+        return configuration.failureDomains().stream()
                 .filter(FailureDomain::takenOut)
                 .map(FailureDomain::name)
                 .collect(Collectors.toUnmodifiableSet());
     }
 
-    static WatchPlan of(FleetConfiguration configuration, List<EntryVm> live, String entryVm, String failureDomain) {
-        return new WatchPlan(configuration, ImmutableList.copyOf(live), entryVm, failureDomain);
-    }
-
     private static Map<String, String> eligible(List<EntryVm> live, String entryVm, String failureDomain) {
         Map<String, String> eligible = new HashMap<>();
         for (EntryVm peer : live) {
@@ -81,8 +113,12 @@
         return ranks.buildOrThrow();
     }
 
-    boolean isFor(FleetConfiguration current, List<EntryVm> currentLive) {
-        return configuration == current && live.equals(currentLive);
+    boolean isFor(FleetConfiguration current) {
+        return configuration == current;
+    }
+
+    boolean isFor(List<EntryVm> currentLive) {
+        return live.equals(currentLive);
     }
 
     /** Returns the ranks of this daemon, by the name of the database; a database without a rank is absent. */
