End a turn at the head of the queue without a search

Cause: endTurn searched all active accounts for the queue that poll had just read from the head. Ruled out: the other removals, which may concern any account. Change: the head is removed; behaviour is the same.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/admission/FairQueue.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/admission/FairQueue.java
@@ -157,7 +157,7 @@
     }
 
     private void endTurn(AccountQueue<T> queue) {
-        active.remove(queue);
+        active.removeFirst();
         if (queue.isEmpty()) {
             queues.remove(queue.account());
             return;
