--- a/banyanhook-core/src/main/java/org/banyanhook/core/error/RefusalKind.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/error/RefusalKind.java
@@ -14,6 +14,8 @@
     ROUTE_UNKNOWN("route-unknown", 404, "Use a route that 'banyanhook show routes' lists for the service."),
     ROUTE_FORBIDDEN("route-forbidden", 403, "Ask an operator to allow the route for your client account."),
     IDEMPOTENCY_KEY_MISSING("idempotency-key-missing", 400, "Send an Idempotency-Key header for this route."),
+    IDEMPOTENCY_KEY_REUSED(
+            "idempotency-key-reused", 409, "Send another statement under an Idempotency-Key of its own."),
     RATE_EXCEEDED("rate-exceeded", 429, "Send fewer requests, or ask an operator for a higher rate."),
     QUEUE_FULL("queue-full", 503, "Retry after the time in Retry-After."),
     DEADLINE_EXCEEDED("deadline-exceeded", 504, "Retry with a longer deadline."),
--- a/banyanhook-core/src/main/java/org/banyanhook/core/retry/AttemptOutcome.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/retry/AttemptOutcome.java
@@ -10,6 +10,8 @@
     NO_ROOM,
     /** The member found the statement in error and did not run it. */
     STATEMENT_REJECTED,
+    /** The idempotency key was used with another statement; this one did not run. */
+    IDEMPOTENCY_KEY_REUSED,
     /** A byte may have left, and no whole answer came back. */
     MAYBE_SENT
 }
--- a/banyanhook-core/src/main/java/org/banyanhook/core/retry/RetryPolicy.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/retry/RetryPolicy.java
@@ -37,6 +37,8 @@
             case NOT_SENT -> decide(RetryDecision.Action.RETRY, execution, "not sent");
             case PRIMARY_CHANGED -> decide(RetryDecision.Action.RETRY, execution, "primary changed, did not run");
             case NO_ROOM -> decide(RetryDecision.Action.RETRY, execution, "no room, did not run");
+            case IDEMPOTENCY_KEY_REUSED ->
+                decide(RetryDecision.Action.REFUSE, execution, "idempotency key used with another statement");
             case STATEMENT_REJECTED -> decide(RetryDecision.Action.REFUSE, execution, "statement rejected");
             case MAYBE_SENT -> afterMaybeSent(kind, hasIdempotencyKey, execution, budget);
         };
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/backend/BackendErrors.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/backend/BackendErrors.java
@@ -17,6 +17,9 @@
     /** The statement is in error. */
     public static final String STATEMENT_REJECTED = "statement-rejected";
 
+    /** The idempotency key was used with another statement. */
+    public static final String IDEMPOTENCY_KEY_REUSED = "idempotency-key-reused";
+
     /** The connection has no transaction. */
     public static final String NO_TRANSACTION = "no-transaction";
 
@@ -25,7 +28,13 @@
 
     /** All codes that prove that the request did not run. */
     static final ImmutableSet<String> NOT_RUN = ImmutableSet.of(
-            WRONG_TERM, NOT_PRIMARY, TOO_MANY_CONNECTIONS, STATEMENT_REJECTED, NO_TRANSACTION, TRANSACTION_OPEN);
+            WRONG_TERM,
+            NOT_PRIMARY,
+            TOO_MANY_CONNECTIONS,
+            STATEMENT_REJECTED,
+            IDEMPOTENCY_KEY_REUSED,
+            NO_TRANSACTION,
+            TRANSACTION_OPEN);
 
     private BackendErrors() {}
 }
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/execution/BackendOutcomes.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/execution/BackendOutcomes.java
@@ -23,6 +23,7 @@
             case NOT_SENT, NO_ROOM -> RefusalKind.BACKEND_UNAVAILABLE;
             case PRIMARY_CHANGED -> RefusalKind.PRIMARY_CHANGED;
             case STATEMENT_REJECTED -> RefusalKind.STATEMENT_REJECTED;
+            case IDEMPOTENCY_KEY_REUSED -> RefusalKind.IDEMPOTENCY_KEY_REUSED;
             case MAYBE_SENT -> RefusalKind.OUTCOME_UNKNOWN;
         };
     }
@@ -31,8 +32,10 @@
         if (failure.primaryChanged()) {
             return AttemptOutcome.PRIMARY_CHANGED;
         }
-        return failure.errorCode().equals(BackendErrors.TOO_MANY_CONNECTIONS)
-                ? AttemptOutcome.NO_ROOM
-                : AttemptOutcome.STATEMENT_REJECTED;
+        return switch (failure.errorCode()) {
+            case BackendErrors.TOO_MANY_CONNECTIONS -> AttemptOutcome.NO_ROOM;
+            case BackendErrors.IDEMPOTENCY_KEY_REUSED -> AttemptOutcome.IDEMPOTENCY_KEY_REUSED;
+            default -> AttemptOutcome.STATEMENT_REJECTED;
+        };
     }
 }
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/execution/StatementRun.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/execution/StatementRun.java
@@ -204,7 +204,7 @@
         RefusalKind shown = maybeSent && writes() ? RefusalKind.OUTCOME_UNKNOWN : kind;
         RefusalException.Builder refusal =
                 RefusalException.builder(shown).execution(execution).detail(detail);
-        if (shown != RefusalKind.STATEMENT_REJECTED) {
+        if (shown != RefusalKind.STATEMENT_REJECTED && shown != RefusalKind.IDEMPOTENCY_KEY_REUSED) {
             refusal.retryAfter(RETRY_AFTER);
         }
         result.completeExceptionally(refusal.build());
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/execution/TransactionStepRun.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/execution/TransactionStepRun.java
@@ -125,6 +125,10 @@
         if (rejected && command.step() == TransactionStep.STATEMENT) {
             result.completeExceptionally(RefusalException.notRun(
                     RefusalKind.STATEMENT_REJECTED, String.valueOf(backendFailure.getMessage())));
+        } else if (refused && backendFailure.errorCode().equals(BackendErrors.IDEMPOTENCY_KEY_REUSED)) {
+            transaction.connection().discard();
+            result.completeExceptionally(RefusalException.notRun(
+                    RefusalKind.IDEMPOTENCY_KEY_REUSED, String.valueOf(backendFailure.getMessage())));
         } else if (command.step() == TransactionStep.COMMIT
                 && backendFailure.kind() == BackendException.Kind.MAYBE_SENT) {
             transaction.connection().discard();
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/peer/NettyPeerMessenger.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/peer/NettyPeerMessenger.java
@@ -52,6 +52,7 @@
     private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
     private final AtomicLong lastCorrelationId = new AtomicLong();
     private final EventLoopGroup eventLoops;
+    private final boolean ownsEventLoops;
     private final Bootstrap clientBootstrap;
     private final ServerBootstrap serverBootstrap;
     private final InetSocketAddress listenAddress;
@@ -65,7 +66,10 @@
         this.maximumOutstanding = builder.maximumOutstanding;
         this.listenAddress = builder.listenAddress;
         this.failedRequests = builder.meterRegistry.counter("banyanhook.peer.failed.requests");
-        this.eventLoops = new MultiThreadIoEventLoopGroup(builder.threads, NioIoHandler.newFactory());
+        EventLoopGroup given = builder.eventLoops;
+        this.ownsEventLoops = given == null;
+        this.eventLoops =
+                given == null ? new MultiThreadIoEventLoopGroup(builder.threads, NioIoHandler.newFactory()) : given;
         WriteBufferWaterMark writeBuffer =
                 new WriteBufferWaterMark(builder.writeBufferBytes / 2, builder.writeBufferBytes);
         this.clientBootstrap = new Bootstrap()
@@ -153,6 +157,9 @@
             channel.close().awaitUninterruptibly(SHUTDOWN_TIMEOUT_MILLIS);
         }
         links.values().forEach(PeerLink::close);
+        if (!ownsEventLoops) {
+            return;
+        }
         eventLoops
                 .shutdownGracefully(0, SHUTDOWN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                 .awaitUninterruptibly(SHUTDOWN_TIMEOUT_MILLIS);
@@ -201,6 +208,7 @@
         private Supplier<@Nullable SslContext> clientSslContext = () -> null;
         private Supplier<@Nullable SslContext> serverSslContext = () -> null;
         private int threads = DEFAULT_THREADS;
+        private @Nullable EventLoopGroup eventLoops;
         private int maximumFrameBytes = DEFAULT_MAXIMUM_FRAME_BYTES;
         private int writeBufferBytes = DEFAULT_WRITE_BUFFER_BYTES;
         private int maximumOutstanding = DEFAULT_MAXIMUM_OUTSTANDING;
@@ -238,6 +246,12 @@
             return this;
         }
 
+        /** Sets event loops to share instead of threads of its own; they are not shut down with the messenger. */
+        public Builder eventLoops(EventLoopGroup value) {
+            this.eventLoops = requireNonNull(value, "eventLoops");
+            return this;
+        }
+
         /** Sets the largest frame in bytes, sent or accepted. */
         public Builder maximumFrameBytes(int value) {
             checkArgument(value > 0, "maximumFrameBytes must be positive, was %s", value);
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/GroupMonitor.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/primary/GroupMonitor.java
@@ -154,6 +154,8 @@
         view = view.with(new MemberObservation(status, beganNanos));
         ages = ages.withObservations(view.observations().values(), database().majority());
         durable = LogPosition.latest(durable, view.durablePosition());
+        // Whoever is told that a position is confirmed must find it in the snapshot.
+        publish();
         queue.resolve(view);
         publish();
     }
--- /dev/null
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/GatewaySettings.java
@@ -0,0 +1,42 @@
+package org.banyanhook.gateway;
+
+import com.google.common.collect.ImmutableMap;
+import java.net.InetSocketAddress;
+import java.util.Map;
+
+/**
+ * The settings of one gateway.
+ *
+ * @param entryVm the name of this entry VM
+ * @param failureDomain where it runs
+ * @param regions the region of each failure domain
+ * @param clientAddress where callers connect
+ * @param readinessAddress where readiness is asked for
+ * @param metricsAddress where metrics are served
+ * @param peerAddress where other daemons connect
+ * @param storeAddress where the store answers
+ * @param authorityAddress where promotions are ordered
+ * @param shutdownMillis how long a graceful shutdown may take
+ * @param minimumLeaseMillis the shortest lease that the store grants
+ */
+public record GatewaySettings(
+        String entryVm,
+        String failureDomain,
+        Map<String, String> regions,
+        InetSocketAddress clientAddress,
+        InetSocketAddress readinessAddress,
+        InetSocketAddress metricsAddress,
+        InetSocketAddress peerAddress,
+        InetSocketAddress storeAddress,
+        InetSocketAddress authorityAddress,
+        long shutdownMillis,
+        long minimumLeaseMillis) {
+    public GatewaySettings {
+        regions = ImmutableMap.copyOf(regions);
+    }
+
+    /** Returns the region of a failure domain, or its own name if the settings name none. */
+    public String regionOf(String domain) {
+        return regions.getOrDefault(domain, domain);
+    }
+}
--- /dev/null
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionOpener.java
@@ -0,0 +1,181 @@
+package org.banyanhook.gateway.backend;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+import org.banyanhook.core.routing.StatementPlacement.Access;
+import org.banyanhook.gateway.message.MemberAnswer;
+import org.banyanhook.gateway.message.SessionError;
+import org.banyanhook.gateway.operation.Connections;
+import org.banyanhook.gateway.port.DaemonEntry;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Opens connections to members within this daemon's share of what a member takes, and hands them to the work that they
+ * were opened for. Used on the event loop only.
+ */
+final class ConnectionOpener {
+
+    /** Above the round trip between any two regions and the time that a member takes for a new connection. */
+    private static final int CONNECT_TIMEOUT_MILLIS = 700;
+
+    /** This many of four connections to a replica belong to the daemons of its own failure domain. */
+    private static final int LOCAL_QUARTERS = 3;
+
+    private static final int QUARTERS = 4;
+
+    /** How many connections beyond its share a daemon may try to open to one member. */
+    private static final int BORROWED_CONNECTIONS = 2;
+
+    private final GroupContext context;
+    private final MemberConnection.Owner owner;
+    private final Map<MemberConnection, Opening> openings = new HashMap<>();
+
+    private record Opening(Work work, Placement placement) {}
+
+    ConnectionOpener(GroupContext context, MemberConnection.Owner owner) {
+        this.context = context;
+        this.owner = owner;
+    }
+
+    /**
+     * Divides the connections that a member takes. Every daemon needs the primary; a replica is used mostly by the
+     * daemons near it.
+     */
+    int share(MemberServer server, boolean primary, IntSupplier limit) {
+        if (primary) {
+            return Math.max(1, limit.getAsInt() / context.directory().sharingDaemons());
+        }
+        String domain = server.entry().failureDomain();
+        if (!domain.equals(context.settings().failureDomain())) {
+            return 0;
+        }
+        int near = 0;
+        for (DaemonEntry daemon : context.directory().daemons().values()) {
+            near += daemon.failureDomain().equals(domain) ? 1 : 0;
+        }
+        return Math.max(1, limit.getAsInt() * LOCAL_QUARTERS / QUARTERS / Math.max(1, near));
+    }
+
+    /** Returns how a connection can be had, or null if none can now. */
+    @Nullable
+    Access access(MemberServer server, String account, boolean primary, IntSupplier limit, long nowNanos) {
+        if (idle(server, account) != null) {
+            return Access.IDLE_CONNECTION;
+        }
+        int share = share(server, primary, limit);
+        int present = server.connections().size();
+        if (!server.mayBorrow(nowNanos)) {
+            return null;
+        }
+        if (present < share) {
+            return Access.NEW_CONNECTION;
+        }
+        if (anyIdle(server) != null) {
+            return Access.REPLACED_CONNECTION;
+        }
+        return present < share + BORROWED_CONNECTIONS ? Access.BORROWED_CONNECTION : null;
+    }
+
+    void connect(MemberServer server, Work work, Placement placement) {
+        MemberConnection idle = idle(server, work.account());
+        if (idle != null) {
+            idle.lease();
+            work.listener().onPlaced(idle, placement);
+            return;
+        }
+        if (placement.access() == Access.REPLACED_CONNECTION) {
+            MemberConnection other = anyIdle(server);
+            if (other != null) {
+                other.close("replaced by one for another account");
+            }
+        }
+        open(server, work, placement);
+    }
+
+    void opened(MemberConnection connection, MemberAnswer answer, Consumer<Work> resubmit) {
+        Opening opening = openings.remove(connection);
+        if (answer.error() != null) {
+            if (answer.error() == SessionError.CONNECTION_LIMIT) {
+                connection.server().refusedConnection(context.clock().nowNanos());
+            } else {
+                connection.server().unreachable(context.clock().nowNanos());
+            }
+            resubmit(opening, resubmit);
+            return;
+        }
+        if (opening == null || opening.work().isCancelled()) {
+            connection.endLease();
+            return;
+        }
+        opening.work().listener().onPlaced(connection, opening.placement());
+    }
+
+    void closed(MemberConnection connection, String reason, Consumer<Work> resubmit) {
+        connection.server().connections().remove(connection);
+        context.metrics().count("member.connections", "change", "closed");
+        context.log()
+                .line("member-connection")
+                .with("member", connection.server().name())
+                .with("account", connection.account())
+                .with("change", "closed")
+                .with("reason", reason)
+                .write();
+        Opening opening = openings.remove(connection);
+        if (opening != null) {
+            connection.server().unreachable(context.clock().nowNanos());
+            resubmit(opening, resubmit);
+        }
+    }
+
+    private static void resubmit(@Nullable Opening opening, Consumer<Work> resubmit) {
+        if (opening != null && !opening.work().isCancelled()) {
+            resubmit.accept(opening.work());
+        }
+    }
+
+    private void open(MemberServer server, Work work, Placement placement) {
+        MemberConnection connection = new MemberConnection(server, work.account(), context.clock(), owner);
+        connection.lease();
+        connection.borrowed(placement.access() == Access.BORROWED_CONNECTION);
+        server.connections().add(connection);
+        openings.put(connection, new Opening(work, placement));
+        context.metrics().count("member.connections", "change", "opened");
+        Bootstrap bootstrap = Connections.outgoing(context.eventLoops(), CONNECT_TIMEOUT_MILLIS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(context.codec().newMemberCodec(), connection);
+                    }
+                });
+        ChannelFuture attempt = bootstrap.connect(server.entry().address());
+        attempt.addListener(done -> {
+            if (!done.isSuccess()) {
+                connection.connectFailed(done.cause());
+            }
+        });
+    }
+
+    private static @Nullable MemberConnection idle(MemberServer server, String account) {
+        for (MemberConnection connection : server.connections()) {
+            if (connection.isIdle() && connection.account().equals(account)) {
+                return connection;
+            }
+        }
+        return null;
+    }
+
+    private static @Nullable MemberConnection anyIdle(MemberServer server) {
+        for (MemberConnection connection : server.connections()) {
+            if (connection.isIdle()) {
+                return connection;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroups.java
@@ -0,0 +1,59 @@
+package org.banyanhook.gateway.backend;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import org.banyanhook.gateway.fleet.FleetDirectory.MemberRecord;
+import org.banyanhook.gateway.fleet.FleetListener;
+
+/** The database groups of the fleet, kept in line with the directory. Used on the event loop only. */
+public final class DatabaseGroups implements FleetListener {
+
+    private final GroupContext context;
+    private final Map<String, DatabaseGroup> groups = new HashMap<>();
+
+    /**
+     * Creates an empty set.
+     *
+     * @param context what all groups share
+     */
+    public DatabaseGroups(GroupContext context) {
+        this.context = context;
+        context.clock().onJump(this::forgetHistories);
+    }
+
+    /** Returns the group of a name, which may have no members yet. */
+    public DatabaseGroup group(String name) {
+        return groups.computeIfAbsent(name, known -> new DatabaseGroup(known, context));
+    }
+
+    /** Returns all groups. */
+    public Collection<DatabaseGroup> all() {
+        return groups.values();
+    }
+
+    /** Refuses what has waited too long. */
+    public void tick() {
+        groups.values().forEach(DatabaseGroup::tick);
+    }
+
+    @Override
+    public void onFleetChange() {
+        Map<String, Map<String, MemberRecord>> byGroup = new HashMap<>();
+        for (MemberRecord member : context.directory().members()) {
+            byGroup.computeIfAbsent(member.entry().group(), name -> new HashMap<>())
+                    .put(member.entry().member(), member);
+        }
+        byGroup.keySet().forEach(this::group);
+        groups.forEach((name, group) -> group.update(byGroup.getOrDefault(name, Map.of())));
+    }
+
+    private void forgetHistories() {
+        context.log()
+                .line("clock")
+                .with("change", "jump")
+                .with("reason", "suspended or stepped")
+                .write();
+        groups.values().forEach(DatabaseGroup::forgetHistory);
+    }
+}
--- /dev/null
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberConnection.java
@@ -0,0 +1,285 @@
+package org.banyanhook.gateway.backend;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Objects;
+import org.banyanhook.core.replication.LogPosition;
+import org.banyanhook.gateway.message.MemberAnswer;
+import org.banyanhook.gateway.message.MemberCommand;
+import org.banyanhook.gateway.message.SessionStatement;
+import org.banyanhook.gateway.message.SessionStatement.PreparedShape;
+import org.banyanhook.gateway.message.TransactionState;
+import org.banyanhook.gateway.operation.SteadyClock;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One connection to a member, opened for one client account. Commands are answered in order, so several may be under
+ * way. A connection with any doubt is closed and never used again. Used on the event loop only.
+ */
+public final class MemberConnection extends SimpleChannelInboundHandler<MemberAnswer> {
+
+    /** More prepared statements than this on one connection are dropped and prepared anew. */
+    private static final int MAXIMUM_PREPARED = 200;
+
+    private final MemberServer server;
+    private final String account;
+    private final SteadyClock clock;
+    private final Owner owner;
+    private final Deque<Pending> pending = new ArrayDeque<>();
+    private final Map<String, String> values = new LinkedHashMap<>();
+    private final Map<PreparedShape, String> prepared = new HashMap<>();
+    private @Nullable Channel channel;
+    private boolean open;
+    private boolean closed;
+    private boolean leased;
+    private boolean borrowed;
+
+    private record Pending(long sentNanos, AnswerListener listener) {}
+
+    /** Takes the answer to one command. */
+    @FunctionalInterface
+    public interface AnswerListener {
+        /**
+         * Handles an answer.
+         *
+         * @param answer the answer, or null if the connection ended before a whole one arrived
+         * @param sentNanos when the command was sent
+         */
+        void onAnswer(@Nullable MemberAnswer answer, long sentNanos);
+    }
+
+    /** What keeps the connection. */
+    interface Owner {
+        /** Handles that the member accepted or refused the connection; a refusal is followed by its end. */
+        void onOpened(MemberConnection connection, MemberAnswer answer);
+
+        /** Handles an answer of the member. */
+        void onAnswer(MemberConnection connection, MemberAnswer answer, long sentNanos);
+
+        /** Handles the end of the connection. */
+        void onClosed(MemberConnection connection, String reason);
+    }
+
+    MemberConnection(MemberServer server, String account, SteadyClock clock, Owner owner) {
+        super(MemberAnswer.class);
+        this.server = server;
+        this.account = account;
+        this.clock = clock;
+        this.owner = owner;
+    }
+
+    /** Returns the member. */
+    public MemberServer server() {
+        return server;
+    }
+
+    /** Returns the client account that it is for. */
+    public String account() {
+        return account;
+    }
+
+    /** Returns whether it accepts commands. */
+    public boolean isUsable() {
+        return open && !closed;
+    }
+
+    /** Returns whether it runs somebody's statement or transaction. */
+    public boolean isLeased() {
+        return leased;
+    }
+
+    boolean isIdle() {
+        return open && !closed && !leased && pending.isEmpty();
+    }
+
+    boolean isBorrowed() {
+        return borrowed;
+    }
+
+    void borrowed(boolean value) {
+        borrowed = value;
+    }
+
+    void lease() {
+        leased = true;
+    }
+
+    void endLease() {
+        leased = false;
+    }
+
+    /**
+     * Sends a command. Call {@link #flush()} after the last one.
+     *
+     * @param command the command
+     * @param listener takes the answer
+     */
+    public void send(MemberCommand command, AnswerListener listener) {
+        Channel present = channel;
+        long now = clock.nowNanos();
+        if (present == null || closed) {
+            listener.onAnswer(null, now);
+            return;
+        }
+        pending.add(new Pending(now, listener));
+        present.write(command, present.voidPromise());
+    }
+
+    /** Puts what was sent on the wire. */
+    public void flush() {
+        Channel present = channel;
+        if (present != null) {
+            present.flush();
+        }
+    }
+
+    /**
+     * Gives the connection the values of a session, with as few commands as possible.
+     *
+     * @param wanted the values of the session
+     */
+    public void adopt(Map<String, String> wanted) {
+        if (!wanted.keySet().containsAll(values.keySet())) {
+            discard();
+        }
+        for (Map.Entry<String, String> value : wanted.entrySet()) {
+            if (!value.getValue().equals(values.get(value.getKey()))) {
+                values.put(value.getKey(), value.getValue());
+                sendOwn(new SessionStatement.SetValue(value.getKey(), value.getValue()));
+            }
+        }
+    }
+
+    /**
+     * Prepares a statement if the connection does not hold it yet. The names are the connection's own, so that those of
+     * several sessions cannot collide.
+     *
+     * @param shape the statement
+     * @return its name on this connection
+     */
+    public String prepare(PreparedShape shape) {
+        String known = prepared.get(shape);
+        if (known != null) {
+            return known;
+        }
+        String name = "p" + prepared.size();
+        prepared.put(shape, name);
+        sendOwn(new SessionStatement.Prepare(name, shape));
+        return name;
+    }
+
+    /** Drops prepared statements if there are too many; call before a statement, outside a transaction. */
+    public void trim() {
+        if (prepared.size() >= MAXIMUM_PREPARED) {
+            discard();
+        }
+    }
+
+    /**
+     * Closes the connection; whoever waits for an answer is told that none comes.
+     *
+     * @param reason why, for the log
+     */
+    public void close(String reason) {
+        if (closed) {
+            return;
+        }
+        Channel present = channel;
+        if (present != null && present.isActive() && pending.isEmpty()) {
+            present.write(new MemberCommand.Terminate(), present.voidPromise());
+            present.flush();
+        }
+        ended(reason);
+        if (present != null) {
+            present.close();
+        }
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        channel = context.channel();
+        if (closed) {
+            context.close();
+            return;
+        }
+        send(new MemberCommand.Open(server.entry().group(), account, server.name()), this::onOpenAnswer);
+        flush();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, MemberAnswer answer) {
+        Pending first = pending.poll();
+        if (first == null) {
+            close("answer that nobody asked for");
+            return;
+        }
+        owner.onAnswer(this, answer, first.sentNanos());
+        first.listener().onAnswer(answer, first.sentNanos());
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        ended("closed by the member");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        ended(cause.toString());
+        context.close();
+    }
+
+    void connectFailed(Throwable cause) {
+        ended("not connected: " + cause.getMessage());
+    }
+
+    /** Returns the term of the member's last answer. */
+    long observedTerm() {
+        LogPosition position = server.position();
+        return position.term();
+    }
+
+    private void onOpenAnswer(@Nullable MemberAnswer answer, long sentNanos) {
+        if (answer == null) {
+            return;
+        }
+        open = answer.error() == null && answer.state() == TransactionState.IDLE;
+        owner.onOpened(this, answer);
+        if (!open) {
+            close("refused: " + answer.error());
+        }
+    }
+
+    private void discard() {
+        values.clear();
+        prepared.clear();
+        send(new MemberCommand.Discard(), this::closeOnError);
+    }
+
+    private void sendOwn(SessionStatement statement) {
+        send(new MemberCommand.Own(statement, null), this::closeOnError);
+    }
+
+    private void closeOnError(@Nullable MemberAnswer answer, long sentNanos) {
+        if (answer != null && answer.error() != null) {
+            close("session state refused: " + answer.error() + " " + answer.detail());
+        }
+    }
+
+    private void ended(String reason) {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        owner.onClosed(this, reason);
+        long now = clock.nowNanos();
+        while (!pending.isEmpty()) {
+            Objects.requireNonNull(pending.poll()).listener().onAnswer(null, now);
+        }
+    }
+}
--- /dev/null
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
@@ -0,0 +1,164 @@
+package org.banyanhook.gateway.backend;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.banyanhook.core.replication.LogPosition;
+import org.banyanhook.core.routing.LatencyEstimate;
+import org.banyanhook.gateway.port.MemberEntry;
+import org.jspecify.annotations.Nullable;
+
+/** A member of a database group as this daemon knows it, with the connections to it. Used on the event loop only. */
+public final class MemberServer {
+
+    private static final long INITIAL_LATENCY_NANOS = TimeUnit.MILLISECONDS.toNanos(15);
+
+    /** A member that could not be reached is tried again after this long, doubled with each failure. */
+    private static final long MINIMUM_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    private static final long MAXIMUM_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+
+    /** A replica whose log lacked a position is passed over for this long. */
+    private static final long BEHIND_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    /** After a refused connection, none beyond this daemon's share is tried for this long. */
+    private static final long CONNECTION_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    private final List<MemberConnection> connections = new ArrayList<>();
+    private final LatencyEstimate latency;
+    private MemberEntry entry;
+    private long primarySinceRevision;
+    private boolean listed = true;
+    private LogPosition position = LogPosition.START;
+    private int failures;
+    private long failingSinceNanos;
+    private long retryAtNanos;
+    private long behindUntilNanos;
+    private long connectionLimitUntilNanos;
+    private boolean deposed;
+    private long lastAnswerNanos;
+
+    MemberServer(MemberEntry entry, long primarySinceRevision, long nowNanos) {
+        this.entry = entry;
+        this.primarySinceRevision = primarySinceRevision;
+        this.latency = new LatencyEstimate(INITIAL_LATENCY_NANOS, nowNanos);
+        this.retryAtNanos = nowNanos;
+        this.lastAnswerNanos = nowNanos;
+        this.behindUntilNanos = nowNanos;
+        this.connectionLimitUntilNanos = nowNanos;
+    }
+
+    /** Returns what the member says of itself. */
+    public MemberEntry entry() {
+        return entry;
+    }
+
+    /** Returns its name. */
+    public String name() {
+        return entry.member();
+    }
+
+    /** Returns the end of its log as its last answer told. */
+    public LogPosition position() {
+        return position;
+    }
+
+    /** Returns the revision at which it began to report that it is the primary, 0 if it does not. */
+    public long primarySinceRevision() {
+        return deposed ? 0 : primarySinceRevision;
+    }
+
+    /** Returns the connections to it, those that are being opened included. */
+    public List<MemberConnection> connections() {
+        return connections;
+    }
+
+    /** Returns how many statements of this daemon it is running. */
+    public int inFlight() {
+        int sum = 0;
+        for (MemberConnection connection : connections) {
+            sum += connection.isLeased() ? 1 : 0;
+        }
+        return sum;
+    }
+
+    /** Returns whether it may get new work. */
+    public boolean takesWork() {
+        return listed && !entry.leaving();
+    }
+
+    /** Returns whether its entry is in the directory. */
+    public boolean isListed() {
+        return listed;
+    }
+
+    /** Returns since when it has not been reached, or a negative number if it was reached at the last attempt. */
+    public long failingNanos(long nowNanos) {
+        return failures == 0 ? -1 : nowNanos - failingSinceNanos;
+    }
+
+    /** Returns how long ago it last answered or was first listed, in nanoseconds. */
+    public long silentNanos(long nowNanos) {
+        return nowNanos - lastAnswerNanos;
+    }
+
+    boolean mayBeTried(long nowNanos) {
+        return nowNanos - retryAtNanos >= 0;
+    }
+
+    boolean isBehind(long nowNanos) {
+        return nowNanos - behindUntilNanos < 0;
+    }
+
+    boolean mayBorrow(long nowNanos) {
+        return nowNanos - connectionLimitUntilNanos >= 0;
+    }
+
+    LatencyEstimate latency() {
+        return latency;
+    }
+
+    void update(MemberEntry newEntry, long revision) {
+        boolean claimsAnew = revision > primarySinceRevision;
+        if (claimsAnew || !newEntry.primary()) {
+            deposed = false;
+        }
+        entry = newEntry;
+        primarySinceRevision = revision;
+        listed = true;
+    }
+
+    void unlist() {
+        listed = false;
+    }
+
+    void answered(@Nullable LogPosition reported, long nowNanos) {
+        failures = 0;
+        lastAnswerNanos = nowNanos;
+        if (reported != null) {
+            position = reported;
+        }
+    }
+
+    void unreachable(long nowNanos) {
+        if (failures == 0) {
+            failingSinceNanos = nowNanos;
+        }
+        long delay = Math.min(MAXIMUM_RETRY_NANOS, MINIMUM_RETRY_NANOS << Math.min(failures, 8));
+        failures++;
+        retryAtNanos = nowNanos + delay;
+    }
+
+    void wasBehind(long nowNanos) {
+        behindUntilNanos = nowNanos + BEHIND_NANOS;
+    }
+
+    void refusedConnection(long nowNanos) {
+        connectionLimitUntilNanos = nowNanos + CONNECTION_LIMIT_NANOS;
+    }
+
+    /** Stops believing its claim to be the primary, until it claims so anew. */
+    void depose() {
+        deposed = true;
+    }
+}
--- /dev/null
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ProbeConnections.java
@@ -0,0 +1,113 @@
+package org.banyanhook.gateway.backend;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.banyanhook.gateway.message.MemberAnswer;
+import org.banyanhook.gateway.message.MemberCommand;
+import org.banyanhook.gateway.message.MemberReport;
+import org.banyanhook.gateway.operation.Connections;
+
+/** Sends each command on a new connection, which is closed after the answer. Used on the event loop only. */
+public final class ProbeConnections implements MemberProbe {
+
+    /** Above the round trip between any two regions, the time for a new connection and a short queue. */
+    private static final int TIMEOUT_MILLIS = 500;
+
+    private final GroupContext context;
+
+    /**
+     * Creates the prober.
+     *
+     * @param context what all groups share
+     */
+    public ProbeConnections(GroupContext context) {
+        this.context = context;
+    }
+
+    @Override
+    public CompletableFuture<Optional<MemberReport>> send(MemberServer server, MemberCommand command) {
+        CompletableFuture<Optional<MemberReport>> result = new CompletableFuture<>();
+        var accounts = context.directory().configuration().accounts();
+        if (accounts.isEmpty()) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        MemberConnection connection =
+                new MemberConnection(server, accounts.get(0).name(), context.clock(), new Asker(command, result));
+        var attempt = Connections.outgoing(context.eventLoops(), TIMEOUT_MILLIS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(context.codec().newMemberCodec(), connection);
+                    }
+                })
+                .connect(server.entry().address());
+        attempt.addListener(done -> {
+            if (!done.isSuccess()) {
+                connection.connectFailed(done.cause());
+            }
+        });
+        var timer = context.eventLoops()
+                .next()
+                .schedule(() -> connection.close("probe timed out"), TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        return result.whenComplete((report, failure) -> timer.cancel(false));
+    }
+
+    private final class Asker implements MemberConnection.Owner {
+        private final MemberCommand command;
+        private final CompletableFuture<Optional<MemberReport>> result;
+
+        private Asker(MemberCommand command, CompletableFuture<Optional<MemberReport>> result) {
+            this.command = command;
+            this.result = result;
+        }
+
+        @Override
+        public void onOpened(MemberConnection connection, MemberAnswer opened) {
+            if (opened.error() != null) {
+                return;
+            }
+            connection.send(command, (answer, sentNanos) -> {
+                Optional<MemberReport> report =
+                        answer == null ? Optional.empty() : context.codec().report(answer);
+                context.log()
+                        .line("probe")
+                        .with("member", connection.server().name())
+                        .with("command", command.getClass().getSimpleName())
+                        .with(
+                                "error",
+                                answer == null || answer.error() == null
+                                        ? null
+                                        : answer.error().name())
+                        .with(
+                                "position",
+                                report.map(found -> found.position().toString()).orElse(null))
+                        .with("term", report.map(MemberReport::term).orElse(-1L))
+                        .write();
+                result.complete(report);
+                connection.close("probe done");
+            });
+            connection.flush();
+        }
+
+        @Override
+        public void onAnswer(MemberConnection connection, MemberAnswer answer, long sentNanos) {
+            connection.server().answered(answer.position(), context.clock().nowNanos());
+        }
+
+        @Override
+        public void onClosed(MemberConnection connection, String reason) {
+            if (!result.isDone()) {
+                context.log()
+                        .line("probe")
+                        .with("member", connection.server().name())
+                        .with("command", command.getClass().getSimpleName())
+                        .with("error", reason)
+                        .write();
+                result.complete(Optional.empty());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DaemonRegistration.java
@@ -0,0 +1,143 @@
+package org.banyanhook.gateway.fleet;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.banyanhook.gateway.operation.DecisionLog;
+import org.banyanhook.gateway.operation.GatewayMetrics;
+import org.banyanhook.gateway.operation.SteadyClock;
+import org.banyanhook.gateway.port.RecordStore;
+import org.banyanhook.gateway.port.StoreException;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Keeps this daemon's entry in the store, under a lease. A renewal costs a tenth of a call, so it also serves to know
+ * whether the store can be reached. Runs on the event loop.
+ */
+public final class DaemonRegistration {
+
+    /** How long the entry outlives this daemon. */
+    private static final Duration TIME_TO_LIVE = Duration.ofSeconds(5);
+
+    private static final long RENEWAL_MILLIS = 1_000;
+    private static final long RETRY_MILLIS = 400;
+
+    private final RecordStore store;
+    private final String key;
+    private final byte[] value;
+    private final EventLoop eventLoop;
+    private final SteadyClock clock;
+    private final DecisionLog log;
+    private final GatewayMetrics metrics;
+    private long lease;
+    private long lastContactNanos;
+    private boolean everInContact;
+    private boolean stopped;
+
+    /**
+     * Creates a registration.
+     *
+     * @param store the store
+     * @param key the key of the entry
+     * @param value the entry
+     * @param eventLoop where everything runs
+     * @param clock the monotonic clock
+     * @param log receives a line for each new lease
+     * @param metrics counts the calls
+     */
+    public DaemonRegistration(
+            RecordStore store,
+            String key,
+            byte[] value,
+            EventLoop eventLoop,
+            SteadyClock clock,
+            DecisionLog log,
+            GatewayMetrics metrics) {
+        this.store = store;
+        this.key = key;
+        this.value = value.clone();
+        this.eventLoop = eventLoop;
+        this.clock = clock;
+        this.log = log;
+        this.metrics = metrics;
+    }
+
+    /** Starts to register. */
+    public void start() {
+        if (stopped) {
+            return;
+        }
+        long sentNanos = clock.nowNanos();
+        store.openLease(TIME_TO_LIVE)
+                .thenCompose(opened -> {
+                    lease = opened;
+                    return store.put(key, value, OptionalLong.empty(), opened);
+                })
+                .whenComplete((revision, failure) -> {
+                    if (failure != null) {
+                        failed(failure, this::start);
+                        return;
+                    }
+                    inContact(sentNanos);
+                    log.line("registration")
+                            .with("lease", lease)
+                            .with("revision", revision)
+                            .write();
+                    later(RENEWAL_MILLIS, this::renew);
+                });
+    }
+
+    /** Ends the lease, so that others stop counting on this daemon at once. */
+    public CompletableFuture<Void> stop() {
+        stopped = true;
+        return lease == 0 ? CompletableFuture.completedFuture(null) : store.endLease(lease);
+    }
+
+    /** Returns for how long the store has not answered, in nanoseconds; very long if it never did. */
+    public long silentNanos() {
+        return everInContact ? clock.nowNanos() - lastContactNanos : Long.MAX_VALUE / 2;
+    }
+
+    private void renew() {
+        if (stopped) {
+            return;
+        }
+        long sentNanos = clock.nowNanos();
+        store.renewLease(lease).whenComplete((done, failure) -> {
+            if (failure == null) {
+                inContact(sentNanos);
+                later(RENEWAL_MILLIS, this::renew);
+            } else if (StoreMirror.kind(failure) == StoreException.Kind.LEASE_ENDED) {
+                inContact(sentNanos);
+                log.line("registration")
+                        .with("lease", lease)
+                        .with("change", "lapsed")
+                        .write();
+                start();
+            } else {
+                failed(failure, this::renew);
+            }
+        });
+    }
+
+    private void inContact(long sentNanos) {
+        metrics.count("store.calls", "result", "lease-answered");
+        everInContact = true;
+        lastContactNanos = sentNanos;
+    }
+
+    private void failed(@Nullable Throwable failure, Runnable again) {
+        metrics.count("store.calls", "result", "lease-failed");
+        log.line("registration")
+                .with("change", "failed")
+                .with("reason", String.valueOf(failure))
+                .write();
+        later(RETRY_MILLIS, again);
+    }
+
+    private void later(long millis, Runnable action) {
+        var unused = eventLoop.schedule(action, millis, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
@@ -0,0 +1,308 @@
+package org.banyanhook.gateway.fleet;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.banyanhook.core.configuration.ClientAccount;
+import org.banyanhook.core.configuration.FleetConfiguration;
+import org.banyanhook.core.configuration.SessionConfiguration;
+import org.banyanhook.core.error.RefusalException;
+import org.banyanhook.core.key.KeyRegistry;
+import org.banyanhook.gateway.operation.DecisionLog;
+import org.banyanhook.gateway.operation.SteadyClock;
+import org.banyanhook.gateway.port.DaemonEntry;
+import org.banyanhook.gateway.port.FleetRecord;
+import org.banyanhook.gateway.port.FleetRecords;
+import org.banyanhook.gateway.port.MemberEntry;
+import org.banyanhook.gateway.port.StoreRecord;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What this daemon knows of the fleet from the store. The newest revision of each record counts, in whatever order the
+ * changes arrive. Used on the event loop only.
+ */
+public final class FleetDirectory {
+
+    /**
+     * How long a member whose entry ended is still used, in nanoseconds. Entries lapse while the store is away and are
+     * back within two seconds of its return if the member lives.
+     */
+    static final long LINGER_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+
+    /** How long the highest number of daemons seen is kept for dividing limits, in nanoseconds. */
+    private static final long COUNT_MEMORY_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+    private final FleetRecords records;
+    private final DecisionLog log;
+    private final SteadyClock clock;
+    private final List<FleetListener> listeners = new ArrayList<>();
+    private final Map<String, Long> revisions = new HashMap<>();
+    private final Map<String, FleetRecord> byKey = new HashMap<>();
+    private final Map<String, MemberRecord> members = new HashMap<>();
+    private final Map<String, Long> memberEndsNanos = new HashMap<>();
+    private final Map<String, DaemonEntry> daemons = new HashMap<>();
+    private final Set<String> evacuated = new HashSet<>();
+    private final Deque<DaemonCount> daemonCounts = new ArrayDeque<>();
+    private SessionConfiguration configuration = SessionConfiguration.EMPTY;
+    private KeyRegistry keys = KeyRegistry.of(FleetConfiguration.EMPTY);
+
+    private record DaemonCount(long nanos, int count) {}
+
+    /**
+     * A member's entry with the store's revision of it.
+     *
+     * @param entry what the member says of itself
+     * @param primarySinceRevision the revision at which it began to report that it is the primary, 0 if it does not
+     */
+    public record MemberRecord(MemberEntry entry, long primarySinceRevision) {}
+
+    /**
+     * Creates an empty directory.
+     *
+     * @param records decodes the records
+     * @param log receives a line for each change of what is believed
+     * @param clock the monotonic clock
+     */
+    public FleetDirectory(FleetRecords records, DecisionLog log, SteadyClock clock) {
+        this.records = records;
+        this.log = log;
+        this.clock = clock;
+    }
+
+    /** Adds a listener that is told after each change. */
+    public void addListener(FleetListener listener) {
+        listeners.add(listener);
+    }
+
+    /** Returns the configuration in force here. */
+    public SessionConfiguration configuration() {
+        return configuration;
+    }
+
+    /** Returns the members that may be used, those whose entry has ended just now included. */
+    public Collection<MemberRecord> members() {
+        return members.values();
+    }
+
+    /** Returns whether operators have taken a failure domain out. */
+    public boolean isEvacuated(String failureDomain) {
+        return evacuated.contains(failureDomain);
+    }
+
+    /** Returns the daemons that have an entry, by entry VM. */
+    public Map<String, DaemonEntry> daemons() {
+        return ImmutableMap.copyOf(daemons);
+    }
+
+    /**
+     * Returns by how many daemons limits are divided: the most that were seen at once of late, because a daemon whose
+     * entry ended may still be running for a while.
+     */
+    public int sharingDaemons() {
+        int most = Math.max(1, daemons.size());
+        for (DaemonCount count : daemonCounts) {
+            most = Math.max(most, count.count());
+        }
+        return most;
+    }
+
+    /**
+     * Finds the client account of a key.
+     *
+     * @param key the key as the caller sent it
+     * @return the account, or empty if the key is granted to none
+     */
+    public Optional<ClientAccount> accountOf(String key) {
+        try {
+            return Optional.of(keys.accountOf(key));
+        } catch (RefusalException refusal) {
+            return Optional.empty();
+        }
+    }
+
+    /** Takes in a change. */
+    public void apply(StoreRecord change) {
+        if (applyOne(change)) {
+            changed();
+        }
+    }
+
+    /**
+     * Takes in all records that the store holds.
+     *
+     * @param all the records
+     * @param revision the revision of the store before the first of them was read
+     */
+    public void replaceAll(List<StoreRecord> all, long revision) {
+        Set<String> present = new HashSet<>();
+        for (StoreRecord found : all) {
+            present.add(found.key());
+            applyOne(found);
+        }
+        for (String key : ImmutableSet.copyOf(byKey.keySet())) {
+            if (!present.contains(key) && revisions.getOrDefault(key, 0L) <= revision) {
+                applyOne(new StoreRecord(key, revision, null));
+            }
+        }
+        changed();
+    }
+
+    /** Forgets members whose entry ended a while ago. */
+    public void tick() {
+        long now = clock.nowNanos();
+        daemonCounts.removeIf(count -> now - count.nanos() > COUNT_MEMORY_NANOS);
+        boolean forgotten = false;
+        for (Map.Entry<String, Long> end : ImmutableMap.copyOf(memberEndsNanos).entrySet()) {
+            if (now - end.getValue() >= 0) {
+                memberEndsNanos.remove(end.getKey());
+                members.remove(end.getKey());
+                forgotten = true;
+                log.line("member")
+                        .with("member", end.getKey())
+                        .with("change", "forgotten")
+                        .write();
+            }
+        }
+        if (forgotten) {
+            changed();
+        }
+    }
+
+    private boolean applyOne(StoreRecord change) {
+        if (change.revision() < revisions.getOrDefault(change.key(), 0L)) {
+            return false;
+        }
+        revisions.put(change.key(), change.revision());
+        byte[] value = change.value();
+        FleetRecord before = byKey.get(change.key());
+        if (value == null) {
+            byKey.remove(change.key());
+            if (before != null) {
+                remove(before, change);
+            }
+            return before != null;
+        }
+        FleetRecord after = records.decode(change.key(), value);
+        if (before != null && !sameSubject(before, after)) {
+            remove(before, change);
+        }
+        byKey.put(change.key(), after);
+        add(after, change);
+        return true;
+    }
+
+    private static boolean sameSubject(FleetRecord before, FleetRecord after) {
+        return before.getClass() == after.getClass();
+    }
+
+    private void add(FleetRecord record, StoreRecord change) {
+        if (record instanceof FleetRecord.Configuration found) {
+            configure(found.configuration(), change.revision());
+        } else if (record instanceof FleetRecord.Member found) {
+            addMember(found.entry(), change.revision());
+        } else if (record instanceof FleetRecord.Evacuation found) {
+            evacuated.add(found.failureDomain());
+            log.line("evacuation")
+                    .with("failureDomain", found.failureDomain())
+                    .with("change", "taken-out")
+                    .with("revision", change.revision())
+                    .write();
+        } else if (record instanceof FleetRecord.Daemon found) {
+            daemons.put(found.entry().entryVm(), found.entry());
+        } else if (record instanceof FleetRecord.Unusable found) {
+            log.line("record")
+                    .with("key", change.key())
+                    .with("change", "ignored")
+                    .with("reason", found.reason())
+                    .write();
+        }
+    }
+
+    private void remove(FleetRecord record, StoreRecord change) {
+        if (record instanceof FleetRecord.Member found) {
+            removeMember(found.entry(), change.revision());
+        } else if (record instanceof FleetRecord.Evacuation found) {
+            evacuated.remove(found.failureDomain());
+            log.line("evacuation")
+                    .with("failureDomain", found.failureDomain())
+                    .with("change", "back")
+                    .with("revision", change.revision())
+                    .write();
+        } else if (record instanceof FleetRecord.Daemon found) {
+            daemonCounts.addLast(new DaemonCount(clock.nowNanos(), daemons.size()));
+            daemons.remove(found.entry().entryVm());
+        }
+    }
+
+    private void configure(SessionConfiguration found, long revision) {
+        if (found.version() < configuration.version()) {
+            log.line("configuration")
+                    .with("version", found.version())
+                    .with("change", "ignored")
+                    .with("reason", "older than version " + configuration.version())
+                    .write();
+            return;
+        }
+        configuration = found;
+        keys = KeyRegistry.of(
+                FleetConfiguration.EMPTY.toBuilder().accounts(found.accounts()).build());
+        log.line("configuration")
+                .with("version", found.version())
+                .with("revision", revision)
+                .with("routes", found.routes().size())
+                .with("accounts", found.accounts().size())
+                .write();
+    }
+
+    private void addMember(MemberEntry entry, long revision) {
+        MemberRecord before = members.get(entry.member());
+        boolean reborn = before != null && before.entry().bornMillis() != entry.bornMillis();
+        long primarySince = 0;
+        if (entry.primary()) {
+            boolean already = before != null && !reborn && before.entry().primary();
+            primarySince = already && before != null ? before.primarySinceRevision() : revision;
+        }
+        memberEndsNanos.remove(entry.member());
+        members.put(entry.member(), new MemberRecord(entry, primarySince));
+        log.line("member")
+                .with("member", entry.member())
+                .with("group", entry.group())
+                .with("primary", entry.primary())
+                .with("leaving", entry.leaving())
+                .with("failureDomain", entry.failureDomain())
+                .with("reborn", reborn)
+                .with("revision", revision)
+                .write();
+    }
+
+    private void removeMember(MemberEntry entry, long revision) {
+        @Nullable MemberRecord known = members.get(entry.member());
+        if (known == null) {
+            return;
+        }
+        if (known.entry().leaving()) {
+            members.remove(entry.member());
+        } else {
+            memberEndsNanos.put(entry.member(), clock.nowNanos() + LINGER_NANOS);
+        }
+        log.line("member")
+                .with("member", entry.member())
+                .with("change", known.entry().leaving() ? "left" : "entry-ended")
+                .with("revision", revision)
+                .write();
+    }
+
+    private void changed() {
+        listeners.forEach(FleetListener::onFleetChange);
+    }
+}
--- /dev/null
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/operation/Connections.java
@@ -0,0 +1,65 @@
+package org.banyanhook.gateway.operation;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import jdk.net.ExtendedSocketOptions;
+
+/** The options that all connections of the daemon share. */
+public final class Connections {
+
+    /** The kernel probes a connection that was silent for this long, in seconds, so that a dead path is noticed. */
+    private static final int KEEP_ALIVE_IDLE_SECONDS = 1;
+
+    private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
+    private static final int KEEP_ALIVE_PROBES = 2;
+    private static final int BACKLOG = 256;
+    private static final ByteBufAllocator ALLOCATOR = new UnpooledByteBufAllocator(false);
+
+    private Connections() {}
+
+    /**
+     * Starts the description of an outgoing connection.
+     *
+     * @param eventLoops where it runs
+     * @param connectTimeoutMillis how long opening it may take
+     * @return the bootstrap, without a handler
+     */
+    public static Bootstrap outgoing(EventLoopGroup eventLoops, int connectTimeoutMillis) {
+        return new Bootstrap()
+                .group(eventLoops)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.ALLOCATOR, ALLOCATOR)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis);
+    }
+
+    /**
+     * Starts the description of a listening port.
+     *
+     * @param eventLoops where its connections run
+     * @param initializer sets up each connection
+     * @return the bootstrap
+     */
+    public static ServerBootstrap listening(EventLoopGroup eventLoops, ChannelHandler initializer) {
+        return new ServerBootstrap()
+                .group(eventLoops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.ALLOCATOR, ALLOCATOR)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(initializer);
+    }
+}
--- /dev/null
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/operation/DecisionLog.java
@@ -0,0 +1,179 @@
+package org.banyanhook.gateway.operation;
+
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Writes one JSON line for each decision. The volume of each kind of line is bounded, and what was left out is counted
+ * and told by the next line of the kind. The event loop never waits for the output: a thread of its own writes.
+ *
+ * <p>Lines are started and ended on the event loop only.
+ */
+public final class DecisionLog implements AutoCloseable {
+
+    /** Lines of one kind in a second; a busy entry VM serves fewer statements than this. */
+    private static final int LINES_PER_SECOND = 400;
+
+    /** Batches that may wait for a slow reader of the output. */
+    private static final int MAXIMUM_BATCHES = 64;
+
+    /** A batch of this many characters is handed over at once. */
+    private static final int BATCH_CHARACTERS = 16_384;
+
+    private static final long CLOSE_MILLIS = 500;
+    private static final String END = "";
+
+    private final String entryVm;
+    private final LongSupplier nowNanos;
+    private final Map<String, Budget> budgets = new HashMap<>();
+    private final BlockingQueue<String> batches = new ArrayBlockingQueue<>(MAXIMUM_BATCHES);
+    private final Thread writer;
+    private final JsonStringEncoder encoder = JsonStringEncoder.getInstance();
+    private StringBuilder batch = new StringBuilder();
+    private long droppedBatches;
+
+    private static final class Budget {
+        private long secondStartNanos;
+        private int lines;
+        private long dropped;
+    }
+
+    /**
+     * Creates a log.
+     *
+     * @param entryVm the name of this entry VM, which every line carries
+     * @param output where the lines go
+     * @param nowNanos the monotonic clock
+     */
+    public DecisionLog(String entryVm, OutputStream output, LongSupplier nowNanos) {
+        this.entryVm = entryVm;
+        this.nowNanos = nowNanos;
+        this.writer = new Thread(() -> writeBatches(output), "decision-log");
+        writer.setDaemon(true);
+        writer.start();
+    }
+
+    /**
+     * Starts a line.
+     *
+     * @param kind the kind of decision
+     * @return the line, to be ended with {@link Line#write()}
+     */
+    public Line line(String kind) {
+        Budget budget = budgets.computeIfAbsent(kind, name -> new Budget());
+        long now = nowNanos.getAsLong();
+        if (now - budget.secondStartNanos >= TimeUnit.SECONDS.toNanos(1)) {
+            budget.secondStartNanos = now;
+            budget.lines = 0;
+        }
+        if (budget.lines >= LINES_PER_SECOND) {
+            budget.dropped++;
+            return new Line(null);
+        }
+        budget.lines++;
+        Line line = new Line(batch);
+        batch.append("{\"t\":").append(System.currentTimeMillis());
+        line.with("vm", entryVm).with("event", kind);
+        if (budget.dropped > 0) {
+            line.with("linesDropped", budget.dropped);
+            budget.dropped = 0;
+        }
+        return line;
+    }
+
+    /** Hands the lines so far over to the writer. */
+    public void flush() {
+        if (batch.length() == 0) {
+            return;
+        }
+        if (batches.offer(batch.toString())) {
+            batch = new StringBuilder();
+            return;
+        }
+        droppedBatches++;
+        batch = new StringBuilder();
+        line("log").with("batchesDropped", droppedBatches).write();
+    }
+
+    /** Writes what is left and stops the writer. */
+    @Override
+    public void close() {
+        flush();
+        if (batches.offer(END)) {
+            try {
+                writer.join(CLOSE_MILLIS);
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    private void writeBatches(OutputStream output) {
+        try {
+            for (String text = batches.take(); !text.equals(END); text = batches.take()) {
+                output.write(text.getBytes(StandardCharsets.UTF_8));
+                output.flush();
+            }
+        } catch (IOException exception) {
+            // Nobody reads the output any more; there is nowhere left to report that to.
+            batches.clear();
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** A line that is being written. */
+    public final class Line {
+        private final @Nullable StringBuilder text;
+
+        private Line(@Nullable StringBuilder text) {
+            this.text = text;
+        }
+
+        /** Adds a text, or nothing if it is null. */
+        public Line with(String name, @Nullable String value) {
+            if (text != null && value != null) {
+                text.append(",\"").append(name).append("\":\"");
+                encoder.quoteAsString(value, text);
+                text.append('"');
+            }
+            return this;
+        }
+
+        /** Adds a number. */
+        public Line with(String name, long value) {
+            if (text != null) {
+                text.append(",\"").append(name).append("\":").append(value);
+            }
+            return this;
+        }
+
+        /** Adds a truth value. */
+        public Line with(String name, boolean value) {
+            if (text != null) {
+                text.append(",\"").append(name).append("\":").append(value);
+            }
+            return this;
+        }
+
+        /** Ends the line. */
+        public void write() {
+            if (text == null) {
+                return;
+            }
+            text.append("}\n");
+            if (text.length() >= BATCH_CHARACTERS) {
+                flush();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/operation/HttpEndpoint.java
@@ -0,0 +1,71 @@
+package org.banyanhook.gateway.operation;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler.Sharable;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/** Answers requests for readiness and metrics. */
+@Sharable
+public final class HttpEndpoint extends SimpleChannelInboundHandler<HttpRequest> {
+
+    /**
+     * An answer.
+     *
+     * @param ready whether the status is 200 or 503
+     * @param text the body
+     */
+    public record Answer(boolean ready, String text) {}
+
+    private final Map<String, Supplier<Answer>> answers;
+
+    /**
+     * Creates an endpoint.
+     *
+     * @param answers what to answer, by path
+     */
+    public HttpEndpoint(Map<String, Supplier<Answer>> answers) {
+        super(HttpRequest.class);
+        this.answers = Map.copyOf(answers);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpRequest request) {
+        Supplier<Answer> answer = answers.get(new QueryStringDecoder(request.uri()).path());
+        HttpResponseStatus status = HttpResponseStatus.NOT_FOUND;
+        String text = "";
+        if (answer != null) {
+            Answer given = answer.get();
+            status = given.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+            text = given.text();
+        }
+        ByteBuf body = Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
+        boolean keepAlive = HttpUtil.isKeepAlive(request);
+        var written = context.writeAndFlush(response);
+        if (!keepAlive) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        // The asker went away or sent no HTTP; it asks again on a new connection.
+        context.close();
+    }
+}
--- /dev/null
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/StorePage.java
@@ -0,0 +1,16 @@
+package org.banyanhook.gateway.port;
+
+import java.util.List;
+
+/**
+ * Records or changes with the revision up to which they were read.
+ *
+ * @param records the records or changes
+ * @param revision the revision of the store at the answer
+ * @param truncated whether more records follow the last key
+ */
+public record StorePage(List<StoreRecord> records, long revision, boolean truncated) {
+    public StorePage {
+        records = List.copyOf(records);
+    }
+}
--- /dev/null
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/package-info.java
@@ -0,0 +1,5 @@
+/** Replacement of primaries that failed or have to go. */
+@NullMarked
+package org.banyanhook.gateway.primary;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/rate/RateGate.java
@@ -0,0 +1,209 @@
+package org.banyanhook.gateway.rate;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.banyanhook.core.configuration.ClientAccount;
+import org.banyanhook.core.configuration.SessionConfiguration;
+import org.banyanhook.core.rate.AccountLimit;
+import org.banyanhook.core.rate.LendingDecision;
+import org.banyanhook.core.rate.RateTimings;
+import org.banyanhook.core.rate.TokenAction;
+import org.banyanhook.core.rate.TokenExchange;
+import org.banyanhook.core.rate.Tokens;
+import org.banyanhook.core.rate.TransferLedger;
+import org.banyanhook.gateway.fleet.FleetDirectory;
+import org.banyanhook.gateway.operation.DecisionLog;
+import org.banyanhook.gateway.operation.GatewayMetrics;
+import org.banyanhook.gateway.operation.SteadyClock;
+
+/**
+ * Holds client accounts to their rate over all daemons. Each daemon accrues an equal part of every rate, and borrows
+ * tokens from others when it is short; tokens are moved, never copied. Used on the event loop only.
+ */
+public final class RateGate {
+
+    /** How long an operation may wait for a token; some round trips to other daemons. */
+    private static final long MAXIMUM_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    /** How many other daemons may be asked for tokens a second. */
+    private static final double ASKS_PER_SECOND = 100;
+
+    /** The right to accrue does not end here: daemons that are cut off go on with their part. */
+    private static final long NEVER_NANOS = TimeUnit.DAYS.toNanos(1);
+
+    private static final Duration ASK_TIMEOUT = Duration.ofMillis(200);
+
+    private final FleetDirectory directory;
+    private final String entryVm;
+    private final PeerLending peers;
+    private final SteadyClock clock;
+    private final DecisionLog log;
+    private final GatewayMetrics metrics;
+    private final TokenExchange exchange;
+    private final Map<Long, Waiter> waiters = new HashMap<>();
+    private SessionConfiguration dividedConfiguration = SessionConfiguration.EMPTY;
+    private int dividedBy;
+    private long lastWaiter;
+
+    private record Waiter(String requestId, Consumer<Boolean> result) {}
+
+    /** Asks other daemons for tokens. */
+    @FunctionalInterface
+    public interface PeerLending {
+        /**
+         * Asks a daemon.
+         *
+         * @param request what to ask for, and whom
+         * @param timeout how long to wait
+         * @param lent told how many millionths were lent and how many could still be, on the event loop; 0 and 0 if no
+         *     answer came
+         */
+        void ask(TransferLedger.Request request, Duration timeout, LentListener lent);
+    }
+
+    /** Takes the answer of another daemon. */
+    @FunctionalInterface
+    public interface LentListener {
+        /** Handles the millionths of a token that were lent and those that could still be. */
+        void onLent(long micros, long lendableMicros);
+    }
+
+    /**
+     * Creates a gate that lets nothing pass until a configuration is known.
+     *
+     * @param entryVm the name of this entry VM
+     * @param directory tells the rates and the daemons
+     * @param peers asks other daemons
+     * @param clock the monotonic clock
+     * @param log receives a line for each refusal
+     * @param metrics counts tokens granted and refused
+     */
+    public RateGate(
+            String entryVm,
+            FleetDirectory directory,
+            PeerLending peers,
+            SteadyClock clock,
+            DecisionLog log,
+            GatewayMetrics metrics) {
+        this.entryVm = entryVm;
+        this.directory = directory;
+        this.peers = peers;
+        this.clock = clock;
+        this.log = log;
+        this.metrics = metrics;
+        this.exchange = new TokenExchange(RateTimings.DEFAULT, this::others, ASKS_PER_SECOND, clock.nowNanos());
+    }
+
+    /**
+     * Takes one token.
+     *
+     * @param account the client account
+     * @param requestId the request, for the log
+     * @param result told whether a token was taken, maybe before this method returns
+     */
+    public void acquire(String account, String requestId, Consumer<Boolean> result) {
+        long now = clock.nowNanos();
+        divide(now);
+        long waiter = ++lastWaiter;
+        waiters.put(waiter, new Waiter(requestId, result));
+        perform(exchange.acquire(account, waiter, now + MAXIMUM_WAIT_NANOS, neverEnds(now), now));
+    }
+
+    /**
+     * Lends tokens to another daemon.
+     *
+     * @param account the client account
+     * @param micros millionths of a token asked for
+     * @return what was lent
+     */
+    public LendingDecision lend(String account, long micros) {
+        long now = clock.nowNanos();
+        divide(now);
+        return exchange.lend(account, micros, false, neverEnds(now), now);
+    }
+
+    /** Refuses what has waited too long, and takes in a changed configuration or number of daemons. */
+    public void tick() {
+        long now = clock.nowNanos();
+        divide(now);
+        if (!waiters.isEmpty()) {
+            perform(exchange.onTick(neverEnds(now), now));
+        }
+    }
+
+    private static long neverEnds(long now) {
+        return now + NEVER_NANOS;
+    }
+
+    private void divide(long now) {
+        SessionConfiguration configuration = directory.configuration();
+        int daemons = directory.sharingDaemons();
+        if (configuration == dividedConfiguration && daemons == dividedBy) {
+            return;
+        }
+        exchange.accrueAll(now, neverEnds(now));
+        Map<String, AccountLimit> limits = new HashMap<>();
+        for (ClientAccount account : configuration.accounts()) {
+            limits.put(
+                    account.name(),
+                    new AccountLimit(account.ratePerSecond() / daemons, Tokens.toMicros(account.burst() / daemons)));
+        }
+        exchange.limit(limits, now);
+        dividedConfiguration = configuration;
+        dividedBy = daemons;
+        log.line("rates")
+                .with("version", configuration.version())
+                .with("daemons", daemons)
+                .write();
+    }
+
+    private List<String> others(String account) {
+        List<String> names = new ArrayList<>(directory.daemons().keySet());
+        Collections.sort(names);
+        Collections.rotate(names, -names.indexOf(entryVm));
+        names.remove(entryVm);
+        return names;
+    }
+
+    private void perform(List<TokenAction> actions) {
+        for (TokenAction action : actions) {
+            if (action instanceof TokenAction.Accept accepted) {
+                finish(accepted.waiter(), true);
+            } else if (action instanceof TokenAction.AskPeer ask) {
+                peers.ask(ask.request(), ASK_TIMEOUT, (micros, lendable) -> {
+                    long now = clock.nowNanos();
+                    perform(exchange.onTransfer(ask.request().sequence(), micros, lendable, neverEnds(now), now));
+                });
+            } else if (action instanceof TokenAction.Refuse refused) {
+                refuse(refused);
+            }
+        }
+    }
+
+    private void refuse(TokenAction.Refuse refused) {
+        Waiter waiter = waiters.get(refused.waiter());
+        log.line("rate-refusal")
+                .with("request", waiter == null ? null : waiter.requestId())
+                .with("account", refused.clientAccount())
+                .with("reason", refused.reason())
+                .with("version", dividedConfiguration.version())
+                .with("daemons", dividedBy)
+                .with("stockMicros", exchange.stockMicros(refused.clientAccount()))
+                .write();
+        finish(refused.waiter(), false);
+    }
+
+    private void finish(long number, boolean accepted) {
+        Waiter waiter = waiters.remove(number);
+        if (waiter != null) {
+            metrics.count("rate.tokens", "result", accepted ? "granted" : "refused");
+            waiter.result().accept(accepted);
+        }
+    }
+}
--- /dev/null
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/MoreSets.java
@@ -0,0 +1,31 @@
+package org.banyanhook.gateway.session;
+
+import com.google.common.collect.Sets;
+import java.util.Set;
+
+/** Operations on sets of home regions, where an empty set means all regions. */
+final class MoreSets {
+
+    /** A name that no region has, for the case that two sets of homes have none in common. */
+    private static final String NO_REGION = "";
+
+    private MoreSets() {}
+
+    /**
+     * Intersects two sets of home regions.
+     *
+     * @param first one set, empty for all regions
+     * @param second another set, empty for all regions
+     * @return the regions that both allow, empty for all
+     */
+    static Set<String> intersectionOfHomes(Set<String> first, Set<String> second) {
+        if (first.isEmpty()) {
+            return second;
+        }
+        if (second.isEmpty()) {
+            return first;
+        }
+        Set<String> common = Set.copyOf(Sets.intersection(first, second));
+        return common.isEmpty() ? Set.of(NO_REGION) : common;
+    }
+}
--- /dev/null
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/OpenTransaction.java
@@ -0,0 +1,84 @@
+package org.banyanhook.gateway.session;
+
+import org.banyanhook.core.configuration.ClientAccount;
+import org.banyanhook.core.configuration.DatabaseRoute;
+import org.banyanhook.gateway.backend.MemberConnection;
+import org.banyanhook.gateway.message.SessionError;
+import org.jspecify.annotations.Nullable;
+
+/** A transaction of a session. It has a connection from its first statement to its end. */
+final class OpenTransaction {
+
+    private final boolean readOnly;
+    private final DatabaseRoute route;
+    private final String account;
+    private final int weight;
+    private @Nullable MemberConnection connection;
+    private boolean wrote;
+    private @Nullable SessionError failure;
+    private String failureDetail = "";
+    private long lastActiveNanos;
+
+    OpenTransaction(boolean readOnly, DatabaseRoute route, ClientAccount account, long nowNanos) {
+        this.readOnly = readOnly;
+        this.route = route;
+        this.account = account.name();
+        this.weight = account.weight();
+        this.lastActiveNanos = nowNanos;
+    }
+
+    boolean readOnly() {
+        return readOnly;
+    }
+
+    DatabaseRoute route() {
+        return route;
+    }
+
+    String account() {
+        return account;
+    }
+
+    int weight() {
+        return weight;
+    }
+
+    @Nullable
+    MemberConnection connection() {
+        return connection;
+    }
+
+    void connection(@Nullable MemberConnection value) {
+        connection = value;
+    }
+
+    boolean wrote() {
+        return wrote;
+    }
+
+    void noteWrite() {
+        wrote = true;
+    }
+
+    @Nullable
+    SessionError failure() {
+        return failure;
+    }
+
+    String failureDetail() {
+        return failureDetail;
+    }
+
+    void fail(SessionError error, String detail) {
+        failure = error;
+        failureDetail = detail;
+    }
+
+    long lastActiveNanos() {
+        return lastActiveNanos;
+    }
+
+    void touch(long nowNanos) {
+        lastActiveNanos = nowNanos;
+    }
+}
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/backend/MemberException.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/backend/MemberException.java
@@ -11,6 +11,7 @@
         STALE_TERM("stale-term", 409),
         NOT_FENCED("not-fenced", 409),
         NOT_PRIMARY("not-primary", 409),
+        IDEMPOTENCY_KEY_REUSED("idempotency-key-reused", 409),
         NO_TRANSACTION("no-transaction", 409),
         TRANSACTION_OPEN("transaction-open", 409),
         STATEMENT_REJECTED("statement-rejected", 422);
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/backend/MemberState.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/backend/MemberState.java
@@ -132,7 +132,7 @@
         requireServing(askedTerm, write);
         Optional<LogEntry> earlier = recorded(idempotency);
         if (earlier.isPresent()) {
-            return outcome(earlier.get().result(), true);
+            return replayed(earlier.get(), List.of(statement));
         }
         Map<String, String> changes = new HashMap<>();
         String result = Statements.run(statement, write, log::value, changes);
@@ -165,7 +165,7 @@
         requirePrimary(transaction.term());
         Optional<LogEntry> earlier = recorded(idempotency);
         if (earlier.isPresent()) {
-            return outcome(earlier.get().result(), true);
+            return replayed(earlier.get(), transaction.statements());
         }
         if (!transaction.isCurrent(log)) {
             String detail = "another commit changed a value that the transaction read; begin it again";
@@ -176,6 +176,15 @@
         return outcome(result, false);
     }
 
+    private Outcome replayed(LogEntry earlier, List<String> statements) throws MemberException {
+        if (!earlier.statements().equals(statements)) {
+            throw new MemberException(
+                    MemberException.Kind.IDEMPOTENCY_KEY_REUSED,
+                    "the idempotency key was used with another statement, at position " + earlier.position());
+        }
+        return outcome(earlier.result(), true);
+    }
+
     private void enter(long newTerm, Role newRole, String newPrimaryMember) {
         term = newTerm;
         role = newRole;
--- a/banyanhook-testbed/src/test/java/org/banyanhook/testbed/backend/MemberStateTest.java
+++ b/banyanhook-testbed/src/test/java/org/banyanhook/testbed/backend/MemberStateTest.java
@@ -35,6 +35,19 @@
         assertThat(confirmed).isGreaterThan(2000);
     }
 
+    @Test
+    void anIdempotencyKeyUsedWithAnotherStatementIsRefused() throws MemberException {
+        MemberState state = new MemberState("a");
+        state.fence(1);
+        state.promote(1, 0);
+        Idempotency key = new Idempotency("account", "key");
+        state.run(1, "put a 1", true, key, 0);
+        assertThat(state.run(1, "put a 1", true, key, 0).replayed()).isTrue();
+        assertThat(kindOf(() -> state.run(1, "put a 2", true, key, 0)))
+                .isEqualTo(MemberException.Kind.IDEMPOTENCY_KEY_REUSED);
+        assertThat(state.entries()).hasSize(2);
+    }
+
     @Test
     void termsAreTakenOnlyUpwards() throws MemberException {
         MemberState state = new MemberState("a");
--- a/banyanhook-testbed/src/test/java/org/banyanhook/testbed/caller/CallerIT.java
+++ b/banyanhook-testbed/src/test/java/org/banyanhook/testbed/caller/CallerIT.java
@@ -180,6 +180,20 @@
         }
     }
 
+    @Order(5)
+    @Test
+    void anIdempotencyKeyUsedWithAnotherStatementIsAConflict() {
+        Map<String, Object> first = with(statement(FleetRoutes.ONCE, "put a 1"), "database", database(0));
+        Map<String, Object> second = with(statement(FleetRoutes.ONCE, "put a 2"), "database", database(0));
+        Map<String, String> headers = withHeader("Idempotency-Key", "reused-1");
+        JsonAnswer accepted = post(0, "/statements", first, headers);
+        assertWithMessage("%s", accepted.body()).that(accepted.status()).isEqualTo(200);
+        JsonAnswer refused = post(1, "/statements", second, headers);
+        assertWithMessage("%s", refused.body()).that(refused.status()).isEqualTo(409);
+        assertThat(refused.text("kind")).isEqualTo("idempotency-key-reused");
+        assertThat(refused.text("execution")).isEqualTo("not-run");
+    }
+
     @Order(5)
     @Test
     void idempotencyRetryThroughAnotherEntryVmAfterAFailoverRunsOnce() {
