--- a/banyanhook-core/src/main/java/org/banyanhook/core/primary/PrimaryClaim.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/PrimaryClaim.java
@@ -8,23 +8,25 @@
  * A member's report that it is the primary of its group.
  *
  * @param member the name of the backend server
- * @param observedTerm the highest term that an answer of the member named, 0 if none did yet
+ * @param observedTerm the term of the member's last answer since it began to report so, 0 if none came yet
  * @param reportRevision the store's revision of the report
  */
 public record PrimaryClaim(String member, long observedTerm, long reportRevision) {
 
-    private static final Comparator<PrimaryClaim> ORDER = Comparator.comparingLong(PrimaryClaim::observedTerm)
-            .thenComparingLong(PrimaryClaim::reportRevision)
-            .thenComparing(PrimaryClaim::member);
+    private static final Comparator<PrimaryClaim> LATEST =
+            Comparator.comparingLong(PrimaryClaim::reportRevision).thenComparing(PrimaryClaim::member);
 
     /**
-     * Chooses among the members that report to be primary. A superseded primary goes on reporting for a while, so the
-     * higher term wins, and among equal terms the later report.
+     * Chooses among the members that report to be primary. A superseded primary goes on reporting for a while: it is
+     * known by the term of its answers, and otherwise by a later report of another member.
      *
      * @param claims the reports
+     * @param highestTerm the highest term that any member of the group has named
      * @return the claim to believe, or empty if there is none
      */
-    public static Optional<PrimaryClaim> believed(Collection<PrimaryClaim> claims) {
-        return claims.stream().max(ORDER);
+    public static Optional<PrimaryClaim> believed(Collection<PrimaryClaim> claims, long highestTerm) {
+        return claims.stream()
+                .filter(claim -> claim.observedTerm() == 0 || claim.observedTerm() >= highestTerm)
+                .max(LATEST);
     }
 }
--- a/banyanhook-core/src/test/java/org/banyanhook/core/primary/PrimaryClaimTest.java
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/primary/PrimaryClaimTest.java
@@ -9,20 +9,33 @@
 
     @Test
     void nobodyIsBelievedWithoutAClaim() {
-        assertThat(PrimaryClaim.believed(List.of())).isEmpty();
+        assertThat(PrimaryClaim.believed(List.of(), 3)).isEmpty();
     }
 
     @Test
     void theHigherTermWinsOverTheLaterReport() {
         PrimaryClaim superseded = new PrimaryClaim("a", 3, 90);
         PrimaryClaim leading = new PrimaryClaim("b", 4, 50);
-        assertThat(PrimaryClaim.believed(List.of(superseded, leading))).hasValue(leading);
+        assertThat(PrimaryClaim.believed(List.of(superseded, leading), 4)).hasValue(leading);
+    }
+
+    @Test
+    void aNewClaimIsBelievedBeforeItsTermIsKnown() {
+        PrimaryClaim superseded = new PrimaryClaim("a", 1, 50);
+        PrimaryClaim unproven = new PrimaryClaim("b", 0, 90);
+        assertThat(PrimaryClaim.believed(List.of(superseded, unproven), 2)).hasValue(unproven);
+    }
+
+    @Test
+    void aClaimWhoseTermWasSupersededIsNotBelieved() {
+        assertThat(PrimaryClaim.believed(List.of(new PrimaryClaim("a", 1, 50)), 2))
+                .isEmpty();
     }
 
     @Test
     void amongEqualTermsTheLaterReportWins() {
         PrimaryClaim earlier = new PrimaryClaim("b", 3, 50);
         PrimaryClaim later = new PrimaryClaim("a", 3, 51);
-        assertThat(PrimaryClaim.believed(List.of(later, earlier))).hasValue(later);
+        assertThat(PrimaryClaim.believed(List.of(later, earlier), 3)).hasValue(later);
     }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
@@ -250,13 +250,11 @@
         List<PrimaryClaim> claims = new ArrayList<>();
         for (MemberServer server : servers.values()) {
             if (server.primarySinceRevision() > 0) {
-                claims.add(new PrimaryClaim(server.name(), server.position().term(), server.primarySinceRevision()));
+                claims.add(new PrimaryClaim(server.name(), server.termSinceClaim(), server.primarySinceRevision()));
             }
         }
-        MemberServer believed = PrimaryClaim.believed(claims)
+        MemberServer believed = PrimaryClaim.believed(claims, highestTerm)
                 .map(claim -> servers.get(claim.member()))
-                .filter(server ->
-                        server.position().term() == 0 || server.position().term() >= highestTerm)
                 .orElse(null);
         if (believed == primary) {
             return;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
@@ -36,6 +36,7 @@
     private long behindUntilNanos;
     private long connectionLimitUntilNanos;
     private boolean deposed;
+    private long termSinceClaim;
     private long lastAnswerNanos;
 
     MemberServer(MemberEntry entry, long primarySinceRevision, long nowNanos) {
@@ -68,6 +69,11 @@
         return deposed ? 0 : primarySinceRevision;
     }
 
+    /** Returns the term of its last answer since it began to report that it is the primary, 0 if none came yet. */
+    long termSinceClaim() {
+        return termSinceClaim;
+    }
+
     /** Returns the connections to it, those that are being opened included. */
     public List<MemberConnection> connections() {
         return connections;
@@ -122,6 +128,7 @@
         boolean claimsAnew = revision > primarySinceRevision;
         if (claimsAnew || !newEntry.primary()) {
             deposed = false;
+            termSinceClaim = 0;
         }
         entry = newEntry;
         primarySinceRevision = revision;
@@ -137,6 +144,7 @@
         lastAnswerNanos = nowNanos;
         if (reported != null) {
             position = reported;
+            termSinceClaim = reported.term();
         }
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ProbeConnections.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ProbeConnections.java
@@ -9,8 +9,12 @@
 import org.banyanhook.gateway.message.MemberCommand;
 import org.banyanhook.gateway.message.MemberReport;
 import org.banyanhook.gateway.operation.Connections;
+import org.jspecify.annotations.Nullable;
 
-/** Sends each command on a new connection, which is closed after the answer. Used on the event loop only. */
+/**
+ * Sends commands on an idle connection to the member, or else on a new one that is closed after the answer. Used on the
+ * event loop only.
+ */
 public final class ProbeConnections implements MemberProbe {
 
     /** Above the round trip between any two regions, the time for a new connection and a short queue. */
@@ -29,6 +33,11 @@
 
     @Override
     public CompletableFuture<Optional<MemberReport>> send(MemberServer server, MemberCommand command) {
+        for (MemberConnection idle : server.connections()) {
+            if (idle.isIdle()) {
+                return sendOn(idle, command);
+            }
+        }
         CompletableFuture<Optional<MemberReport>> result = new CompletableFuture<>();
         var accounts = context.directory().configuration().accounts();
         if (accounts.isEmpty()) {
@@ -55,6 +64,42 @@
         return result.whenComplete((report, failure) -> timer.cancel(false));
     }
 
+    private CompletableFuture<Optional<MemberReport>> sendOn(MemberConnection connection, MemberCommand command) {
+        CompletableFuture<Optional<MemberReport>> result = new CompletableFuture<>();
+        connection.lease();
+        var timer = context.eventLoops()
+                .next()
+                .schedule(() -> connection.close("probe timed out"), TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        connection.send(command, (answer, sentNanos) -> {
+            timer.cancel(false);
+            connection.endLease();
+            result.complete(logged(connection, command, answer));
+        });
+        connection.flush();
+        return result;
+    }
+
+    private Optional<MemberReport> logged(
+            MemberConnection connection, MemberCommand command, @Nullable MemberAnswer answer) {
+        Optional<MemberReport> report =
+                answer == null ? Optional.empty() : context.codec().report(answer);
+        context.log()
+                .line("probe")
+                .with("member", connection.server().name())
+                .with("command", command.getClass().getSimpleName())
+                .with(
+                        "error",
+                        answer == null || answer.error() == null
+                                ? null
+                                : answer.error().name())
+                .with(
+                        "position",
+                        report.map(found -> found.position().toString()).orElse(null))
+                .with("term", report.map(MemberReport::term).orElse(-1L))
+                .write();
+        return report;
+    }
+
     private final class Asker implements MemberConnection.Owner {
         private final MemberCommand command;
         private final CompletableFuture<Optional<MemberReport>> result;
@@ -70,23 +115,7 @@
                 return;
             }
             connection.send(command, (answer, sentNanos) -> {
-                Optional<MemberReport> report =
-                        answer == null ? Optional.empty() : context.codec().report(answer);
-                context.log()
-                        .line("probe")
-                        .with("member", connection.server().name())
-                        .with("command", command.getClass().getSimpleName())
-                        .with(
-                                "error",
-                                answer == null || answer.error() == null
-                                        ? null
-                                        : answer.error().name())
-                        .with(
-                                "position",
-                                report.map(found -> found.position().toString()).orElse(null))
-                        .with("term", report.map(MemberReport::term).orElse(-1L))
-                        .write();
-                result.complete(report);
+                result.complete(logged(connection, command, answer));
                 connection.close("probe done");
             });
             connection.flush();
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
@@ -135,8 +135,11 @@
         if (primary.silentNanos(now) < RECENT_NANOS) {
             return CompletableFuture.completedFuture(-1L);
         }
-        return probe.send(primary, new MemberCommand.Status())
-                .thenApply(report -> report.isPresent() ? -1L : promiseNotToUse(group, 0));
+        return probe.send(primary, new MemberCommand.Status()).thenApply(report -> {
+            // A refused connection is an answer, too.
+            boolean answered = report.isPresent() || primary.silentNanos(clock.nowNanos()) < RECENT_NANOS;
+            return answered ? -1L : promiseNotToUse(group, 0);
+        });
     }
 
     private long promiseNotToUse(DatabaseGroup group, long failingNanos) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
@@ -36,6 +36,11 @@
     /** Requests of one caller that may wait for the answer to an earlier one. */
     private static final int MAXIMUM_WAITING = 64;
 
+    /** Callers give a session up that is not open after two seconds. */
+    private static final long CONFIGURATION_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+    private static final long CONFIGURATION_POLL_MILLIS = 40;
+
     /** The account under which callers without a key use routes that are open to all. */
     private static final ClientAccount EVERYBODY = new ClientAccount("public", List.of(), 0, 0, 1);
 
@@ -49,6 +54,7 @@
     private String databaseName = "";
     private String key = "";
     private boolean opened;
+    private long awaitingSinceNanos;
     private boolean busy;
     private boolean draining;
     private @Nullable OpenTransaction transaction;
@@ -152,7 +158,7 @@
         if (opened) {
             refuseOpen(SessionError.MALFORMED, "the session is open already");
         } else if (configuration.version() == 0) {
-            refuseOpen(SessionError.OVERLOADED, "no configuration is known here yet; retry on a new connection");
+            awaitConfiguration();
         } else if (configuration.route(databaseName).isEmpty()) {
             refuseOpen(SessionError.DATABASE_UNKNOWN, "use a database that the operators declared");
         } else if (resolve().isEmpty()) {
@@ -163,6 +169,26 @@
         }
     }
 
+    /** A daemon that has just started knows the configuration in a moment. */
+    private void awaitConfiguration() {
+        if (awaitingSinceNanos == 0) {
+            awaitingSinceNanos = context.clock().nowNanos();
+        }
+        if (context.clock().nowNanos() - awaitingSinceNanos >= CONFIGURATION_WAIT_NANOS) {
+            refuseOpen(SessionError.OVERLOADED, "no configuration is known here yet; retry on a new connection");
+            return;
+        }
+        var unused = context.eventLoop()
+                .schedule(
+                        () -> {
+                            if (channel != null) {
+                                open(new ClientRequest.Open(databaseName, key));
+                            }
+                        },
+                        CONFIGURATION_POLL_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
     private void refuseOpen(SessionError error, String detail) {
         context.metrics().count("sessions.refused", "reason", error.name());
         context.log()
--- a/banyanhook-testbed/src/test/java/org/banyanhook/testbed/backend/MemberStateTest.java
+++ b/banyanhook-testbed/src/test/java/org/banyanhook/testbed/backend/MemberStateTest.java
@@ -78,8 +78,11 @@
         Outcome repeat = state.run(1, "add k 2", true, key, 0);
         assertThat(repeat).isEqualTo(new Outcome(1, first.last(), "2", true));
         Transaction transaction = state.begin(1);
-        state.runIn(transaction, "add k 5", true);
+        state.runIn(transaction, "add k 2", true);
         assertThat(state.commit(transaction, 1, key, 0).replayed()).isTrue();
+        Transaction other = state.begin(1);
+        state.runIn(other, "add k 5", true);
+        assertThat(kindOf(() -> state.commit(other, 1, key, 0))).isEqualTo(MemberException.Kind.IDEMPOTENCY_KEY_REUSED);
         assertThat(state.run(1, "add k 2", true, new Idempotency("other", "key"), 0)
                         .result())
                 .isEqualTo("4");
