Keep promotions on record and stop using a primary that may be replaced

Ruled out: the term of answers alone (a log names the new term only after its first commit).

Change: each promotion is recorded in the store before it is ordered, and only the recorded member is believed; votes ask daemons seen within 30 s and need a majority of them; a daemon that votes, or that has lost contact, closes its connections to the primary; answers of peers tell of promotions not seen.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/primary/PrimaryClaim.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/PrimaryClaim.java
@@ -17,15 +17,19 @@
             Comparator.comparingLong(PrimaryClaim::reportRevision).thenComparing(PrimaryClaim::member);
 
     /**
-     * Chooses among the members that report to be primary. A superseded primary goes on reporting for a while: it is
-     * known by the term of its answers, and otherwise by a later report of another member.
+     * Chooses among the members that report to be primary. A superseded primary goes on reporting for a while, also
+     * anew after its entry lapsed. Where a promotion is on record, only the recorded member is believed. Otherwise a
+     * superseded primary is known by the term of its answers, and else by a later report of another member.
      *
      * @param claims the reports
      * @param highestTerm the highest term that any member of the group has named
+     * @param recorded the member that the last recorded promotion names, or empty if none is on record
      * @return the claim to believe, or empty if there is none
      */
-    public static Optional<PrimaryClaim> believed(Collection<PrimaryClaim> claims, long highestTerm) {
+    public static Optional<PrimaryClaim> believed(
+            Collection<PrimaryClaim> claims, long highestTerm, Optional<String> recorded) {
         return claims.stream()
+                .filter(claim -> recorded.isEmpty() || recorded.get().equals(claim.member()))
                 .filter(claim -> claim.observedTerm() == 0 || claim.observedTerm() >= highestTerm)
                 .max(LATEST);
     }
--- /dev/null
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/primary/PromotionPermissionTest.java
@@ -0,0 +1,50 @@
+package org.banyanhook.core.primary;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.concurrent.TimeUnit;
+import org.banyanhook.core.primary.PromotionPermission.Votes;
+import org.junit.jupiter.api.Test;
+
+final class PromotionPermissionTest {
+
+    private static final long AT_ONCE = 0;
+    private static final long LONG_AFTER = TimeUnit.SECONDS.toNanos(4);
+
+    @Test
+    void granted_atOnceWhenEveryDaemonHasStopped() {
+        assertThat(decide(new Votes(8, 8, 0), AT_ONCE)).isEqualTo(PromotionPermission.GRANTED);
+    }
+
+    @Test
+    void granted_toALoneDaemon() {
+        assertThat(decide(Votes.NONE, AT_ONCE)).isEqualTo(PromotionPermission.GRANTED);
+    }
+
+    @Test
+    void refused_whileOneDaemonReachesThePrimary() {
+        assertThat(decide(new Votes(8, 7, 1), LONG_AFTER)).isEqualTo(PromotionPermission.STILL_REACHED);
+    }
+
+    @Test
+    void refused_withoutAMajority() {
+        assertThat(decide(new Votes(8, 3, 0), LONG_AFTER)).isEqualTo(PromotionPermission.NO_MAJORITY);
+    }
+
+    @Test
+    void refused_atHalfOfTheDaemons() {
+        assertThat(decide(new Votes(7, 3, 0), LONG_AFTER)).isEqualTo(PromotionPermission.NO_MAJORITY);
+    }
+
+    @Test
+    void waitsWhileADaemonIsSilent() {
+        assertThat(decide(new Votes(8, 7, 0), AT_ONCE)).isEqualTo(PromotionPermission.SILENT_DAEMONS);
+        assertThat(decide(new Votes(8, 7, 0), PromotionPermission.CONTACT_NANOS))
+                .isEqualTo(PromotionPermission.SILENT_DAEMONS);
+        assertThat(decide(new Votes(8, 7, 0), LONG_AFTER)).isEqualTo(PromotionPermission.GRANTED);
+    }
+
+    private static PromotionPermission decide(Votes votes, long sinceNanos) {
+        return PromotionPermission.decide(votes, sinceNanos);
+    }
+}
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -126,15 +126,16 @@
                 clock,
                 log,
                 metrics);
+        PeerEvidence evidence = new PeerEvidence(settings.entryVm(), messenger, directory, eventLoop);
+        this.contact = new StoreOrPeerContact(registration::silentNanos, evidence, clock, eventLoop, log);
         GroupContext groupContext =
-                new GroupContext(settings, directory, eventLoops, ports.codec(), clock, log, metrics);
+                new GroupContext(settings, directory, eventLoops, contact, ports.codec(), clock, log, metrics);
         this.groups = new DatabaseGroups(groupContext);
         directory.addListener(groups);
+        contact.onLost(() -> groups.dropPrimaries("a replaced primary could go unnoticed"));
         PeerTokens tokens = new PeerTokens(messenger, directory, eventLoop);
         this.rates = new RateGate(settings.entryVm(), directory, tokens, clock, log, metrics);
         tokens.serve(rates);
-        PeerEvidence evidence = new PeerEvidence(settings.entryVm(), messenger, directory, eventLoop);
-        this.contact = new StoreOrPeerContact(registration::silentNanos, evidence, clock, eventLoop, log);
         this.promotions = newPromotions(groupContext, evidence, clock);
         evidence.serve(promotions::unreachableNanos);
         this.sessionContext =
@@ -146,7 +147,17 @@
         PromotionDuty duty =
                 new PromotionDuty(ports.store(), ports.records().promotionDutyKey(), settings.entryVm(), clock, log);
         PromotionSteps steps = new PromotionSteps(
-                settings.entryVm(), directory, duty, evidence, probe, ports.authority(), eventLoop, clock, log);
+                settings.entryVm(),
+                ports.store(),
+                ports.records(),
+                directory,
+                duty,
+                evidence,
+                probe,
+                ports.authority(),
+                eventLoop,
+                clock,
+                log);
         return new PromotionController(settings.entryVm(), groups, directory, steps, probe, eventLoop, clock, log);
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
@@ -162,6 +162,16 @@
         heldUntilNanos = untilNanos;
     }
 
+    /** Closes all connections to the primary; what is under way there is not answered any more. */
+    public void dropPrimary(String reason) {
+        MemberServer dropped = primary;
+        if (dropped != null) {
+            for (MemberConnection connection : List.copyOf(dropped.connections())) {
+                connection.close(reason);
+            }
+        }
+    }
+
     /** Ends a hold. */
     public void releaseHold() {
         held = false;
@@ -236,6 +246,10 @@
                 && !context.directory().isEvacuated(server.entry().failureDomain());
     }
 
+    private boolean mayUsePrimary() {
+        return !held && context.contact().mayUsePrimaries();
+    }
+
     private boolean isPrimary(MemberServer server) {
         return server == primary;
     }
@@ -253,7 +267,8 @@
                 claims.add(new PrimaryClaim(server.name(), server.termSinceClaim(), server.primarySinceRevision()));
             }
         }
-        MemberServer believed = PrimaryClaim.believed(claims, highestTerm)
+        MemberServer believed = PrimaryClaim.believed(
+                        claims, highestTerm, context.directory().recordedPrimary(name))
                 .map(claim -> servers.get(claim.member()))
                 .orElse(null);
         if (believed == primary) {
@@ -317,7 +332,7 @@
         Map<String, MemberServer> chosenFrom = new HashMap<>();
         List<StatementPlacement.Candidate> candidates = new ArrayList<>();
         for (MemberServer server : servers.values()) {
-            boolean suits = isPrimary(server) ? !held : floor.isPresent() && !server.isBehind(now);
+            boolean suits = isPrimary(server) ? mayUsePrimary() : floor.isPresent() && !server.isBehind(now);
             if (suits && mayUse(server) && server.mayBeTried(now) && !work.excludes(server.name())) {
                 candidate(server, work, now).ifPresent(candidate -> {
                     candidates.add(candidate);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/GroupContext.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/GroupContext.java
@@ -7,6 +7,7 @@
 import org.banyanhook.gateway.operation.GatewayMetrics;
 import org.banyanhook.gateway.operation.SteadyClock;
 import org.banyanhook.gateway.port.SessionCodec;
+import org.banyanhook.gateway.primary.PrimaryContact;
 
 /**
  * What all database groups share.
@@ -14,6 +15,7 @@
  * @param settings the settings of the gateway
  * @param directory what is known of the fleet
  * @param eventLoops where connections run
+ * @param contact tells whether primaries may be used
  * @param codec translates the messages to and from members
  * @param clock the monotonic clock
  * @param log receives a line for each change of what is believed
@@ -23,6 +25,7 @@
         GatewaySettings settings,
         FleetDirectory directory,
         EventLoopGroup eventLoops,
+        PrimaryContact contact,
         SessionCodec codec,
         SteadyClock clock,
         DecisionLog log,
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
@@ -40,7 +40,10 @@
     static final long LINGER_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
     /** How long the highest number of daemons seen is kept for dividing limits, in nanoseconds. */
-    private static final long COUNT_MEMORY_NANOS = TimeUnit.SECONDS.toNanos(10);
+    private static final long COUNT_MEMORY_NANOS = TimeUnit.SECONDS.toNanos(20);
+
+    /** How long a daemon whose entry ended may still be running without contact, in nanoseconds. */
+    private static final long DAEMON_MEMORY_NANOS = TimeUnit.SECONDS.toNanos(30);
 
     private final FleetRecords records;
     private final DecisionLog log;
@@ -51,6 +54,8 @@
     private final Map<String, MemberRecord> members = new HashMap<>();
     private final Map<String, Long> memberEndsNanos = new HashMap<>();
     private final Map<String, DaemonEntry> daemons = new HashMap<>();
+    private final Map<String, EndedDaemon> endedDaemons = new HashMap<>();
+    private final Map<String, RecordedPromotion> promotions = new HashMap<>();
     private final Set<String> evacuated = new HashSet<>();
     private final Deque<DaemonCount> daemonCounts = new ArrayDeque<>();
     private SessionConfiguration configuration = SessionConfiguration.EMPTY;
@@ -58,6 +63,10 @@
 
     private record DaemonCount(long nanos, int count) {}
 
+    private record EndedDaemon(long nanos, DaemonEntry entry) {}
+
+    private record RecordedPromotion(String member, long revision) {}
+
     /**
      * A member's entry with the store's revision of it.
      *
@@ -104,6 +113,26 @@
         return ImmutableMap.copyOf(daemons);
     }
 
+    /** Returns the daemons that have an entry or had one of late, by entry VM. */
+    public Map<String, DaemonEntry> recentDaemons() {
+        Map<String, DaemonEntry> recent = new HashMap<>(daemons);
+        endedDaemons.forEach((entryVm, ended) -> recent.putIfAbsent(entryVm, ended.entry()));
+        return recent;
+    }
+
+    /** Returns the member that the last recorded promotion of a group names, or empty. */
+    public Optional<String> recordedPrimary(String group) {
+        return Optional.ofNullable(promotions.get(group)).map(RecordedPromotion::member);
+    }
+
+    /** Returns the revision of the newest promotion on record, 0 if there is none. */
+    public long newestPromotionRevision() {
+        return promotions.values().stream()
+                .mapToLong(RecordedPromotion::revision)
+                .max()
+                .orElse(0);
+    }
+
     /**
      * Returns by how many daemons limits are divided: the most that were seen at once of late, because a daemon whose
      * entry ended may still be running for a while.
@@ -161,6 +190,7 @@
     public void tick() {
         long now = clock.nowNanos();
         daemonCounts.removeIf(count -> now - count.nanos() > COUNT_MEMORY_NANOS);
+        endedDaemons.values().removeIf(ended -> now - ended.nanos() > DAEMON_MEMORY_NANOS);
         boolean forgotten = false;
         for (Map.Entry<String, Long> end : ImmutableMap.copyOf(memberEndsNanos).entrySet()) {
             if (now - end.getValue() >= 0) {
@@ -219,6 +249,14 @@
                     .write();
         } else if (record instanceof FleetRecord.Daemon found) {
             daemons.put(found.entry().entryVm(), found.entry());
+            endedDaemons.remove(found.entry().entryVm());
+        } else if (record instanceof FleetRecord.Promotion found) {
+            promotions.put(found.group(), new RecordedPromotion(found.member(), change.revision()));
+            log.line("promotion-record")
+                    .with("group", found.group())
+                    .with("member", found.member())
+                    .with("revision", change.revision())
+                    .write();
         } else if (record instanceof FleetRecord.Unusable found) {
             log.line("record")
                     .with("key", change.key())
@@ -241,6 +279,7 @@
         } else if (record instanceof FleetRecord.Daemon found) {
             daemonCounts.addLast(new DaemonCount(clock.nowNanos(), daemons.size()));
             daemons.remove(found.entry().entryVm());
+            endedDaemons.put(found.entry().entryVm(), new EndedDaemon(clock.nowNanos(), found.entry()));
         }
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/FleetRecord.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/FleetRecord.java
@@ -33,6 +33,14 @@
      */
     record Daemon(DaemonEntry entry) implements FleetRecord {}
 
+    /**
+     * The last promotion that was ordered for a group.
+     *
+     * @param group the database group
+     * @param member the member that is to lead
+     */
+    record Promotion(String group, String member) implements FleetRecord {}
+
     /**
      * A record that names nothing to use.
      *
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/FleetRecords.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/FleetRecords.java
@@ -26,6 +26,17 @@
      */
     byte[] encode(DaemonEntry entry);
 
+    /** Returns the key of the last promotion that was ordered for a group. */
+    String promotionKey(String group);
+
+    /**
+     * Encodes the last promotion of a group.
+     *
+     * @param promotion what it says
+     * @return its bytes
+     */
+    byte[] encode(FleetRecord.Promotion promotion);
+
     /** Returns the key whose holder may replace primaries. */
     String promotionDutyKey();
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerEvidence.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerEvidence.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.banyanhook.core.primary.PromotionPermission.Votes;
 import org.banyanhook.daemon.peer.PeerMessenger;
 import org.banyanhook.gateway.fleet.FleetDirectory;
 import org.banyanhook.gateway.port.DaemonEntry;
@@ -24,27 +25,7 @@
     private final FleetDirectory directory;
     private final EventLoop eventLoop;
     private final String entryVm;
-
-    /**
-     * What the other daemons said.
-     *
-     * @param asked how many were asked
-     * @param unreachable how many do not reach the primary and have stopped using it
-     * @param reachable how many reach it
-     */
-    public record Votes(int asked, int unreachable, int reachable) {
-
-        /** Returns how many did not answer. */
-        public int silent() {
-            return asked - unreachable - reachable;
-        }
-
-        /** Returns whether those that answered are a majority of all daemons, this one included. */
-        public boolean majorityAnswered() {
-            int all = asked + 1;
-            return (unreachable + reachable + 1) * 2 > all;
-        }
-    }
+    private long newestPromotionHeard;
 
     /**
      * Creates the exchange.
@@ -72,7 +53,7 @@
             PrimaryEvidenceRequest request = message.getPrimaryEvidenceRequest();
             return CompletableFuture.supplyAsync(() -> unreachableNanos.apply(request.getDatabase()), eventLoop)
                     .thenCompose(found -> found)
-                    .thenApply(nanos -> answer(request, nanos));
+                    .thenApplyAsync(nanos -> answer(request, nanos), eventLoop);
         });
     }
 
@@ -89,38 +70,37 @@
                         PrimaryEvidenceRequest.newBuilder().setDatabase(group).setTerm(term))
                 .build();
         List<CompletableFuture<Votes>> answers = new ArrayList<>();
-        for (DaemonEntry daemon : directory.daemons().values()) {
+        for (DaemonEntry daemon : directory.recentDaemons().values()) {
             if (!daemon.entryVm().equals(entryVm)) {
                 answers.add(messenger
                         .request(daemon.peerAddress(), body, TIMEOUT)
-                        .handle((reply, failure) -> reply == null ? new Votes(1, 0, 0) : vote(reply)));
+                        .handleAsync((reply, failure) -> reply == null ? new Votes(1, 0, 0) : vote(reply), eventLoop));
             }
         }
         return CompletableFuture.allOf(answers.toArray(new CompletableFuture<?>[0]))
                 .thenApplyAsync(
-                        done -> answers.stream()
-                                .map(CompletableFuture::join)
-                                .reduce(new Votes(0, 0, 0), PeerEvidence::sum),
+                        done -> answers.stream().map(CompletableFuture::join).reduce(Votes.NONE, Votes::plus),
                         eventLoop);
     }
 
-    private static Votes vote(PeerEnvelope reply) {
-        boolean unreachable = reply.getPrimaryEvidence().getPrimaryUnreachable();
-        return new Votes(1, unreachable ? 1 : 0, unreachable ? 0 : 1);
+    /** Returns whether another daemon knows of a promotion that this one has not seen. */
+    public boolean missesPromotion() {
+        return newestPromotionHeard > directory.newestPromotionRevision();
     }
 
-    private static Votes sum(Votes first, Votes second) {
-        return new Votes(
-                first.asked() + second.asked(),
-                first.unreachable() + second.unreachable(),
-                first.reachable() + second.reachable());
+    private Votes vote(PeerEnvelope reply) {
+        newestPromotionHeard =
+                Math.max(newestPromotionHeard, reply.getPrimaryEvidence().getTerm());
+        boolean unreachable = reply.getPrimaryEvidence().getPrimaryUnreachable();
+        return new Votes(1, unreachable ? 1 : 0, unreachable ? 0 : 1);
     }
 
-    private static PeerEnvelope answer(PrimaryEvidenceRequest request, long nanos) {
+    private PeerEnvelope answer(PrimaryEvidenceRequest request, long nanos) {
         return PeerEnvelope.newBuilder()
                 .setPrimaryEvidence(PrimaryEvidence.newBuilder()
                         .setDatabase(request.getDatabase())
-                        .setTerm(request.getTerm())
+                        // A promotion that the asking daemon has not seen is news to it.
+                        .setTerm(directory.newestPromotionRevision())
                         .setPrimaryUnreachable(nanos >= 0)
                         .setUnreachableMillis(Math.max(0, TimeUnit.NANOSECONDS.toMillis(nanos))))
                 .build();
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
@@ -144,6 +144,7 @@
 
     private long promiseNotToUse(DatabaseGroup group, long failingNanos) {
         group.hold(clock.nowNanos() + PromotionSteps.PROMOTION_NANOS);
+        group.dropPrimary("promised not to use the primary");
         return failingNanos;
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionSteps.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionSteps.java
@@ -5,9 +5,11 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.banyanhook.core.primary.PromotionPermission;
 import org.banyanhook.core.replication.LogPosition;
 import org.banyanhook.gateway.backend.DatabaseGroup;
 import org.banyanhook.gateway.backend.MemberProbe;
@@ -17,7 +19,10 @@
 import org.banyanhook.gateway.message.MemberReport;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.SteadyClock;
+import org.banyanhook.gateway.port.FleetRecord;
+import org.banyanhook.gateway.port.FleetRecords;
 import org.banyanhook.gateway.port.PromotionAuthority;
+import org.banyanhook.gateway.port.RecordStore;
 
 /**
  * The steps of one promotion: take the duty, make sure that nobody uses the old primary, choose the member with the
@@ -28,14 +33,9 @@
     /** How long a promotion may take from the order until the member leads. */
     static final long PROMOTION_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
 
-    /**
-     * A daemon without contact stops using primaries after a time; this is longer, with the lag of its last statement.
-     */
-    private static final long SILENT_DAEMONS_NANOS =
-            StoreOrPeerContact.CONTACT_NANOS + TimeUnit.MILLISECONDS.toNanos(300);
-
     private static final long CATCH_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
     private static final long POLL_MILLIS = 60;
+    private static final long NO_LEASE = 0;
     private static final int MAXIMUM_ORDERS = 4;
     private static final long ORDER_RETRY_MILLIS = 250;
 
@@ -43,6 +43,8 @@
                     (Candidate candidate) -> candidate.report().position())
             .thenComparing(candidate -> candidate.server().name());
 
+    private final RecordStore store;
+    private final FleetRecords records;
     private final FleetDirectory directory;
     private final PromotionDuty duty;
     private final PeerEvidence peers;
@@ -59,6 +61,8 @@
      * Creates the steps.
      *
      * @param entryVm the name of this entry VM
+     * @param store keeps what was ordered last
+     * @param records names and encodes it
      * @param directory tells what operators have taken out
      * @param duty the right to order promotions
      * @param peers asks the other daemons
@@ -70,6 +74,8 @@
      */
     public PromotionSteps(
             String entryVm,
+            RecordStore store,
+            FleetRecords records,
             FleetDirectory directory,
             PromotionDuty duty,
             PeerEvidence peers,
@@ -79,6 +85,8 @@
             SteadyClock clock,
             DecisionLog log) {
         this.entryVm = entryVm;
+        this.store = store;
+        this.records = records;
         this.directory = directory;
         this.duty = duty;
         this.peers = peers;
@@ -111,15 +119,11 @@
                     .with("reachable", votes.reachable())
                     .with("sinceMs", TimeUnit.NANOSECONDS.toMillis(sinceNanos))
                     .write();
-            if (votes.reachable() > 0) {
-                return CompletableFuture.completedFuture("another daemon reaches the primary");
-            }
-            if (!votes.majorityAnswered()) {
-                return CompletableFuture.completedFuture("too few daemons answered");
-            }
-            if (votes.silent() > 0 && sinceNanos < SILENT_DAEMONS_NANOS) {
-                return CompletableFuture.completedFuture("waiting until silent daemons have stopped");
+            PromotionPermission permission = PromotionPermission.decide(votes, sinceNanos);
+            if (permission != PromotionPermission.GRANTED) {
+                return CompletableFuture.completedFuture(permission.reason());
             }
+            group.dropPrimary("about to be replaced");
             return duty.acquire().thenCompose(token -> promoteBest(group, token, rejected, LogPosition.START));
         });
     }
@@ -178,7 +182,14 @@
                     .with("token", token)
                     .write();
             group.hold(clock.nowNanos() + PROMOTION_NANOS);
-            return order(group, chosen.server(), token, rejected, 1);
+            FleetRecord.Promotion promotion =
+                    new FleetRecord.Promotion(group.name(), chosen.server().name());
+            return store.put(
+                            records.promotionKey(group.name()),
+                            records.encode(promotion),
+                            OptionalLong.empty(),
+                            NO_LEASE)
+                    .thenCompose(revision -> order(group, chosen.server(), token, rejected, 1));
         });
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/StoreOrPeerContact.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/StoreOrPeerContact.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.banyanhook.core.primary.PromotionPermission;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.SteadyClock;
 
@@ -15,9 +16,6 @@
  */
 public final class StoreOrPeerContact implements PrimaryContact {
 
-    /** Without contact for this long, primaries are not used any more. */
-    static final long CONTACT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
-
     /** Without an answer of the store for this long, the other daemons are asked. */
     private static final long ASK_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(1_400);
 
@@ -32,6 +30,7 @@
     private boolean everPeerContact;
     private long askedNanos;
     private boolean allowed = true;
+    private Runnable onLost = () -> {};
 
     /**
      * Creates the rule.
@@ -57,11 +56,20 @@
         clock.onJump(() -> everPeerContact = false);
     }
 
+    /** Sets what to do when the contact is lost. */
+    public void onLost(Runnable action) {
+        onLost = action;
+    }
+
     @Override
     public boolean mayUsePrimaries() {
         long now = clock.nowNanos();
-        return storeSilentNanos.getAsLong() <= CONTACT_NANOS
-                || (everPeerContact && now - peerContactNanos <= CONTACT_NANOS);
+        if (storeSilentNanos.getAsLong() <= PromotionPermission.CONTACT_NANOS) {
+            return true;
+        }
+        return everPeerContact
+                && now - peerContactNanos <= PromotionPermission.CONTACT_NANOS
+                && !peers.missesPromotion();
     }
 
     /** Asks the other daemons if the store is silent. */
@@ -70,6 +78,9 @@
         boolean may = mayUsePrimaries();
         if (may != allowed) {
             allowed = may;
+            if (!may) {
+                onLost.run();
+            }
             log.line("dependency")
                     .with("name", "store-or-peers")
                     .with("change", may ? "regained" : "lost")
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementRun.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementRun.java
@@ -121,6 +121,10 @@
         MemberConnection pinned = transaction == null ? null : transaction.connection();
         if (pinned == null) {
             place();
+        } else if (isPrimaryOnly() && !context.contact().mayUsePrimaries()) {
+            pinned.close("a replaced primary could go unnoticed");
+            Objects.requireNonNull(transaction).connection(null);
+            fail(SessionError.TRANSACTION_ABORTED, "a replaced primary could go unnoticed here; begin again");
         } else {
             connection = pinned;
             sendStatement(pinned, null);
