--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/GatewaySettings.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/GatewaySettings.java
@@ -17,7 +17,6 @@
  * @param storeAddress where the store answers
  * @param authorityAddress where promotions are ordered
  * @param shutdownMillis how long a graceful shutdown may take
- * @param minimumLeaseMillis the shortest lease that the store grants
  */
 public record GatewaySettings(
         String entryVm,
@@ -29,8 +28,7 @@
         InetSocketAddress peerAddress,
         InetSocketAddress storeAddress,
         InetSocketAddress authorityAddress,
-        long shutdownMillis,
-        long minimumLeaseMillis) {
+        long shutdownMillis) {
     public GatewaySettings {
         regions = ImmutableMap.copyOf(regions);
     }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.banyanhook.core.admission.AdmissionDecision;
 import org.banyanhook.core.admission.FairQueue;
+import org.banyanhook.core.configuration.GroupLimits;
 import org.banyanhook.core.primary.PrimaryClaim;
 import org.banyanhook.core.replication.LogPosition;
 import org.banyanhook.core.replication.PositionHistory;
@@ -219,7 +220,7 @@
                 known = new MemberServer(found.entry(), found.primarySinceRevision(), now);
                 servers.put(member, known);
             }
-            known.update(found.entry(), found.primarySinceRevision());
+            known.update(found.entry(), found.primarySinceRevision(), now);
         });
         for (MemberServer server : List.copyOf(servers.values())) {
             if (!listed.containsKey(server.name())) {
@@ -376,6 +377,11 @@
                 candidates.size(),
                 atPrimary ? null : floor.orElse(null),
                 now - work.arrivedNanos());
+        GroupLimits limits = context.directory().configuration().groups().get(name);
+        if (limits != null) {
+            server.warmUp()
+                    .count(limits.warmUpRequestsPerSecond(), context.directory().sharingDaemons(), now);
+        }
         opener.connect(server, work, placement);
         return true;
     }
@@ -384,7 +390,10 @@
         Set<String> regions = work.demand().regions();
         String region = context.settings().regionOf(server.entry().failureDomain());
         boolean primaryOnly = work.demand().primaryOnly();
-        if (!regions.isEmpty() && !regions.contains(region) || primaryOnly && !isPrimary(server)) {
+        boolean allowedThere = regions.isEmpty() || regions.contains(region);
+        if (!allowedThere
+                || (primaryOnly && !isPrimary(server))
+                || !server.warmUp().allows(now)) {
             return Optional.empty();
         }
         Access access = opener.access(server, work.account(), isPrimary(server), this::limit, now);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberConnection.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberConnection.java
@@ -9,7 +9,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
-import org.banyanhook.core.replication.LogPosition;
 import org.banyanhook.gateway.message.MemberAnswer;
 import org.banyanhook.gateway.message.MemberCommand;
 import org.banyanhook.gateway.message.SessionStatement;
@@ -259,12 +258,6 @@
         ended("not connected: " + cause.getMessage());
     }
 
-    /** Returns the term of the member's last answer. */
-    long observedTerm() {
-        LogPosition position = server.position();
-        return position.term();
-    }
-
     private void onOpenAnswer(@Nullable MemberAnswer answer, long sentNanos) {
         if (answer == null) {
             return;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.core.replication.LogPosition;
 import org.banyanhook.core.routing.LatencyEstimate;
+import org.banyanhook.core.routing.WarmUpLimit;
 import org.banyanhook.gateway.port.MemberEntry;
 import org.jspecify.annotations.Nullable;
 
@@ -26,6 +27,7 @@
 
     private final List<MemberConnection> connections = new ArrayList<>();
     private final LatencyEstimate latency;
+    private final WarmUpLimit warmUp;
     private MemberEntry entry;
     private long primarySinceRevision;
     private boolean listed = true;
@@ -43,6 +45,8 @@
         this.entry = entry;
         this.primarySinceRevision = primarySinceRevision;
         this.latency = new LatencyEstimate(INITIAL_LATENCY_NANOS, nowNanos);
+        this.warmUp = new WarmUpLimit(nowNanos);
+        this.warmUp.observe(entry.warmUpMillis(), nowNanos);
         this.retryAtNanos = nowNanos;
         this.lastAnswerNanos = nowNanos;
         this.behindUntilNanos = nowNanos;
@@ -124,7 +128,14 @@
         return latency;
     }
 
-    void update(MemberEntry newEntry, long revision) {
+    WarmUpLimit warmUp() {
+        return warmUp;
+    }
+
+    void update(MemberEntry newEntry, long revision, long nowNanos) {
+        if (!newEntry.equals(entry)) {
+            warmUp.observe(newEntry.warmUpMillis(), nowNanos);
+        }
         boolean claimsAnew = revision > primarySinceRevision;
         if (claimsAnew || !newEntry.primary()) {
             deposed = false;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/message/MemberCommand.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/message/MemberCommand.java
@@ -41,16 +41,6 @@
     /** Asks for role, term and position. */
     record Status() implements MemberCommand {}
 
-    /**
-     * Stops a replica from receiving from primaries of lower terms.
-     *
-     * @param term a term above the newest
-     */
-    record Pause(long term) implements MemberCommand {}
-
-    /** Lets a paused replica receive again. */
-    record Resume() implements MemberCommand {}
-
     /**
      * Makes a primary of a lower term a replica.
      *
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/GatewayFleet.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/GatewayFleet.java
@@ -82,10 +82,10 @@
     /** Writes a new configuration, where account-N has the N-th key and all have the same rate. */
     public void configure(List<String> keys, double ratePerSecond) {
         version++;
-        StringBuilder tenants = new StringBuilder();
+        StringBuilder accounts = new StringBuilder();
         for (int number = 0; number < KEYS.size(); number++) {
             String granted = keys.contains(KEYS.get(number)) ? "\"" + KEYS.get(number) + "\"" : "";
-            tenants.append(number == 0 ? "" : ",")
+            accounts.append(number == 0 ? "" : ",")
                     .append("{\"name\":\"account-" + number + "\",\"api_keys\":[" + granted + "],\"priority\":1,"
                             + "\"rate_per_s\":" + ratePerSecond + ",\"burst\":" + ratePerSecond
                             + ",\"allowed_regions\":[]}");
@@ -95,11 +95,12 @@
                 "{\"version\":" + version + ",\"routes\":[" + route("current", "primary", 0) + ","
                         + route("bounded", "bounded_staleness", 1_500) + "," + route("own", "read_your_writes", 2_500)
                         + "],\"backends\":[{\"name\":\"group\",\"max_conns\":16}],\"limits\":{\"idle_tx_ms\":1500},"
-                        + "\"tenants\":[" + tenants + "]}");
+                        + "\"tenants\":[" + accounts + "]}");
     }
 
     @Override
     public void close() throws IOException {
+        gateways.forEach(gateway -> gateway.process().terminate());
         closer.close();
     }
 
@@ -129,6 +130,7 @@
                         "[listen]",
                         "frontend = \"127.0.0.1:" + clientPort + "\"",
                         "readiness = \"127.0.0.1:" + readinessPort + "\"",
+                        "metrics = \"127.0.0.1:" + freePort() + "\"",
                         "[bounds]",
                         "grace_s = 3",
                         "[platform]",
