Send a read to the primary once every replica was behind

Ruled out: the primary's queue (it was never asked).

Change: all replicas that were behind stay excluded for the statement; GatewayIT plays deaf replicas.

--- a/banyanhook-cli/src/main/java/org/banyanhook/cli/StoryCommand.java
+++ b/banyanhook-cli/src/main/java/org/banyanhook/cli/StoryCommand.java
@@ -55,6 +55,7 @@
     private List<JsonNode> readLines() throws ToolException {
         ObjectMapper mapper = new ObjectMapper();
         List<JsonNode> lines = new ArrayList<>();
+        int cutOff = 0;
         for (String text : readTexts()) {
             // What collects the logs may have put a time or a name before each line.
             int start = text.indexOf("{\"t\":");
@@ -64,9 +65,12 @@
             try {
                 lines.add(mapper.readTree(text.substring(start)));
             } catch (IOException exception) {
-                spec.commandLine().getErr().println("banyanhook: passed over a line that is cut off");
+                cutOff++;
             }
         }
+        if (cutOff > 0) {
+            spec.commandLine().getErr().println("banyanhook: passed over " + cutOff + " lines that are cut off");
+        }
         return lines;
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementRun.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementRun.java
@@ -1,6 +1,7 @@
 package org.banyanhook.gateway.session;
 
 import io.netty.util.concurrent.ScheduledFuture;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -57,7 +58,8 @@
     private int attempts;
     private boolean sent;
     private boolean finished;
-    private String excludedMember = "";
+    private String failedMember = "";
+    private final Set<String> membersBehind = new HashSet<>();
 
     /** Takes the outcome of the run. Exactly one method is called, once. */
     interface Listener {
@@ -187,8 +189,9 @@
         Work.Demand demand = new Work.Demand(
                 primaryOnly, TimeUnit.MILLISECONDS.toNanos(route.maximumAgeMillis()), sessionFloor, regions);
         Work placing = new Work(account, weight, demand, arrivedNanos, deadlineNanos, this);
-        if (!excludedMember.isEmpty()) {
-            placing.exclude(excludedMember);
+        membersBehind.forEach(placing::exclude);
+        if (!failedMember.isEmpty()) {
+            placing.exclude(failedMember);
         }
         work = placing;
         connection = null;
@@ -308,6 +311,7 @@
         switch (error) {
             case REPLICA_BEHIND -> {
                 group.replicaBehind(from.server());
+                membersBehind.add(from.server().name());
                 retryElsewhere(from, detail);
             }
             case NOT_PRIMARY -> {
@@ -346,7 +350,7 @@
             return;
         }
         if (!isPrimaryOnly()) {
-            excludedMember = from.server().name();
+            failedMember = from.server().name();
         }
         place();
     }
--- a/banyanhook-testbed/src/test/java/org/banyanhook/testbed/line/GatewayIT.java
+++ b/banyanhook-testbed/src/test/java/org/banyanhook/testbed/line/GatewayIT.java
@@ -63,6 +63,20 @@
         }
     }
 
+    @Test
+    void aReadThatNoReplicaCanServeGoesToThePrimary() throws IOException {
+        try (LineCaller caller = opened(1, "own", 0)) {
+            assertThat(succeeded(caller.run("WRITE b 0"))).isTrue();
+            for (LineMember member : fleet.group().members()) {
+                fleet.group().deaf(member, true);
+            }
+            for (int number = 1; number <= 20; number++) {
+                assertThat(succeeded(caller.run("WRITE b " + number))).isTrue();
+                assertThat(row(caller.run("READ b"))).startsWith(number + "|");
+            }
+        }
+    }
+
     @Test
     void valuesAndPreparedNamesOfSessionsDoNotMix() throws IOException {
         try (LineCaller first = opened(0, "current", 0);
