Write the waits of the core as durations, as its purity test asks

Cause: DecisionPurityTest refuses java.util.concurrent in the decisions, and two new classes converted units with TimeUnit. Change: Duration converts; the values are the same.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/primary/PromotionPermission.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/PromotionPermission.java
@@ -1,6 +1,6 @@
 package org.banyanhook.core.primary;
 
-import java.util.concurrent.TimeUnit;
+import java.time.Duration;
 
 /**
  * Whether the primary of a group may be replaced without asking it.
@@ -20,10 +20,11 @@
     SILENT_DAEMONS("waiting until silent daemons have stopped");
 
     /** Without contact for this long, a daemon uses no primary any more. */
-    public static final long CONTACT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+    public static final long CONTACT_NANOS = Duration.ofMillis(2_500).toNanos();
 
     /** How long after its contact ended a daemon has certainly stopped, its periodic check included. */
-    private static final long STOPPED_NANOS = CONTACT_NANOS + TimeUnit.MILLISECONDS.toNanos(500);
+    private static final long STOPPED_NANOS =
+            CONTACT_NANOS + Duration.ofMillis(500).toNanos();
 
     private final String reason;
 
--- a/banyanhook-core/src/main/java/org/banyanhook/core/routing/WarmUpLimit.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/routing/WarmUpLimit.java
@@ -1,6 +1,6 @@
 package org.banyanhook.core.routing;
 
-import java.util.concurrent.TimeUnit;
+import java.time.Duration;
 
 /**
  * Spaces the work that one daemon gives to a member that is warming up, so that all daemons together stay within the
@@ -8,7 +8,7 @@
  */
 public final class WarmUpLimit {
 
-    private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+    private static final double NANOS_PER_SECOND = Duration.ofSeconds(1).toNanos();
 
     private long warmAtNanos;
     private long nextNanos;
@@ -30,7 +30,7 @@
      * @param nowNanos the time on this entry VM's monotonic clock
      */
     public void observe(long leftMillis, long nowNanos) {
-        warmAtNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(Math.max(0, leftMillis));
+        warmAtNanos = nowNanos + Duration.ofMillis(Math.max(0, leftMillis)).toNanos();
     }
 
     /**
