Give up on a member that accepts a connection and says nothing

Ruled out: the duty (it was never asked for).

Change: opening a connection ends after a second and counts as not reached; the votes may take 800 ms.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionOpener.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionOpener.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInitializer;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import org.banyanhook.core.routing.StatementPlacement.Access;
@@ -24,6 +25,9 @@
     /** Above the round trip between any two regions and the time that a member takes for a new connection. */
     private static final int CONNECT_TIMEOUT_MILLIS = 700;
 
+    /** Connecting and the member's first answer, which waits behind its running statements. */
+    private static final int OPENING_TIMEOUT_MILLIS = 1_000;
+
     /** This many of four connections to a replica belong to the daemons of its own failure domain. */
     private static final int LOCAL_QUARTERS = 3;
 
@@ -152,6 +156,10 @@
                         channel.pipeline().addLast(context.codec().newMemberCodec(), connection);
                     }
                 });
+        // A member may accept the connection and then say nothing.
+        var unused = context.eventLoops()
+                .next()
+                .schedule(() -> giveUpOpening(connection), OPENING_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         ChannelFuture attempt = bootstrap.connect(server.entry().address());
         attempt.addListener(done -> {
             if (!done.isSuccess()) {
@@ -160,6 +168,12 @@
         });
     }
 
+    private void giveUpOpening(MemberConnection connection) {
+        if (openings.containsKey(connection)) {
+            connection.close("not ready in time");
+        }
+    }
+
     private static @Nullable MemberConnection idle(MemberServer server, String account) {
         for (MemberConnection connection : server.connections()) {
             if (connection.isIdle() && connection.account().equals(account)) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerEvidence.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerEvidence.java
@@ -18,8 +18,10 @@
 /** Asks the other daemons whether they reach a primary. */
 public final class PeerEvidence {
 
-    /** Above the round trip between any two regions. */
-    private static final Duration TIMEOUT = Duration.ofMillis(350);
+    /**
+     * Above the time that the other daemon's probe of the primary takes, and the round trip between any two regions.
+     */
+    private static final Duration TIMEOUT = Duration.ofMillis(800);
 
     private final PeerMessenger messenger;
     private final FleetDirectory directory;
