Tell daemons without the store of the replacements that others agreed to

It had the word of a majority of the daemons. One of that majority had agreed to the replacement, had then lost the store too, and had forgotten it: the two majorities met in a daemon that remembered nothing.

Ruled out: a lapsed entry (the recorded promotion was believed everywhere else), a late order (the promotion was on record 0.4 s before it), the contact bound (the last majority was 0.1 s old).

Change: a daemon that agrees to a replacement remembers it until it sees the promotion on record or no record can follow any more, and names the group to whoever asks without the store (ReplacementGrants, PeerContact); the doubt holds for that group, not for all. The wait for silent daemons starts when the promotion is on record instead of when the primary was missed, the record is written only while the duty's record is unchanged, planned moves ask as well, and a daemon that has just started vouches for nothing.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/primary/PromotionPermission.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/PromotionPermission.java
@@ -5,9 +5,11 @@
 /**
  * Whether the primary of a group may be replaced without asking it.
  *
- * <p>Daemons that say that they do not reach the primary have stopped using it. A daemon that does not answer stops by
- * itself after {@link #CONTACT_NANOS} unless it is in contact with the store or with a majority of the daemons. So a
- * replacement needs a majority of answers, none that reaches the primary, and a wait while any daemon is silent.
+ * <p>Daemons that say that they do not reach the primary have stopped using it and remember that they agreed
+ * ({@link ReplacementGrants}). A daemon that does not answer stops by itself after {@link #CONTACT_NANOS} unless it is
+ * in contact with the store, where the promotion is on record, or with a majority of the daemons, one of which agreed.
+ * So a replacement needs a majority of answers, none that reaches the primary, and, while any daemon is silent, a wait
+ * after the promotion is on record.
  */
 public enum PromotionPermission {
     /** Nobody uses the primary any more. */
@@ -23,7 +25,7 @@
     public static final long CONTACT_NANOS = Duration.ofMillis(2_500).toNanos();
 
     /** How long after its contact ended a daemon has certainly stopped, its periodic check included. */
-    private static final long STOPPED_NANOS =
+    public static final long STOPPED_NANOS =
             CONTACT_NANOS + Duration.ofMillis(500).toNanos();
 
     private final String reason;
@@ -52,12 +54,17 @@
         /** Returns whether those that answered are a majority of all daemons, the asking one included. */
         public boolean majorityAnswered() {
             int all = asked + 1;
-            return (unreachable + reachable + 1) * 2 > all;
+            return (answered() + 1) * 2 > all;
+        }
+
+        /** Returns how many answered. */
+        public int answered() {
+            return unreachable + reachable;
         }
 
         /** Returns how many did not answer. */
         public int silent() {
-            return asked - unreachable - reachable;
+            return asked - answered();
         }
     }
 
@@ -65,7 +72,7 @@
      * Decides.
      *
      * @param votes what the other daemons said
-     * @param sinceNanos for how long this daemon has not reached the primary
+     * @param sinceNanos for how long the promotion has been on record, 0 if it is not yet
      * @return whether the primary may be replaced, or why not
      */
     public static PromotionPermission decide(Votes votes, long sinceNanos) {
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/ReplacementGrants.java
@@ -0,0 +1,84 @@
+package org.banyanhook.core.primary;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.ToLongFunction;
+
+/**
+ * The replacements of primaries that this daemon has agreed to and whose outcome it does not know yet.
+ *
+ * <p>A daemon without contact to the store relies on a majority of the others to hear of a replaced primary. That
+ * majority shares a daemon with the one that agreed to the replacement, so whoever agreed has to tell until it has seen
+ * the record of the promotion, or until no such record can follow any more. Not safe for use by several threads.
+ */
+public final class ReplacementGrants {
+
+    /** A promotion is recorded within this time of the answers that allow it, or not at all. */
+    public static final long RECORD_WITHIN_NANOS = Duration.ofSeconds(3).toNanos();
+
+    /** The right to promote, which the store checks when it records a promotion, lasts at most this long. */
+    public static final Duration PROMOTION_RIGHT = Duration.ofSeconds(5);
+
+    /** How long after the agreement a promotion can still be recorded, with a second for the answer's way. */
+    static final long LIFETIME_NANOS =
+            RECORD_WITHIN_NANOS + PROMOTION_RIGHT.plusSeconds(1).toNanos();
+
+    private final long startedNanos;
+    private final Map<String, Grant> grants = new HashMap<>();
+
+    private record Grant(long grantedNanos, long recordedRevision) {}
+
+    /**
+     * Creates an empty set of grants.
+     *
+     * @param startedNanos when this daemon started; what it agreed to before that it has forgotten
+     */
+    public ReplacementGrants(long startedNanos) {
+        this.startedNanos = startedNanos;
+    }
+
+    /**
+     * Notes that this daemon agreed to a replacement.
+     *
+     * @param group the database group
+     * @param recordedRevision the revision of the newest promotion of the group that is known here, 0 for none
+     * @param nowNanos the time on this entry VM's monotonic clock
+     */
+    public void grant(String group, long recordedRevision, long nowNanos) {
+        grants.put(group, new Grant(nowNanos, recordedRevision));
+    }
+
+    /**
+     * Returns the groups whose primary may have been replaced without this daemon knowing.
+     *
+     * @param recordedRevision tells the revision of the newest promotion of a group that is known here, 0 for none
+     * @param storeContactNanos when the last call was sent that the store answered
+     * @return the groups
+     */
+    public Set<String> inDoubt(ToLongFunction<String> recordedRevision, long storeContactNanos) {
+        grants.entrySet().removeIf(entry -> {
+            Grant grant = entry.getValue();
+            return recordedRevision.applyAsLong(entry.getKey()) > grant.recordedRevision()
+                    || hasOutlived(grant.grantedNanos(), storeContactNanos);
+        });
+        return new HashSet<>(grants.keySet());
+    }
+
+    /**
+     * Returns whether others may rely on this daemon to hear of replaced primaries: it must have outlived, in contact
+     * with the store, whatever it may have agreed to before it started.
+     *
+     * @param storeContactNanos when the last call was sent that the store answered
+     * @return true if they may
+     */
+    public boolean mayVouch(long storeContactNanos) {
+        return hasOutlived(startedNanos, storeContactNanos);
+    }
+
+    private static boolean hasOutlived(long sinceNanos, long storeContactNanos) {
+        return storeContactNanos - (sinceNanos + LIFETIME_NANOS) > 0;
+    }
+}
--- /dev/null
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/primary/ReplacementGrantsTest.java
@@ -0,0 +1,41 @@
+package org.banyanhook.core.primary;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+final class ReplacementGrantsTest {
+
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+    private static final long LONG_AGO = -SECOND * 1_000;
+    private static final long AFTER_LIFETIME = 2 * SECOND + ReplacementGrants.LIFETIME_NANOS + 1;
+
+    private final ReplacementGrants grants = new ReplacementGrants(SECOND);
+
+    @Test
+    void nothingIsInDoubtBeforeAnAgreement() {
+        assertThat(grants.inDoubt(group -> 0, LONG_AGO)).isEmpty();
+    }
+
+    @Test
+    void anAgreementIsToldUntilThePromotionIsOnRecord() {
+        grants.grant("orders", 7, 2 * SECOND);
+        assertThat(grants.inDoubt(group -> 7, 3 * SECOND)).containsExactly("orders");
+        assertThat(grants.inDoubt(group -> 8, 3 * SECOND)).isEmpty();
+    }
+
+    @Test
+    void anAgreementEndsOnlyByContactWithTheStoreAfterItsLifetime() {
+        grants.grant("orders", 7, 2 * SECOND);
+        assertThat(grants.inDoubt(group -> 7, AFTER_LIFETIME - 1)).containsExactly("orders");
+        assertThat(grants.inDoubt(group -> 7, AFTER_LIFETIME)).isEmpty();
+    }
+
+    @Test
+    void aDaemonThatStartedOfLateMayHaveForgottenAnAgreement() {
+        assertThat(grants.mayVouch(SECOND + ReplacementGrants.LIFETIME_NANOS)).isFalse();
+        assertThat(grants.mayVouch(SECOND + ReplacementGrants.LIFETIME_NANOS + 1))
+                .isTrue();
+    }
+}
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -36,6 +36,7 @@
 import org.banyanhook.gateway.port.RecordStore;
 import org.banyanhook.gateway.port.SessionCodec;
 import org.banyanhook.gateway.primary.PeerEvidence;
+import org.banyanhook.gateway.primary.PrimaryWitness;
 import org.banyanhook.gateway.primary.PromotionController;
 import org.banyanhook.gateway.primary.PromotionDuty;
 import org.banyanhook.gateway.primary.PromotionSteps;
@@ -126,24 +127,26 @@
                 clock,
                 log,
                 metrics);
-        PeerEvidence evidence = new PeerEvidence(settings.entryVm(), messenger, directory, eventLoop);
-        this.contact = new StoreOrPeerContact(registration::silentNanos, evidence, clock, eventLoop, log);
+        PeerEvidence peers = new PeerEvidence(settings.entryVm(), messenger, directory, eventLoop);
+        this.contact = new StoreOrPeerContact(registration::silentNanos, peers, clock, eventLoop, log);
         GroupContext groupContext =
                 new GroupContext(settings, directory, eventLoops, contact, ports.codec(), clock, log, metrics);
         this.groups = new DatabaseGroups(groupContext);
         directory.addListener(groups);
-        contact.onLost(() -> groups.dropPrimaries("a replaced primary could go unnoticed"));
         PeerTokens tokens = new PeerTokens(messenger, directory, eventLoop);
         this.rates = new RateGate(settings.entryVm(), directory, tokens, clock, log, metrics);
         tokens.serve(rates);
-        this.promotions = newPromotions(groupContext, evidence, clock);
-        evidence.serve(promotions::unreachableNanos);
+        ProbeConnections probe = new ProbeConnections(groupContext);
+        PrimaryWitness witness = new PrimaryWitness(groups, directory, probe, registration::contactNanos, clock);
+        peers.serve(witness);
+        contact.agreedTo(witness::agreedTo);
+        this.promotions = newPromotions(peers, witness, probe, clock);
         this.sessionContext =
                 new SessionContext(settings, directory, groups, rates, contact, eventLoop, clock, log, metrics);
     }
 
-    private PromotionController newPromotions(GroupContext context, PeerEvidence evidence, SteadyClock clock) {
-        ProbeConnections probe = new ProbeConnections(context);
+    private PromotionController newPromotions(
+            PeerEvidence peers, PrimaryWitness witness, ProbeConnections probe, SteadyClock clock) {
         PromotionDuty duty =
                 new PromotionDuty(ports.store(), ports.records().promotionDutyKey(), settings.entryVm(), clock, log);
         PromotionSteps steps = new PromotionSteps(
@@ -152,13 +155,14 @@
                 ports.records(),
                 directory,
                 duty,
-                evidence,
+                peers,
+                witness,
                 probe,
                 ports.authority(),
                 eventLoop,
                 clock,
                 log);
-        return new PromotionController(settings.entryVm(), groups, directory, steps, probe, eventLoop, clock, log);
+        return new PromotionController(settings.entryVm(), groups, directory, steps, eventLoop, clock, log);
     }
 
     /**
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
@@ -50,6 +50,7 @@
     private long highestTerm;
     private long heldUntilNanos;
     private boolean held;
+    private boolean inContact = true;
     private boolean pumping;
 
     DatabaseGroup(String name, GroupContext context) {
@@ -238,11 +239,30 @@
         if (held && now - heldUntilNanos >= 0) {
             held = false;
         }
+        watchContact();
         primaryQueue.removeExpired(now).forEach(work -> refuse(work, "waited too long for the primary"));
         readQueue.removeExpired(now).forEach(work -> refuse(work, "waited too long for a member"));
         pump();
     }
 
+    /** Ends what is under way at a primary that may have been replaced unnoticed. */
+    private void watchContact() {
+        boolean now = context.contact().mayUsePrimary(name);
+        if (now == inContact) {
+            return;
+        }
+        inContact = now;
+        context.log()
+                .line("primary-contact")
+                .with("group", name)
+                .with("member", primary == null ? null : primary.name())
+                .with("change", now ? "regained" : "lost")
+                .write();
+        if (!now) {
+            dropPrimary("a replaced primary could go unnoticed");
+        }
+    }
+
     private void retire(MemberServer server, String reason) {
         server.unlist();
         servers.remove(server.name(), server);
@@ -271,7 +291,7 @@
     }
 
     private boolean mayUsePrimary() {
-        return !held && context.contact().mayUsePrimaries();
+        return !held && context.contact().mayUsePrimary(name);
     }
 
     private boolean isPrimary(MemberServer server) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroups.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroups.java
@@ -32,11 +32,6 @@
         return groups.values();
     }
 
-    /** Closes all connections to primaries, because a replaced one could go unnoticed. */
-    public void dropPrimaries(String reason) {
-        groups.values().forEach(group -> group.dropPrimary(reason));
-    }
-
     /** Refuses what has waited too long. */
     public void tick() {
         groups.values().forEach(DatabaseGroup::tick);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DaemonRegistration.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DaemonRegistration.java
@@ -100,6 +100,11 @@
         return everInContact ? clock.nowNanos() - lastContactNanos : Long.MAX_VALUE / 2;
     }
 
+    /** Returns when the last call was sent that the store answered; long ago if it never answered. */
+    public long contactNanos() {
+        return clock.nowNanos() - silentNanos();
+    }
+
     private void renew() {
         if (stopped) {
             return;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
@@ -133,6 +133,23 @@
                 .orElse(0);
     }
 
+    /** Returns the revision of the newest promotion of a group on record, 0 if there is none. */
+    public long promotionRevision(String group) {
+        RecordedPromotion recorded = promotions.get(group);
+        return recorded == null ? 0 : recorded.revision();
+    }
+
+    /** Returns the groups that had a promotion recorded after a revision. */
+    public Set<String> promotedSince(long revision) {
+        Set<String> groups = new HashSet<>();
+        promotions.forEach((group, recorded) -> {
+            if (recorded.revision() > revision) {
+                groups.add(group);
+            }
+        });
+        return groups;
+    }
+
     /**
      * Returns by how many daemons limits are divided: the most that were seen at once of late, because a daemon whose
      * entry ended may still be running for a while.
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/RecordStore.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/RecordStore.java
@@ -41,6 +41,17 @@
      */
     CompletableFuture<Long> put(String key, byte[] value, OptionalLong expectedRevision, long lease);
 
+    /**
+     * Writes a record that does not end by itself, while another record is unchanged.
+     *
+     * @param key its key
+     * @param value its bytes
+     * @param guardKey the key of the other record
+     * @param guardRevision the revision that the other record must have
+     * @return the revision of the change
+     */
+    CompletableFuture<Long> putWhile(String key, byte[] value, String guardKey, long guardRevision);
+
     /**
      * Opens a lease.
      *
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerEvidence.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerEvidence.java
@@ -1,12 +1,13 @@
 package org.banyanhook.gateway.primary;
 
+import com.google.common.collect.Sets;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
 import org.banyanhook.core.primary.PromotionPermission.Votes;
 import org.banyanhook.daemon.peer.PeerMessenger;
 import org.banyanhook.gateway.fleet.FleetDirectory;
@@ -23,11 +24,54 @@
      */
     private static final Duration TIMEOUT = Duration.ofMillis(800);
 
+    private static final Round SILENT = new Round(new Votes(1, 0, 0), Set.of());
+
     private final PeerMessenger messenger;
     private final FleetDirectory directory;
     private final EventLoop eventLoop;
     private final String entryVm;
-    private long newestPromotionHeard;
+
+    /**
+     * What the other daemons answered.
+     *
+     * @param votes how many were asked and what they said
+     * @param inDoubt the groups whose primary was replaced, or may have been, as one of them knows
+     */
+    public record Round(Votes votes, Set<String> inDoubt) {
+
+        private static final Round NONE = new Round(Votes.NONE, Set.of());
+
+        public Round {
+            inDoubt = Set.copyOf(inDoubt);
+        }
+
+        private Round plus(Round other) {
+            return new Round(votes.plus(other.votes), Sets.union(inDoubt, other.inDoubt));
+        }
+    }
+
+    /** Answers the questions of other daemons. Called on the event loop. */
+    public interface Witness {
+        /**
+         * Tells for how long this daemon has not reached the primary of a group, and agrees to its replacement if it
+         * does not reach it or the replacement is planned.
+         *
+         * @param group the group
+         * @param planned whether the primary is to be replaced although it is alive
+         * @return nanoseconds, negative if the primary is reached and stays in use; never fails
+         */
+        CompletableFuture<Long> unreachableNanos(String group, boolean planned);
+
+        /**
+         * Returns the groups whose primary was replaced, or may have been, unknown to a daemon.
+         *
+         * @param knownPromotion the revision of the newest promotion that the daemon knows
+         */
+        Set<String> groupsInDoubt(long knownPromotion);
+
+        /** Returns whether others may rely on this daemon to hear of replaced primaries. */
+        boolean mayVouch();
+    }
 
     /**
      * Creates the exchange.
@@ -47,64 +91,77 @@
     /**
      * Answers other daemons.
      *
-     * @param unreachableNanos tells for how long this daemon has not reached the primary of a group, negative if it
-     *     does
+     * @param witness what answers
      */
-    public void serve(Function<String, CompletableFuture<Long>> unreachableNanos) {
+    public void serve(Witness witness) {
         messenger.handle(PeerEnvelope.BodyCase.PRIMARY_EVIDENCE_REQUEST, message -> {
             PrimaryEvidenceRequest request = message.getPrimaryEvidenceRequest();
-            return CompletableFuture.supplyAsync(() -> unreachableNanos.apply(request.getDatabase()), eventLoop)
-                    .thenCompose(found -> found)
-                    .thenApplyAsync(nanos -> answer(request, nanos), eventLoop);
+            return CompletableFuture.supplyAsync(() -> answer(witness, request), eventLoop)
+                    .thenCompose(answer -> answer);
         });
     }
 
+    private static CompletableFuture<PeerEnvelope> answer(Witness witness, PrimaryEvidenceRequest request) {
+        PrimaryEvidence.Builder evidence = PrimaryEvidence.newBuilder().setDatabase(request.getDatabase());
+        if (!request.getDatabase().isEmpty()) {
+            return witness.unreachableNanos(request.getDatabase(), request.getPlanned())
+                    .thenApply(nanos -> envelope(evidence.setPrimaryUnreachable(nanos >= 0)
+                            .setUnreachableMillis(Math.max(0, TimeUnit.NANOSECONDS.toMillis(nanos)))));
+        }
+        if (!witness.mayVouch()) {
+            return CompletableFuture.failedFuture(
+                    new IllegalStateException("started too recently to know of promotions"));
+        }
+        return CompletableFuture.completedFuture(
+                envelope(evidence.addAllDatabasesInDoubt(witness.groupsInDoubt(request.getTerm()))));
+    }
+
+    private static PeerEnvelope envelope(PrimaryEvidence.Builder evidence) {
+        return PeerEnvelope.newBuilder().setPrimaryEvidence(evidence).build();
+    }
+
+    /**
+     * Asks all other daemons to agree to the replacement of a primary.
+     *
+     * @param group the database group
+     * @param planned whether the primary is to be replaced although it is alive
+     * @return what they said, once all have answered or the time is over; never fails
+     */
+    public CompletableFuture<Votes> askToReplace(String group, boolean planned) {
+        return ask(PrimaryEvidenceRequest.newBuilder().setDatabase(group).setPlanned(planned))
+                .thenApply(Round::votes);
+    }
+
     /**
-     * Asks all other daemons.
+     * Asks all other daemons which primaries were replaced.
      *
-     * @param group the database group, or empty to learn only who answers
-     * @param term the highest term known here
      * @return what they said, once all have answered or the time is over; never fails
      */
-    public CompletableFuture<Votes> ask(String group, long term) {
-        PeerEnvelope body = PeerEnvelope.newBuilder()
-                .setPrimaryEvidenceRequest(
-                        PrimaryEvidenceRequest.newBuilder().setDatabase(group).setTerm(term))
-                .build();
-        List<CompletableFuture<Votes>> answers = new ArrayList<>();
+    public CompletableFuture<Round> askForNews() {
+        // The request's term is the newest promotion known here, so that only news comes back.
+        return ask(PrimaryEvidenceRequest.newBuilder().setTerm(directory.newestPromotionRevision()));
+    }
+
+    private CompletableFuture<Round> ask(PrimaryEvidenceRequest.Builder request) {
+        PeerEnvelope body =
+                PeerEnvelope.newBuilder().setPrimaryEvidenceRequest(request).build();
+        List<CompletableFuture<Round>> answers = new ArrayList<>();
         for (DaemonEntry daemon : directory.recentDaemons().values()) {
             if (!daemon.entryVm().equals(entryVm)) {
                 answers.add(messenger
                         .request(daemon.peerAddress(), body, TIMEOUT)
-                        .handleAsync((reply, failure) -> reply == null ? new Votes(1, 0, 0) : vote(reply), eventLoop));
+                        .handle((reply, failure) -> reply == null ? SILENT : round(reply.getPrimaryEvidence())));
             }
         }
         return CompletableFuture.allOf(answers.toArray(new CompletableFuture<?>[0]))
                 .thenApplyAsync(
-                        done -> answers.stream().map(CompletableFuture::join).reduce(Votes.NONE, Votes::plus),
+                        done -> answers.stream().map(CompletableFuture::join).reduce(Round.NONE, Round::plus),
                         eventLoop);
     }
 
-    /** Returns whether another daemon knows of a promotion that this one has not seen. */
-    public boolean missesPromotion() {
-        return newestPromotionHeard > directory.newestPromotionRevision();
-    }
-
-    private Votes vote(PeerEnvelope reply) {
-        newestPromotionHeard =
-                Math.max(newestPromotionHeard, reply.getPrimaryEvidence().getTerm());
-        boolean unreachable = reply.getPrimaryEvidence().getPrimaryUnreachable();
-        return new Votes(1, unreachable ? 1 : 0, unreachable ? 0 : 1);
-    }
-
-    private PeerEnvelope answer(PrimaryEvidenceRequest request, long nanos) {
-        return PeerEnvelope.newBuilder()
-                .setPrimaryEvidence(PrimaryEvidence.newBuilder()
-                        .setDatabase(request.getDatabase())
-                        // A promotion that the asking daemon has not seen is news to it.
-                        .setTerm(directory.newestPromotionRevision())
-                        .setPrimaryUnreachable(nanos >= 0)
-                        .setUnreachableMillis(Math.max(0, TimeUnit.NANOSECONDS.toMillis(nanos))))
-                .build();
+    private static Round round(PrimaryEvidence evidence) {
+        boolean unreachable = evidence.getPrimaryUnreachable();
+        return new Round(
+                new Votes(1, unreachable ? 1 : 0, unreachable ? 0 : 1), Set.copyOf(evidence.getDatabasesInDoubtList()));
     }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PrimaryContact.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PrimaryContact.java
@@ -3,6 +3,10 @@
 /** Tells whether this daemon would have heard of a replaced primary. */
 @FunctionalInterface
 public interface PrimaryContact {
-    /** Returns whether the primary that is believed may be used. */
-    boolean mayUsePrimaries();
+    /**
+     * Returns whether the primary of a group that is believed may be used.
+     *
+     * @param group the database group
+     */
+    boolean mayUsePrimary(String group);
 }
--- /dev/null
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PrimaryWitness.java
@@ -0,0 +1,114 @@
+package org.banyanhook.gateway.primary;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.banyanhook.core.primary.ReplacementGrants;
+import org.banyanhook.gateway.backend.DatabaseGroup;
+import org.banyanhook.gateway.backend.DatabaseGroups;
+import org.banyanhook.gateway.backend.MemberProbe;
+import org.banyanhook.gateway.backend.MemberServer;
+import org.banyanhook.gateway.fleet.FleetDirectory;
+import org.banyanhook.gateway.message.MemberCommand;
+import org.banyanhook.gateway.operation.SteadyClock;
+
+/**
+ * Answers other daemons that ask whether this one reaches a primary, and remembers to which replacements it agreed.
+ * Used on the event loop only.
+ */
+public final class PrimaryWitness implements PeerEvidence.Witness {
+
+    /** A primary that answered this recently is reached. */
+    private static final long RECENT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+    private final DatabaseGroups groups;
+    private final FleetDirectory directory;
+    private final MemberProbe probe;
+    private final LongSupplier storeContactNanos;
+    private final SteadyClock clock;
+    private final ReplacementGrants grants;
+
+    /**
+     * Creates a witness that has agreed to nothing.
+     *
+     * @param groups the database groups
+     * @param directory tells the promotions on record
+     * @param probe asks the members
+     * @param storeContactNanos tells when the last call was sent that the store answered
+     * @param clock the monotonic clock
+     */
+    public PrimaryWitness(
+            DatabaseGroups groups,
+            FleetDirectory directory,
+            MemberProbe probe,
+            LongSupplier storeContactNanos,
+            SteadyClock clock) {
+        this.groups = groups;
+        this.directory = directory;
+        this.probe = probe;
+        this.storeContactNanos = storeContactNanos;
+        this.clock = clock;
+        this.grants = new ReplacementGrants(clock.nowNanos());
+    }
+
+    @Override
+    public CompletableFuture<Long> unreachableNanos(String groupName, boolean planned) {
+        DatabaseGroup group = groups.group(groupName);
+        if (planned) {
+            // The old primary refuses work itself from the moment that it steps down.
+            agree(groupName);
+            return CompletableFuture.completedFuture(0L);
+        }
+        MemberServer primary = group.primary().orElse(null);
+        long now = clock.nowNanos();
+        if (primary == null) {
+            return CompletableFuture.completedFuture(stopUsing(group, 0));
+        }
+        if (primary.failingNanos(now) >= 0) {
+            return CompletableFuture.completedFuture(stopUsing(group, primary.failingNanos(now)));
+        }
+        if (primary.silentNanos(now) < RECENT_NANOS) {
+            return CompletableFuture.completedFuture(-1L);
+        }
+        return probe.send(primary, new MemberCommand.Status()).thenApply(report -> {
+            // A refused connection is an answer, too.
+            boolean answered = report.isPresent() || primary.silentNanos(clock.nowNanos()) < RECENT_NANOS;
+            return answered ? -1L : stopUsing(group, 0);
+        });
+    }
+
+    @Override
+    public Set<String> groupsInDoubt(long knownPromotion) {
+        Set<String> doubted = new HashSet<>(directory.promotedSince(knownPromotion));
+        doubted.addAll(agreedTo());
+        return doubted;
+    }
+
+    @Override
+    public boolean mayVouch() {
+        return grants.mayVouch(storeContactNanos.getAsLong());
+    }
+
+    /**
+     * Notes that this daemon agrees to the replacement of a primary.
+     *
+     * @param group the database group
+     */
+    void agree(String group) {
+        grants.grant(group, directory.promotionRevision(group), clock.nowNanos());
+    }
+
+    /** Returns the groups to whose replacement this daemon agreed without knowing what came of it. */
+    public Set<String> agreedTo() {
+        return grants.inDoubt(directory::promotionRevision, storeContactNanos.getAsLong());
+    }
+
+    private long stopUsing(DatabaseGroup group, long failingNanos) {
+        agree(group.name());
+        group.hold(clock.nowNanos() + PromotionSteps.PROMOTION_NANOS);
+        group.dropPrimary("agreed to its replacement");
+        return failingNanos;
+    }
+}
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
@@ -9,15 +9,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.core.routing.RendezvousScores;
 import org.banyanhook.gateway.backend.DatabaseGroup;
 import org.banyanhook.gateway.backend.DatabaseGroups;
-import org.banyanhook.gateway.backend.MemberProbe;
 import org.banyanhook.gateway.backend.MemberServer;
 import org.banyanhook.gateway.fleet.FleetDirectory;
-import org.banyanhook.gateway.message.MemberCommand;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.SteadyClock;
 
@@ -37,9 +34,6 @@
     /** A daemon of a lower rank waits this much longer for each rank. */
     private static final long RANK_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-    /** A primary that answered this recently is reached. */
-    private static final long RECENT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-
     /** The pause after an attempt that came to nothing. */
     private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
@@ -47,7 +41,6 @@
     private final DatabaseGroups groups;
     private final FleetDirectory directory;
     private final PromotionSteps steps;
-    private final MemberProbe probe;
     private final EventLoop eventLoop;
     private final SteadyClock clock;
     private final DecisionLog log;
@@ -80,7 +73,6 @@
      * @param groups the database groups
      * @param directory tells the daemons and what operators have taken out
      * @param steps carries a promotion out
-     * @param probe asks the members
      * @param eventLoop where everything runs
      * @param clock the monotonic clock
      * @param log receives a line for each decision
@@ -90,7 +82,6 @@
             DatabaseGroups groups,
             FleetDirectory directory,
             PromotionSteps steps,
-            MemberProbe probe,
             EventLoop eventLoop,
             SteadyClock clock,
             DecisionLog log) {
@@ -98,7 +89,6 @@
         this.groups = groups;
         this.directory = directory;
         this.steps = steps;
-        this.probe = probe;
         this.eventLoop = eventLoop;
         this.clock = clock;
         this.log = log;
@@ -112,42 +102,6 @@
         }
     }
 
-    /**
-     * Tells other daemons whether this one reaches the primary of a group. Whoever says that it does not stops using it
-     * for as long as a promotion may take.
-     *
-     * @param groupName the group, or empty if only an answer is wanted
-     * @return for how long the primary has not been reached, in nanoseconds; negative if it is reached; never fails
-     */
-    public CompletableFuture<Long> unreachableNanos(String groupName) {
-        if (groupName.isEmpty()) {
-            return CompletableFuture.completedFuture(-1L);
-        }
-        DatabaseGroup group = groups.group(groupName);
-        MemberServer primary = group.primary().orElse(null);
-        long now = clock.nowNanos();
-        if (primary == null) {
-            return CompletableFuture.completedFuture(promiseNotToUse(group, 0));
-        }
-        if (primary.failingNanos(now) >= 0) {
-            return CompletableFuture.completedFuture(promiseNotToUse(group, primary.failingNanos(now)));
-        }
-        if (primary.silentNanos(now) < RECENT_NANOS) {
-            return CompletableFuture.completedFuture(-1L);
-        }
-        return probe.send(primary, new MemberCommand.Status()).thenApply(report -> {
-            // A refused connection is an answer, too.
-            boolean answered = report.isPresent() || primary.silentNanos(clock.nowNanos()) < RECENT_NANOS;
-            return answered ? -1L : promiseNotToUse(group, 0);
-        });
-    }
-
-    private long promiseNotToUse(DatabaseGroup group, long failingNanos) {
-        group.hold(clock.nowNanos() + PromotionSteps.PROMOTION_NANOS);
-        group.dropPrimary("promised not to use the primary");
-        return failingNanos;
-    }
-
     private void examine(DatabaseGroup group, Watch watch, long now) {
         Optional<Reason> reason = reason(group, now);
         if (!reason.equals(watch.reason)) {
@@ -168,7 +122,7 @@
             return;
         }
         watch.running = true;
-        steps.replace(group, reason.get(), now - watch.sinceNanos, watch.rejected)
+        steps.replace(group, reason.get(), watch.rejected)
                 .whenCompleteAsync(
                         (outcome, failure) -> {
                             watch.running = false;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionSteps.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionSteps.java
@@ -5,11 +5,11 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.core.primary.PromotionPermission;
+import org.banyanhook.core.primary.ReplacementGrants;
 import org.banyanhook.core.replication.LogPosition;
 import org.banyanhook.gateway.backend.DatabaseGroup;
 import org.banyanhook.gateway.backend.MemberProbe;
@@ -23,6 +23,7 @@
 import org.banyanhook.gateway.port.FleetRecords;
 import org.banyanhook.gateway.port.PromotionAuthority;
 import org.banyanhook.gateway.port.RecordStore;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The steps of one promotion: take the duty, make sure that nobody uses the old primary, choose the member with the
@@ -34,10 +35,9 @@
     static final long PROMOTION_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
 
     private static final long CATCH_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-    private static final long POLL_MILLIS = 60;
-    private static final long NO_LEASE = 0;
+    private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
     private static final int MAXIMUM_ORDERS = 4;
-    private static final long ORDER_RETRY_MILLIS = 250;
+    private static final long ORDER_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
     private static final Comparator<Candidate> LONGEST_LOG = Comparator.comparing(
                     (Candidate candidate) -> candidate.report().position())
@@ -48,6 +48,7 @@
     private final FleetDirectory directory;
     private final PromotionDuty duty;
     private final PeerEvidence peers;
+    private final PrimaryWitness witness;
     private final MemberProbe probe;
     private final PromotionAuthority authority;
     private final String entryVm;
@@ -57,6 +58,29 @@
 
     private record Candidate(MemberServer server, MemberReport report) {}
 
+    /**
+     * What a promotion rests on.
+     *
+     * @param askedNanos when the other daemons were asked, or the old primary stepped down
+     * @param waitNanos how long daemons that did not answer may go on using the old primary
+     * @param wanted the place that the new primary's log should hold
+     */
+    private record Agreement(long askedNanos, long waitNanos, LogPosition wanted) {
+
+        private Agreement renewedAt(long nanos) {
+            return new Agreement(nanos, 0, wanted);
+        }
+
+        private Agreement wanting(LogPosition position) {
+            return new Agreement(askedNanos, waitNanos, position);
+        }
+    }
+
+    private record Answer(
+            long askedNanos,
+            PromotionPermission permission,
+            @Nullable Agreement agreement) {}
+
     /**
      * Creates the steps.
      *
@@ -66,6 +90,7 @@
      * @param directory tells what operators have taken out
      * @param duty the right to order promotions
      * @param peers asks the other daemons
+     * @param witness notes that this daemon agrees as well
      * @param probe asks the members
      * @param authority carries promotions out
      * @param eventLoop where everything runs
@@ -79,6 +104,7 @@
             FleetDirectory directory,
             PromotionDuty duty,
             PeerEvidence peers,
+            PrimaryWitness witness,
             MemberProbe probe,
             PromotionAuthority authority,
             EventLoop eventLoop,
@@ -90,6 +116,7 @@
         this.directory = directory;
         this.duty = duty;
         this.peers = peers;
+        this.witness = witness;
         this.probe = probe;
         this.authority = authority;
         this.eventLoop = eventLoop;
@@ -102,56 +129,83 @@
      *
      * @param group the group
      * @param reason why
-     * @param sinceNanos for how long the reason has held
      * @param rejected members that the platform did not promote; grows
      * @return what came of it, for the log
      */
-    CompletableFuture<String> replace(
-            DatabaseGroup group, PromotionController.Reason reason, long sinceNanos, Set<String> rejected) {
-        if (reason.planned()) {
-            return duty.acquire().thenCompose(token -> move(group, token, rejected));
-        }
-        return peers.ask(group.name(), group.highestTerm()).thenCompose(votes -> {
+    CompletableFuture<String> replace(DatabaseGroup group, PromotionController.Reason reason, Set<String> rejected) {
+        return agree(group, reason.planned()).thenCompose(found -> {
+            Agreement agreement = found.agreement();
+            if (agreement == null) {
+                return CompletableFuture.completedFuture(found.permission().reason());
+            }
+            if (!reason.planned()) {
+                group.dropPrimary("about to be replaced");
+                return duty.acquire().thenCompose(token -> promoteBest(group, token, rejected, agreement));
+            }
+            // The old primary serves while daemons that did not answer stop using it; then all agree once more.
+            return agreement.waitNanos() == 0
+                    ? move(group, rejected, agreement)
+                    : pause(agreement.waitNanos())
+                            .thenCompose(done -> agree(group, true))
+                            .thenCompose(again -> move(group, rejected, agreement.renewedAt(again.askedNanos())));
+        });
+    }
+
+    /** Asks all other daemons whether the primary may be replaced. */
+    private CompletableFuture<Answer> agree(DatabaseGroup group, boolean planned) {
+        long askedNanos = clock.nowNanos();
+        return peers.askToReplace(group.name(), planned).thenApply(votes -> {
+            PromotionPermission permission = PromotionPermission.decide(votes, 0);
             log.line("primary-votes")
                     .with("group", group.name())
+                    .with("planned", planned)
                     .with("asked", votes.asked())
                     .with("unreachable", votes.unreachable())
                     .with("reachable", votes.reachable())
-                    .with("sinceMs", TimeUnit.NANOSECONDS.toMillis(sinceNanos))
+                    .with("outcome", permission.name())
                     .write();
-            PromotionPermission permission = PromotionPermission.decide(votes, sinceNanos);
-            if (permission != PromotionPermission.GRANTED) {
-                return CompletableFuture.completedFuture(permission.reason());
-            }
-            group.dropPrimary("about to be replaced");
-            return duty.acquire().thenCompose(token -> promoteBest(group, token, rejected, LogPosition.START));
+            return switch (permission) {
+                case GRANTED, SILENT_DAEMONS -> {
+                    witness.agree(group.name());
+                    long waitNanos = votes.silent() == 0 ? 0 : PromotionPermission.STOPPED_NANOS;
+                    yield new Answer(askedNanos, permission, new Agreement(askedNanos, waitNanos, LogPosition.START));
+                }
+                case STILL_REACHED, NO_MAJORITY -> new Answer(askedNanos, permission, null);
+            };
         });
     }
 
     /** Stops the old primary first, then promotes a member that has caught up with it. */
-    private CompletableFuture<String> move(DatabaseGroup group, long token, Set<String> rejected) {
-        MemberServer old = group.primary().orElse(null);
-        if (old == null) {
-            return promoteBest(group, token, rejected, LogPosition.START);
-        }
-        return candidates(group, rejected).thenCompose(before -> {
-            if (before.isEmpty()) {
-                return CompletableFuture.completedFuture("no member can take over");
+    private CompletableFuture<String> move(DatabaseGroup group, Set<String> rejected, Agreement agreement) {
+        return duty.acquire().thenCompose(token -> {
+            MemberServer old = group.primary().orElse(null);
+            if (old == null) {
+                return CompletableFuture.completedFuture("the primary has gone meanwhile");
             }
-            group.hold(clock.nowNanos() + PROMOTION_NANOS);
-            long term = group.highestTerm() + 1;
-            return probe.send(old, new MemberCommand.StepDown(term)).thenCompose(report -> {
-                if (report.isEmpty()) {
-                    return CompletableFuture.completedFuture("the old primary did not step down");
+            return candidates(group, rejected).thenCompose(found -> {
+                if (found.isEmpty()) {
+                    return CompletableFuture.completedFuture("no member can take over");
                 }
-                LogPosition end = report.get().position();
-                long until = clock.nowNanos() + CATCH_UP_NANOS;
-                return awaitCaughtUp(group, rejected, end, until)
-                        .thenCompose(done -> promoteBest(group, token, rejected, end));
+                return stepDown(group, old, token, rejected, agreement);
             });
         });
     }
 
+    private CompletableFuture<String> stepDown(
+            DatabaseGroup group, MemberServer old, long token, Set<String> rejected, Agreement agreement) {
+        group.hold(clock.nowNanos() + PROMOTION_NANOS);
+        long term = group.highestTerm() + 1;
+        return probe.send(old, new MemberCommand.StepDown(term)).thenCompose(report -> {
+            if (report.isEmpty()) {
+                return CompletableFuture.completedFuture("the old primary did not step down");
+            }
+            LogPosition end = report.get().position();
+            long until = clock.nowNanos() + CATCH_UP_NANOS;
+            return awaitCaughtUp(group, rejected, end, until)
+                    .thenCompose(done -> promoteBest(group, token, rejected, agreement.wanting(end)));
+        });
+    }
+
     private CompletableFuture<Void> awaitCaughtUp(
             DatabaseGroup group, Set<String> rejected, LogPosition end, long untilNanos) {
         return candidates(group, rejected).thenCompose(found -> {
@@ -160,12 +214,12 @@
             if (caughtUp || clock.nowNanos() - untilNanos >= 0) {
                 return CompletableFuture.<Void>completedFuture(null);
             }
-            return pause(POLL_MILLIS).thenCompose(done -> awaitCaughtUp(group, rejected, end, untilNanos));
+            return pause(POLL_NANOS).thenCompose(done -> awaitCaughtUp(group, rejected, end, untilNanos));
         });
     }
 
     private CompletableFuture<String> promoteBest(
-            DatabaseGroup group, long token, Set<String> rejected, LogPosition wanted) {
+            DatabaseGroup group, long token, Set<String> rejected, Agreement agreement) {
         return candidates(group, rejected).thenCompose(found -> {
             Optional<Candidate> best = found.stream().max(LONGEST_LOG);
             if (best.isEmpty()) {
@@ -177,22 +231,46 @@
                     .with("group", group.name())
                     .with("member", chosen.server().name())
                     .with("position", chosen.report().position().toString())
-                    .with("wanted", wanted.toString())
+                    .with("wanted", agreement.wanted().toString())
                     .with("candidates", found.size())
                     .with("token", token)
                     .write();
-            group.hold(clock.nowNanos() + PROMOTION_NANOS);
-            FleetRecord.Promotion promotion =
-                    new FleetRecord.Promotion(group.name(), chosen.server().name());
-            return store.put(
-                            records.promotionKey(group.name()),
-                            records.encode(promotion),
-                            OptionalLong.empty(),
-                            NO_LEASE)
-                    .thenCompose(revision -> order(group, chosen.server(), token, rejected, 1));
+            return record(group, chosen.server(), token, agreement)
+                    .thenCompose(failure -> failure.isPresent()
+                            ? CompletableFuture.completedFuture(failure.get())
+                            : afterWait(group, chosen.server(), token, rejected, agreement));
         });
     }
 
+    /** Puts the promotion on record; returns why it did not, or empty if it did. */
+    private CompletableFuture<Optional<String>> record(
+            DatabaseGroup group, MemberServer server, long token, Agreement agreement) {
+        if (clock.nowNanos() - agreement.askedNanos() > ReplacementGrants.RECORD_WITHIN_NANOS) {
+            return CompletableFuture.completedFuture(Optional.of("the other daemons agreed too long ago"));
+        }
+        group.hold(clock.nowNanos() + PROMOTION_NANOS + agreement.waitNanos());
+        FleetRecord.Promotion promotion = new FleetRecord.Promotion(group.name(), server.name());
+        return store.putWhile(
+                        records.promotionKey(group.name()),
+                        records.encode(promotion),
+                        records.promotionDutyKey(),
+                        token)
+                .thenApply(revision -> Optional.empty());
+    }
+
+    /** Orders the promotion once daemons that did not answer have stopped using the old primary. */
+    private CompletableFuture<String> afterWait(
+            DatabaseGroup group, MemberServer server, long token, Set<String> rejected, Agreement agreement) {
+        if (agreement.waitNanos() == 0) {
+            return order(group, server, token, rejected, 1);
+        }
+        return pause(agreement.waitNanos())
+                .thenCompose(done -> duty.acquire())
+                .thenCompose(renewed -> renewed == token
+                        ? order(group, server, token, rejected, 1)
+                        : CompletableFuture.completedFuture("the duty was lost while daemons were silent"));
+    }
+
     private CompletableFuture<String> order(
             DatabaseGroup group, MemberServer server, long token, Set<String> rejected, int attempt) {
         if (!duty.isHeld()) {
@@ -207,7 +285,7 @@
             case NO_ANSWER ->
                 attempt >= MAXIMUM_ORDERS
                         ? CompletableFuture.completedFuture("no answer to the order")
-                        : pause(ORDER_RETRY_MILLIS)
+                        : pause(ORDER_RETRY_NANOS)
                                 .thenCompose(done -> order(group, server, token, rejected, attempt + 1));
         });
     }
@@ -220,7 +298,7 @@
         if (clock.nowNanos() - untilNanos >= 0) {
             return CompletableFuture.completedFuture("ordered, but " + server.name() + " does not report to lead");
         }
-        return pause(POLL_MILLIS).thenCompose(done -> awaitLead(group, server, untilNanos));
+        return pause(POLL_NANOS).thenCompose(done -> awaitLead(group, server, untilNanos));
     }
 
     private CompletableFuture<List<Candidate>> candidates(DatabaseGroup group, Set<String> rejected) {
@@ -242,9 +320,9 @@
                         .toList());
     }
 
-    private CompletableFuture<Void> pause(long millis) {
+    private CompletableFuture<Void> pause(long nanos) {
         CompletableFuture<Void> over = new CompletableFuture<>();
-        var unused = eventLoop.schedule(() -> over.complete(null), millis, TimeUnit.MILLISECONDS);
+        var unused = eventLoop.schedule(() -> over.complete(null), nanos, TimeUnit.NANOSECONDS);
         return over;
     }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/StoreOrPeerContact.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/StoreOrPeerContact.java
@@ -1,8 +1,11 @@
 package org.banyanhook.gateway.primary;
 
 import io.netty.channel.EventLoop;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.banyanhook.core.primary.PeerContact;
 import org.banyanhook.core.primary.PromotionPermission;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.SteadyClock;
@@ -10,9 +13,8 @@
 /**
  * Lets primaries be used only while this daemon is in contact with the store or with a majority of the daemons.
  *
- * <p>Whoever replaces a primary needs the store, and either the word of every daemon that it does not reach the primary
- * or a wait that is longer than the time after which a daemon without contact stops by itself. Used on the event loop
- * only.
+ * <p>Whoever replaces a primary needs the store and the word of a majority of the daemons, and waits until daemons that
+ * said nothing have stopped by themselves. Used on the event loop only.
  */
 public final class StoreOrPeerContact implements PrimaryContact {
 
@@ -26,11 +28,10 @@
     private final SteadyClock clock;
     private final EventLoop eventLoop;
     private final DecisionLog log;
-    private long peerContactNanos;
-    private boolean everPeerContact;
+    private final PeerContact contact = new PeerContact();
     private long askedNanos;
-    private boolean allowed = true;
-    private Runnable onLost = () -> {};
+    private boolean storeSilent;
+    private Supplier<Set<String>> agreedTo = Set::of;
 
     /**
      * Creates the rule.
@@ -39,7 +40,7 @@
      * @param peers asks the other daemons
      * @param clock the monotonic clock
      * @param eventLoop where answers are handled
-     * @param log receives a line when the contact is lost or regained
+     * @param log receives a line for each round of answers, and when the store falls silent or answers again
      */
     public StoreOrPeerContact(
             LongSupplier storeSilentNanos,
@@ -53,53 +54,50 @@
         this.eventLoop = eventLoop;
         this.log = log;
         this.askedNanos = clock.nowNanos();
-        clock.onJump(() -> everPeerContact = false);
+        clock.onJump(contact::forget);
     }
 
-    /** Sets what to do when the contact is lost. */
-    public void onLost(Runnable action) {
-        onLost = action;
+    /** Sets what tells the groups to whose replacement this daemon agreed without knowing what came of it. */
+    public void agreedTo(Supplier<Set<String>> groups) {
+        agreedTo = groups;
     }
 
     @Override
-    public boolean mayUsePrimaries() {
-        long now = clock.nowNanos();
-        if (storeSilentNanos.getAsLong() <= PromotionPermission.CONTACT_NANOS) {
-            return true;
-        }
-        return everPeerContact
-                && now - peerContactNanos <= PromotionPermission.CONTACT_NANOS
-                && !peers.missesPromotion();
+    public boolean mayUsePrimary(String group) {
+        return storeSilentNanos.getAsLong() <= PromotionPermission.CONTACT_NANOS
+                || (contact.mayUse(group, clock.nowNanos()) && !agreedTo.get().contains(group));
     }
 
     /** Asks the other daemons if the store is silent. */
     public void tick() {
         long now = clock.nowNanos();
-        boolean may = mayUsePrimaries();
-        if (may != allowed) {
-            allowed = may;
-            if (!may) {
-                onLost.run();
-            }
-            log.line("dependency")
-                    .with("name", "store-or-peers")
-                    .with("change", may ? "regained" : "lost")
-                    .with("storeSilentMs", TimeUnit.NANOSECONDS.toMillis(storeSilentNanos.getAsLong()))
-                    .write();
-        }
-        if (storeSilentNanos.getAsLong() < ASK_AFTER_NANOS || now - askedNanos < ASK_INTERVAL_NANOS) {
+        long silentNanos = storeSilentNanos.getAsLong();
+        noteStore(silentNanos);
+        if (silentNanos < ASK_AFTER_NANOS || now - askedNanos < ASK_INTERVAL_NANOS) {
             return;
         }
         askedNanos = now;
-        peers.ask("", 0)
-                .thenAcceptAsync(
-                        votes -> {
-                            if (votes.majorityAnswered()) {
-                                everPeerContact = true;
-                                peerContactNanos = now;
-                            }
-                        },
-                        eventLoop)
-                .exceptionally(failure -> null);
+        var unused = peers.askForNews().thenAcceptAsync(round -> observe(now, round), eventLoop);
+    }
+
+    private void noteStore(long silentNanos) {
+        boolean silent = silentNanos > PromotionPermission.CONTACT_NANOS;
+        if (silent != storeSilent) {
+            storeSilent = silent;
+            log.line("dependency")
+                    .with("name", "store-lease")
+                    .with("change", silent ? "lost" : "regained")
+                    .with("silentMs", TimeUnit.NANOSECONDS.toMillis(silentNanos))
+                    .write();
+        }
+    }
+
+    private void observe(long sentNanos, PeerEvidence.Round round) {
+        contact.observe(sentNanos, round.votes(), round.inDoubt());
+        log.line("peer-contact")
+                .with("asked", round.votes().asked())
+                .with("answered", round.votes().answered())
+                .with("inDoubt", String.join(",", round.inDoubt()))
+                .write();
     }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementRun.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementRun.java
@@ -123,7 +123,7 @@
         MemberConnection pinned = transaction == null ? null : transaction.connection();
         if (pinned == null) {
             place();
-        } else if (isPrimaryOnly() && !context.contact().mayUsePrimaries()) {
+        } else if (isPrimaryOnly() && !context.contact().mayUsePrimary(group.name())) {
             pinned.close("a replaced primary could go unnoticed");
             Objects.requireNonNull(transaction).connection(null);
             fail(SessionError.TRANSACTION_ABORTED, "a replaced primary could go unnoticed here; begin again");
@@ -180,7 +180,7 @@
             return;
         }
         boolean primaryOnly = isPrimaryOnly();
-        if (primaryOnly && !context.contact().mayUsePrimaries()) {
+        if (primaryOnly && !context.contact().mayUsePrimary(group.name())) {
             fail(SessionError.OVERLOADED, "a replaced primary could go unnoticed here; retry on a new connection");
             return;
         }
