Divide rates among few holders, and keep connections of large fleets near

Every one of 72 daemons held a 72nd of each rate, below a token for most accounts, and asked the others in the order of their names, some of them across regions, until the wait was over. And every daemon kept a connection to each primary: 72 for a limit of 54, 5,942 of them refused.

Ruled out: processor time (0.06 of a core at most), slots (5,931 arrivals in 34 s), the store.

Change: an account's rate is divided among one to three holders in each failure domain, by rendezvous hashing and by its burst (TokenHolders); daemons ask the holders of their own failure domain first. Where a fleet has more daemons than a member takes connections, the primary's are kept by the daemons near it, as a replica's are, and the others close theirs after use (ConnectionShare); before it closes, a connection serves waiting work of its account.

Tests: TokenHoldersTest, ConnectionShareTest.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/routing/ConnectionShare.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/routing/ConnectionShare.java
@@ -8,8 +8,33 @@
     /** One connection in this many is left to status reads and fences. */
     private static final int RESERVED_DIVISOR = 4;
 
+    /** Of four connections to a member this many belong to the entry VMs of its own failure domain. */
+    private static final int LOCAL_QUARTERS = 3;
+
+    private static final int QUARTERS = 4;
+
     private ConnectionShare() {}
 
+    /**
+     * Computes how many connections an entry VM may keep to a member where no homes are chosen. Every entry VM needs
+     * the primary; a replica is used mostly by those near it. In a fleet with more entry VMs than connections, the
+     * primary's are kept by those near it as well, and the others open one for each use.
+     *
+     * @param connectionLimit how many connections the whole fleet may have to the member
+     * @param primary whether the member is the primary
+     * @param entryVms how many entry VMs the fleet has
+     * @param near how many of them are in the member's failure domain, counting the one asked for, or 0 if it is not
+     *     there itself
+     * @return how many connections it may keep, 0 if none
+     */
+    public static int withoutHomes(int connectionLimit, boolean primary, int entryVms, int near) {
+        checkArgument(entryVms > 0, "entryVms must be positive, was %s", entryVms);
+        if (primary && connectionLimit >= entryVms) {
+            return connectionLimit / entryVms;
+        }
+        return near == 0 ? 0 : connectionLimit * LOCAL_QUARTERS / QUARTERS / near;
+    }
+
     /**
      * Computes the share of one home.
      *
--- /dev/null
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/rate/TokenHoldersTest.java
@@ -0,0 +1,69 @@
+package org.banyanhook.core.rate;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+final class TokenHoldersTest {
+
+    @Test
+    void aLargeAccountOfASmallFleetIsHeldEverywhere() {
+        assertThat(holders(9, 3).of("orders", 200).count()).isEqualTo(9);
+    }
+
+    @Test
+    void aSmallAccountHasOneHolderInEachFailureDomain() {
+        TokenHolders.Holders chosen = holders(72, 6).of("orders", 17);
+        assertThat(chosen.count()).isEqualTo(6);
+        assertThat(chosen.byDomain()).hasSize(6);
+    }
+
+    @Test
+    void aHolderOfALargeFleetHasWholeTokens() {
+        for (double burst : new double[] {17, 40, 132, 1_000}) {
+            TokenHolders.Holders chosen = holders(2_200, 24).of("orders", burst);
+            assertThat(chosen.count()).isAtMost(72);
+            assertThat(chosen.count()).isAtLeast(24);
+        }
+    }
+
+    @Test
+    void everyEntryVmChoosesTheSame() {
+        TokenHolders.Holders first = holders(72, 6).of("orders", 132);
+        TokenHolders.Holders second = holders(72, 6).of("orders", 132);
+        assertThat(first).isEqualTo(second);
+    }
+
+    @Test
+    void anEntryVmAsksItsOwnFailureDomainFirstAndNeverItself() {
+        TokenHolders.Holders chosen = holders(72, 6).of("orders", 132);
+        String self = chosen.nearestFirst("edge-none", "domain-2").get(0);
+        assertThat(chosen.byDomain()).containsKey("domain-2");
+        assertThat(chosen.byDomain().get("domain-2")).contains(self);
+        assertThat(chosen.contains(self)).isTrue();
+        assertThat(chosen.nearestFirst(self, "domain-2")).doesNotContain(self);
+        assertThat(chosen.nearestFirst("edge-none", "domain-2")).hasSize(chosen.count());
+    }
+
+    @Test
+    void accountsAreSpreadOverTheFleet() {
+        TokenHolders fleet = holders(72, 6);
+        Set<String> used = new HashSet<>();
+        for (int account = 0; account < 78; account++) {
+            fleet.of("account-" + account, 17).byDomain().values().forEach(used::addAll);
+        }
+        assertThat(used.size()).isAtLeast(60);
+    }
+
+    private static TokenHolders holders(int entryVms, int domains) {
+        Map<String, String> failureDomains = new HashMap<>();
+        for (int number = 0; number < entryVms; number++) {
+            failureDomains.put("edge-" + number, "domain-" + number % domains);
+        }
+        return new TokenHolders(failureDomains);
+    }
+}
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -134,7 +134,7 @@
         this.groups = new DatabaseGroups(groupContext);
         directory.addListener(groups);
         PeerTokens tokens = new PeerTokens(messenger, directory, eventLoop);
-        this.rates = new RateGate(settings.entryVm(), directory, tokens, clock, log, metrics);
+        this.rates = new RateGate(settings.entryVm(), settings.failureDomain(), directory, tokens, clock, log, metrics);
         tokens.serve(rates);
         ProbeConnections probe = new ProbeConnections(groupContext);
         PrimaryWitness witness = new PrimaryWitness(groups, directory, probe, registration::contactNanos, clock);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionOpener.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionOpener.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import org.banyanhook.core.routing.ConnectionShare;
 import org.banyanhook.core.routing.StatementPlacement.Access;
 import org.banyanhook.gateway.message.MemberAnswer;
 import org.banyanhook.gateway.message.SessionError;
@@ -28,11 +29,6 @@
     /** Connecting and the member's first answer, which waits behind its running statements. */
     private static final int OPENING_TIMEOUT_MILLIS = 1_000;
 
-    /** This many of four connections to a replica belong to the daemons of its own failure domain. */
-    private static final int LOCAL_QUARTERS = 3;
-
-    private static final int QUARTERS = 4;
-
     /** How many connections beyond its share a daemon may try to open to one member. */
     private static final int BORROWED_CONNECTIONS = 2;
 
@@ -47,23 +43,18 @@
         this.owner = owner;
     }
 
-    /**
-     * Divides the connections that a member takes. Every daemon needs the primary; a replica is used mostly by the
-     * daemons near it.
-     */
+    /** Returns how many connections to a member this daemon may keep. */
     int share(MemberServer server, boolean primary, IntSupplier limit) {
-        if (primary) {
-            return Math.max(1, limit.getAsInt() / context.directory().sharingDaemons());
-        }
         String domain = server.entry().failureDomain();
-        if (!domain.equals(context.settings().failureDomain())) {
-            return 0;
-        }
         int near = 0;
-        for (DaemonEntry daemon : context.directory().daemons().values()) {
-            near += daemon.failureDomain().equals(domain) ? 1 : 0;
+        if (domain.equals(context.settings().failureDomain())) {
+            for (DaemonEntry daemon : context.directory().daemons().values()) {
+                near += daemon.failureDomain().equals(domain) ? 1 : 0;
+            }
+            near = Math.max(1, near);
         }
-        return Math.max(1, limit.getAsInt() * LOCAL_QUARTERS / QUARTERS / Math.max(1, near));
+        return ConnectionShare.withoutHomes(
+                limit.getAsInt(), primary, context.directory().sharingDaemons(), near);
     }
 
     /** Returns how a connection can be had, or null if none can now. */
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
@@ -123,21 +123,24 @@
      */
     public void release(MemberConnection connection) {
         connection.endLease();
-        int share = opener.share(connection.server(), isPrimary(connection.server()), this::limit);
-        boolean tooMany = connection.server().connections().size() > share;
         if (!mayUse(connection.server())) {
             connection.close("the member takes no new work");
-        } else if (connection.isBorrowed() && tooMany) {
-            connection.close("beyond this daemon's share");
         } else {
-            if (!tooMany) {
-                connection.borrowed(false);
-            }
             serveSameAccount(connection);
+            keepWithinShare(connection);
         }
         pump();
     }
 
+    private void keepWithinShare(MemberConnection connection) {
+        int share = opener.share(connection.server(), isPrimary(connection.server()), this::limit);
+        if (connection.server().connections().size() <= share) {
+            connection.borrowed(false);
+        } else if (connection.isBorrowed() && connection.isIdle()) {
+            connection.close("beyond this daemon's share");
+        }
+    }
+
     /** Gives a connection to waiting work of its account, which saves the member a new connection. */
     private void serveSameAccount(MemberConnection connection) {
         if (!connection.isIdle() || !connection.mayServeSameAccountAgain()) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
@@ -58,6 +58,7 @@
     private final Map<String, RecordedPromotion> promotions = new HashMap<>();
     private final Set<String> evacuated = new HashSet<>();
     private final Deque<DaemonCount> daemonCounts = new ArrayDeque<>();
+    private Map<String, String> recentFailureDomains = Map.of();
     private SessionConfiguration configuration = SessionConfiguration.EMPTY;
     private KeyRegistry keys = KeyRegistry.of(FleetConfiguration.EMPTY);
 
@@ -120,6 +121,14 @@
         return recent;
     }
 
+    /**
+     * Returns the failure domains of the daemons that have an entry or had one of late, by entry VM; the same object
+     * until that changes.
+     */
+    public Map<String, String> recentFailureDomains() {
+        return recentFailureDomains;
+    }
+
     /** Returns the member that the last recorded promotion of a group names, or empty. */
     public Optional<String> recordedPrimary(String group) {
         return Optional.ofNullable(promotions.get(group)).map(RecordedPromotion::member);
@@ -207,7 +216,9 @@
     public void tick() {
         long now = clock.nowNanos();
         daemonCounts.removeIf(count -> now - count.nanos() > COUNT_MEMORY_NANOS);
-        endedDaemons.values().removeIf(ended -> now - ended.nanos() > DAEMON_MEMORY_NANOS);
+        if (endedDaemons.values().removeIf(ended -> now - ended.nanos() > DAEMON_MEMORY_NANOS)) {
+            noteRecentDaemons();
+        }
         boolean forgotten = false;
         for (Map.Entry<String, Long> end : ImmutableMap.copyOf(memberEndsNanos).entrySet()) {
             if (now - end.getValue() >= 0) {
@@ -358,7 +369,16 @@
                 .write();
     }
 
+    private void noteRecentDaemons() {
+        Map<String, String> found = new HashMap<>();
+        recentDaemons().forEach((entryVm, entry) -> found.put(entryVm, entry.failureDomain()));
+        if (!found.equals(recentFailureDomains)) {
+            recentFailureDomains = ImmutableMap.copyOf(found);
+        }
+    }
+
     private void changed() {
+        noteRecentDaemons();
         listeners.forEach(FleetListener::onFleetChange);
     }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/rate/RateGate.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/rate/RateGate.java
@@ -1,8 +1,6 @@
 package org.banyanhook.gateway.rate;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +13,7 @@
 import org.banyanhook.core.rate.RateTimings;
 import org.banyanhook.core.rate.TokenAction;
 import org.banyanhook.core.rate.TokenExchange;
+import org.banyanhook.core.rate.TokenHolders;
 import org.banyanhook.core.rate.Tokens;
 import org.banyanhook.core.rate.TransferLedger;
 import org.banyanhook.gateway.fleet.FleetDirectory;
@@ -23,8 +22,8 @@
 import org.banyanhook.gateway.operation.SteadyClock;
 
 /**
- * Holds client accounts to their rate over all daemons. Each daemon accrues an equal part of every rate, and borrows
- * tokens from others when it is short; tokens are moved, never copied. Used on the event loop only.
+ * Holds client accounts to their rate over all daemons. The holders of an account accrue equal parts of its rate; a
+ * daemon that is short borrows from them. Tokens are moved, never copied. Used on the event loop only.
  */
 public final class RateGate {
 
@@ -41,14 +40,16 @@
 
     private final FleetDirectory directory;
     private final String entryVm;
+    private final String failureDomain;
     private final PeerLending peers;
     private final SteadyClock clock;
     private final DecisionLog log;
     private final GatewayMetrics metrics;
     private final TokenExchange exchange;
     private final Map<Long, Waiter> waiters = new HashMap<>();
+    private final Map<String, TokenHolders.Holders> holders = new HashMap<>();
     private SessionConfiguration dividedConfiguration = SessionConfiguration.EMPTY;
-    private int dividedBy;
+    private Map<String, String> dividedAmong = Map.of();
     private long lastWaiter;
 
     private record Waiter(String requestId, Consumer<Boolean> result) {}
@@ -78,6 +79,7 @@
      * Creates a gate that lets nothing pass until a configuration is known.
      *
      * @param entryVm the name of this entry VM
+     * @param failureDomain its failure domain
      * @param directory tells the rates and the daemons
      * @param peers asks other daemons
      * @param clock the monotonic clock
@@ -86,18 +88,20 @@
      */
     public RateGate(
             String entryVm,
+            String failureDomain,
             FleetDirectory directory,
             PeerLending peers,
             SteadyClock clock,
             DecisionLog log,
             GatewayMetrics metrics) {
         this.entryVm = entryVm;
+        this.failureDomain = failureDomain;
         this.directory = directory;
         this.peers = peers;
         this.clock = clock;
         this.log = log;
         this.metrics = metrics;
-        this.exchange = new TokenExchange(RateTimings.DEFAULT, this::others, ASKS_PER_SECOND, clock.nowNanos());
+        this.exchange = new TokenExchange(RateTimings.DEFAULT, this::holdersToAsk, ASKS_PER_SECOND, clock.nowNanos());
     }
 
     /**
@@ -143,32 +147,39 @@
 
     private void divide(long now) {
         SessionConfiguration configuration = directory.configuration();
-        int daemons = directory.sharingDaemons();
-        if (configuration == dividedConfiguration && daemons == dividedBy) {
+        Map<String, String> daemons = directory.recentFailureDomains();
+        if (configuration == dividedConfiguration && daemons == dividedAmong) {
             return;
         }
         exchange.accrueAll(now, neverEnds(now));
+        TokenHolders choice = new TokenHolders(daemons);
+        holders.clear();
         Map<String, AccountLimit> limits = new HashMap<>();
         for (ClientAccount account : configuration.accounts()) {
-            limits.put(
-                    account.name(),
-                    new AccountLimit(account.ratePerSecond() / daemons, Tokens.toMicros(account.burst() / daemons)));
+            TokenHolders.Holders chosen = choice.of(account.name(), account.burst());
+            holders.put(account.name(), chosen);
+            limits.put(account.name(), partOf(account, chosen));
         }
         exchange.limit(limits, now);
         dividedConfiguration = configuration;
-        dividedBy = daemons;
+        dividedAmong = daemons;
         log.line("rates")
                 .with("version", configuration.version())
-                .with("daemons", daemons)
+                .with("daemons", daemons.size())
                 .write();
     }
 
-    private List<String> others(String account) {
-        List<String> names = new ArrayList<>(directory.daemons().keySet());
-        Collections.sort(names);
-        Collections.rotate(names, -names.indexOf(entryVm));
-        names.remove(entryVm);
-        return names;
+    private AccountLimit partOf(ClientAccount account, TokenHolders.Holders chosen) {
+        if (!chosen.contains(entryVm)) {
+            return AccountLimit.NONE;
+        }
+        return new AccountLimit(
+                account.ratePerSecond() / chosen.count(), Tokens.toMicros(account.burst() / chosen.count()));
+    }
+
+    private List<String> holdersToAsk(String account) {
+        TokenHolders.Holders chosen = holders.get(account);
+        return chosen == null ? List.of() : chosen.nearestFirst(entryVm, failureDomain);
     }
 
     private void perform(List<TokenAction> actions) {
@@ -193,7 +204,7 @@
                 .with("account", refused.clientAccount())
                 .with("reason", refused.reason())
                 .with("version", dividedConfiguration.version())
-                .with("daemons", dividedBy)
+                .with("daemons", dividedAmong.size())
                 .with("stockMicros", exchange.stockMicros(refused.clientAccount()))
                 .write();
         finish(refused.waiter(), false);
