Shut silent daemons out before a primary is replaced, ask witnesses

Found by GatewayIT.serviceGoesOnWhileTheStoreIsAway: a daemon that vouched for nothing in its first 9 s took the service away when the store failed then.

Change: once a promotion is on record, the leases of daemons that did not answer are ended; such a daemon reads all records anew before it counts as in contact. The duty is renewed during the wait. All are asked once more after the record, so what a daemon forgot by a restart does no harm, and whoever has read the store may vouch. A primary is asked once more before the others are, and an old failure is no evidence. Watches wait 5 s in a small fleet, so that a silent one is noticed. A majority of nine witnesses decides in large fleets; changes are fetched in larger batches there; a daemon without contact stops after 1.8 s (2.5 before).

--- a/banyanhook-core/src/main/java/org/banyanhook/core/primary/PromotionPermission.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/PromotionPermission.java
@@ -8,8 +8,8 @@
  * <p>Daemons that say that they do not reach the primary have stopped using it and remember that they agreed
  * ({@link ReplacementGrants}). A daemon that does not answer stops by itself after {@link #CONTACT_NANOS} unless it is
  * in contact with the store, where the promotion is on record, or with a majority of the daemons, one of which agreed.
- * So a replacement needs a majority of answers, none that reaches the primary, and, while any daemon is silent, a wait
- * after the promotion is on record.
+ * So a replacement needs answers of a majority of the witnesses, none that reaches the primary, and, while any daemon
+ * is silent, a wait after the promotion is on record.
  */
 public enum PromotionPermission {
     /** Nobody uses the primary any more. */
@@ -21,12 +21,15 @@
     /** A daemon that is silent may not have stopped yet. */
     SILENT_DAEMONS("waiting until silent daemons have stopped");
 
-    /** Without contact for this long, a daemon uses no primary any more. */
-    public static final long CONTACT_NANOS = Duration.ofMillis(2_500).toNanos();
+    /**
+     * Without contact for this long, a daemon uses no primary any more. Above the second between two renewals of its
+     * lease and an answer of a slow store; a primary that some daemons miss is replaced no sooner.
+     */
+    public static final long CONTACT_NANOS = Duration.ofMillis(1_800).toNanos();
 
     /** How long after its contact ended a daemon has certainly stopped, its periodic check included. */
     public static final long STOPPED_NANOS =
-            CONTACT_NANOS + Duration.ofMillis(500).toNanos();
+            CONTACT_NANOS + Duration.ofMillis(400).toNanos();
 
     private final String reason;
 
@@ -40,21 +43,35 @@
      * @param asked how many were asked, those that were seen of late included
      * @param unreachable how many do not reach the primary and have stopped using it
      * @param reachable how many reach it
+     * @param witnesses how many {@linkplain ReplacementWitnesses witnesses} there are, the asking daemon counted
+     * @param witnessesAnswered how many of them answered, the asking daemon counted
      */
-    public record Votes(int asked, int unreachable, int reachable) {
+    public record Votes(int asked, int unreachable, int reachable, int witnesses, int witnessesAnswered) {
 
-        /** The votes before anybody answered. */
+        /** The votes before anybody answered, where the asking daemon is a witness. */
         public static final Votes NONE = new Votes(0, 0, 0);
 
+        /** The votes before anybody answered, where the asking daemon is no witness. */
+        public static final Votes NONE_OF_NO_WITNESS = new Votes(0, 0, 0, 0, 0);
+
+        /** Counts the votes of a fleet whose daemons are all witnesses, the asking one included. */
+        public Votes(int asked, int unreachable, int reachable) {
+            this(asked, unreachable, reachable, asked + 1, unreachable + reachable + 1);
+        }
+
         /** Adds the votes of others. */
         public Votes plus(Votes other) {
-            return new Votes(asked + other.asked, unreachable + other.unreachable, reachable + other.reachable);
+            return new Votes(
+                    asked + other.asked,
+                    unreachable + other.unreachable,
+                    reachable + other.reachable,
+                    witnesses + other.witnesses,
+                    witnessesAnswered + other.witnessesAnswered);
         }
 
-        /** Returns whether those that answered are a majority of all daemons, the asking one included. */
+        /** Returns whether those that answered are a majority of all witnesses. */
         public boolean majorityAnswered() {
-            int all = asked + 1;
-            return (answered() + 1) * 2 > all;
+            return witnessesAnswered * 2 > witnesses;
         }
 
         /** Returns how many answered. */
--- a/banyanhook-core/src/main/java/org/banyanhook/core/primary/ReplacementGrants.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/ReplacementGrants.java
@@ -12,7 +12,9 @@
  *
  * <p>A daemon without contact to the store relies on a majority of the others to hear of a replaced primary. That
  * majority shares a daemon with the one that agreed to the replacement, so whoever agreed has to tell until it has seen
- * the record of the promotion, or until no such record can follow any more. Not safe for use by several threads.
+ * the record of the promotion, or until no such record can follow any more. A daemon that restarts forgets what it
+ * agreed to; it is asked again once the promotion is on record, and reads the record if it restarts later. Not safe for
+ * use by several threads.
  */
 public final class ReplacementGrants {
 
@@ -26,20 +28,10 @@
     static final long LIFETIME_NANOS =
             RECORD_WITHIN_NANOS + PROMOTION_RIGHT.plusSeconds(1).toNanos();
 
-    private final long startedNanos;
     private final Map<String, Grant> grants = new HashMap<>();
 
     private record Grant(long grantedNanos, long recordedRevision) {}
 
-    /**
-     * Creates an empty set of grants.
-     *
-     * @param startedNanos when this daemon started; what it agreed to before that it has forgotten
-     */
-    public ReplacementGrants(long startedNanos) {
-        this.startedNanos = startedNanos;
-    }
-
     /**
      * Notes that this daemon agreed to a replacement.
      *
@@ -67,17 +59,6 @@
         return new HashSet<>(grants.keySet());
     }
 
-    /**
-     * Returns whether others may rely on this daemon to hear of replaced primaries: it must have outlived, in contact
-     * with the store, whatever it may have agreed to before it started.
-     *
-     * @param storeContactNanos when the last call was sent that the store answered
-     * @return true if they may
-     */
-    public boolean mayVouch(long storeContactNanos) {
-        return hasOutlived(startedNanos, storeContactNanos);
-    }
-
     private static boolean hasOutlived(long sinceNanos, long storeContactNanos) {
         return storeContactNanos - (sinceNanos + LIFETIME_NANOS) > 0;
     }
--- /dev/null
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/primary/ReplacementWitnessesTest.java
@@ -0,0 +1,44 @@
+package org.banyanhook.core.primary;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.Sets;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+final class ReplacementWitnessesTest {
+
+    @Test
+    void allOfASmallFleetAreWitnesses() {
+        assertThat(ReplacementWitnesses.of(names(9))).isEqualTo(Set.copyOf(names(9)));
+    }
+
+    @Test
+    void aLargeFleetHasNineWhateverTheOrder() {
+        List<String> shuffled = names(2_200);
+        Collections.reverse(shuffled);
+        assertThat(ReplacementWitnesses.of(names(2_200))).hasSize(9);
+        assertThat(ReplacementWitnesses.of(shuffled)).isEqualTo(ReplacementWitnesses.of(names(2_200)));
+    }
+
+    @Test
+    void majoritiesMeetWhenOneEntryVmComesOrGoes() {
+        Set<String> all = new HashSet<>(names(72));
+        Set<String> before = ReplacementWitnesses.of(all);
+        for (String gone : names(72)) {
+            Set<String> rest = new HashSet<>(all);
+            rest.remove(gone);
+            Set<String> after = ReplacementWitnesses.of(rest);
+            assertThat(Sets.intersection(before, after).size()).isAtLeast(8);
+        }
+    }
+
+    private static List<String> names(int count) {
+        return IntStream.range(0, count).mapToObj(number -> "edge-" + number).collect(Collectors.toList());
+    }
+}
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -123,6 +123,7 @@
                 ports.store(),
                 ports.records().daemonKey(settings.entryVm()),
                 ports.records().encode(self),
+                mirror::reread,
                 eventLoop,
                 clock,
                 log,
@@ -137,7 +138,8 @@
         this.rates = new RateGate(settings.entryVm(), settings.failureDomain(), directory, tokens, clock, log, metrics);
         tokens.serve(rates);
         ProbeConnections probe = new ProbeConnections(groupContext);
-        PrimaryWitness witness = new PrimaryWitness(groups, directory, probe, registration::contactNanos, clock);
+        PrimaryWitness witness =
+                new PrimaryWitness(groups, directory, probe, registration::contactNanos, mirror::isComplete, clock);
         peers.serve(witness);
         contact.agreedTo(witness::agreedTo);
         this.promotions = newPromotions(peers, witness, probe, clock);
@@ -162,7 +164,7 @@
                 eventLoop,
                 clock,
                 log);
-        return new PromotionController(settings.entryVm(), groups, directory, steps, eventLoop, clock, log);
+        return new PromotionController(settings.entryVm(), groups, directory, steps, witness, eventLoop, clock, log);
     }
 
     /**
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
@@ -34,6 +34,7 @@
     private LogPosition position = LogPosition.START;
     private int failures;
     private long failingSinceNanos;
+    private long lastFailureNanos;
     private long retryAtNanos;
     private long behindUntilNanos;
     private long connectionLimitUntilNanos;
@@ -107,6 +108,11 @@
         return failures == 0 ? -1 : nowNanos - failingSinceNanos;
     }
 
+    /** Returns whether the last attempt to reach it failed, not longer ago than given, in nanoseconds. */
+    public boolean failedWithin(long nanos, long nowNanos) {
+        return failures > 0 && nowNanos - lastFailureNanos <= nanos;
+    }
+
     /** Returns how long ago it last answered or was first listed, in nanoseconds. */
     public long silentNanos(long nowNanos) {
         return nowNanos - lastAnswerNanos;
@@ -165,6 +171,7 @@
         }
         long delay = Math.min(MAXIMUM_RETRY_NANOS, MINIMUM_RETRY_NANOS << Math.min(failures, 8));
         failures++;
+        lastFailureNanos = nowNanos;
         retryAtNanos = nowNanos + delay;
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DaemonRegistration.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DaemonRegistration.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.GatewayMetrics;
 import org.banyanhook.gateway.operation.SteadyClock;
@@ -27,6 +28,7 @@
     private final RecordStore store;
     private final String key;
     private final byte[] value;
+    private final Supplier<CompletableFuture<Void>> reread;
     private final EventLoop eventLoop;
     private final SteadyClock clock;
     private final DecisionLog log;
@@ -42,6 +44,7 @@
      * @param store the store
      * @param key the key of the entry
      * @param value the entry
+     * @param reread reads all records of the store anew
      * @param eventLoop where everything runs
      * @param clock the monotonic clock
      * @param log receives a line for each new lease
@@ -51,6 +54,7 @@
             RecordStore store,
             String key,
             byte[] value,
+            Supplier<CompletableFuture<Void>> reread,
             EventLoop eventLoop,
             SteadyClock clock,
             DecisionLog log,
@@ -58,6 +62,7 @@
         this.store = store;
         this.key = key;
         this.value = value.clone();
+        this.reread = reread;
         this.eventLoop = eventLoop;
         this.clock = clock;
         this.log = log;
@@ -114,13 +119,13 @@
             if (failure == null) {
                 inContact(sentNanos);
                 later(RENEWAL_MILLIS, this::renew);
-            } else if (StoreMirror.kind(failure) == StoreException.Kind.LEASE_ENDED) {
-                inContact(sentNanos);
+            } else if (StoreException.kind(failure) == StoreException.Kind.LEASE_ENDED) {
                 log.line("registration")
                         .with("lease", lease)
                         .with("change", "lapsed")
                         .write();
-                start();
+                // The lease may have been ended because a primary is being replaced: first hear of it, then go on.
+                reread.get().thenRun(this::start);
             } else {
                 failed(failure, this::renew);
             }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.core.configuration.ClientAccount;
@@ -54,6 +55,7 @@
     private final Map<String, MemberRecord> members = new HashMap<>();
     private final Map<String, Long> memberEndsNanos = new HashMap<>();
     private final Map<String, DaemonEntry> daemons = new HashMap<>();
+    private final Map<String, Long> daemonLeases = new HashMap<>();
     private final Map<String, EndedDaemon> endedDaemons = new HashMap<>();
     private final Map<String, RecordedPromotion> promotions = new HashMap<>();
     private final Set<String> evacuated = new HashSet<>();
@@ -114,6 +116,17 @@
         return ImmutableMap.copyOf(daemons);
     }
 
+    /** Returns the lease of a daemon's entry, or empty if it has none. */
+    public OptionalLong daemonLease(String entryVm) {
+        Long lease = daemonLeases.get(entryVm);
+        return lease == null || lease == 0 ? OptionalLong.empty() : OptionalLong.of(lease);
+    }
+
+    /** Returns how many daemons have an entry. */
+    public int daemonCount() {
+        return daemons.size();
+    }
+
     /** Returns the daemons that have an entry or had one of late, by entry VM. */
     public Map<String, DaemonEntry> recentDaemons() {
         Map<String, DaemonEntry> recent = new HashMap<>(daemons);
@@ -206,7 +219,7 @@
         }
         for (String key : ImmutableSet.copyOf(byKey.keySet())) {
             if (!present.contains(key) && revisions.getOrDefault(key, 0L) <= revision) {
-                applyOne(new StoreRecord(key, revision, null));
+                applyOne(new StoreRecord(key, revision, null, 0));
             }
         }
         changed();
@@ -277,6 +290,7 @@
                     .write();
         } else if (record instanceof FleetRecord.Daemon found) {
             daemons.put(found.entry().entryVm(), found.entry());
+            daemonLeases.put(found.entry().entryVm(), change.lease());
             endedDaemons.remove(found.entry().entryVm());
         } else if (record instanceof FleetRecord.Promotion found) {
             promotions.put(found.group(), new RecordedPromotion(found.member(), change.revision()));
@@ -307,6 +321,7 @@
         } else if (record instanceof FleetRecord.Daemon found) {
             daemonCounts.addLast(new DaemonCount(clock.nowNanos(), daemons.size()));
             daemons.remove(found.entry().entryVm());
+            daemonLeases.remove(found.entry().entryVm());
             endedDaemons.put(found.entry().entryVm(), new EndedDaemon(clock.nowNanos(), found.entry()));
         }
     }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreMirror.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreMirror.java
@@ -5,7 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.gateway.operation.DecisionLog;
@@ -19,14 +19,24 @@
 /** Keeps the fleet directory up to date: reads all records once, then follows the changes. Runs on the event loop. */
 public final class StoreMirror {
 
-    /** How long the store may wait for a change; the longer, the fewer calls. */
-    private static final Duration WATCH_WAIT = Duration.ofSeconds(25);
+    /**
+     * How long the store may wait for a change. A connection that has gone silent is noticed only then, and each wait
+     * that ends without a change is a call, so a large fleet waits longer.
+     */
+    private static final Duration MINIMUM_WATCH_WAIT = Duration.ofSeconds(5);
+
+    private static final Duration WATCH_WAIT_PER_DAEMON = Duration.ofMillis(160);
+    private static final Duration MAXIMUM_WATCH_WAIT = Duration.ofSeconds(25);
 
     /**
-     * Changes close together are fetched by one call; well below the time in which a configuration must be in force.
+     * Changes close together are fetched by one call. Each daemon adds changes and calls, so a large fleet waits
+     * longer; at most a fifth of the shortest time in which a configuration must be in force, with the time of a call.
      */
     private static final long COALESCE_MILLIS = 150;
 
+    private static final long COALESCE_MILLIS_PER_DAEMON = 5;
+    private static final long MAXIMUM_COALESCE_MILLIS = 600;
+
     private static final long MINIMUM_BACKOFF_MILLIS = 150;
     private static final long MAXIMUM_BACKOFF_MILLIS = 1_000;
 
@@ -37,6 +47,8 @@
     private final GatewayMetrics metrics;
     private final String prefix;
     private long backoffMillis = MINIMUM_BACKOFF_MILLIS;
+    private final List<CompletableFuture<Void>> awaitingReread = new ArrayList<>();
+    private long reading;
     private boolean complete;
     private boolean failing;
     private boolean stopped;
@@ -68,7 +80,20 @@
 
     /** Starts to read. */
     public void start() {
-        list(new ArrayList<>(), Optional.empty(), -1);
+        reading++;
+        list(reading, new ArrayList<>(), Optional.empty(), -1);
+    }
+
+    /**
+     * Reads all records anew, because changes may have been missed.
+     *
+     * @return completed when they have been read
+     */
+    public CompletableFuture<Void> reread() {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        awaitingReread.add(done);
+        start();
+        return done;
     }
 
     /** Ends after the call under way. */
@@ -81,13 +106,14 @@
         return complete;
     }
 
-    private void list(List<StoreRecord> found, Optional<String> after, long firstRevision) {
+    /** Reads a page; what belongs to an earlier reading than the last one is dropped. */
+    private void list(long number, List<StoreRecord> found, Optional<String> after, long firstRevision) {
         store.list(prefix, after).whenComplete((page, failure) -> {
-            if (stopped) {
+            if (isOver(number)) {
                 return;
             }
             if (page == null) {
-                failed("list", failure, () -> list(new ArrayList<>(), Optional.empty(), -1));
+                failed("list", failure, () -> list(number, new ArrayList<>(), Optional.empty(), -1), number);
                 return;
             }
             succeeded("list");
@@ -95,24 +121,26 @@
             long revision = firstRevision < 0 ? page.revision() : firstRevision;
             if (page.truncated() && !page.records().isEmpty()) {
                 String last = page.records().get(page.records().size() - 1).key();
-                list(found, Optional.of(last), revision);
+                list(number, found, Optional.of(last), revision);
                 return;
             }
             directory.replaceAll(found, revision);
             complete = true;
-            watch(revision);
+            List.copyOf(awaitingReread).forEach(waiting -> waiting.complete(null));
+            awaitingReread.clear();
+            watch(number, revision);
         });
     }
 
-    private void watch(long revision) {
-        store.watch(prefix, revision, WATCH_WAIT).whenComplete((page, failure) -> {
-            if (stopped) {
+    private void watch(long number, long revision) {
+        store.watch(prefix, revision, watchWait()).whenComplete((page, failure) -> {
+            if (isOver(number)) {
                 return;
             }
             if (page != null) {
                 succeeded("watch");
-                onChanges(page, revision);
-            } else if (kind(failure) == StoreException.Kind.HISTORY_LOST) {
+                onChanges(number, page, revision);
+            } else if (StoreException.kind(failure) == StoreException.Kind.HISTORY_LOST) {
                 succeeded("watch");
                 log.line("store")
                         .with("change", "history-lost")
@@ -120,21 +148,36 @@
                         .write();
                 start();
             } else {
-                failed("watch", failure, () -> watch(revision));
+                failed("watch", failure, () -> watch(number, revision), number);
             }
         });
     }
 
-    private void onChanges(StorePage page, long revision) {
+    private boolean isOver(long number) {
+        return stopped || number != reading;
+    }
+
+    private Duration watchWait() {
+        Duration forFleet = WATCH_WAIT_PER_DAEMON.multipliedBy(directory.daemonCount());
+        Duration atLeast = forFleet.compareTo(MINIMUM_WATCH_WAIT) < 0 ? MINIMUM_WATCH_WAIT : forFleet;
+        return atLeast.compareTo(MAXIMUM_WATCH_WAIT) > 0 ? MAXIMUM_WATCH_WAIT : atLeast;
+    }
+
+    private void onChanges(long number, StorePage page, long revision) {
         page.records().forEach(directory::apply);
         long next = Math.max(revision, page.revision());
         if (page.records().isEmpty()) {
-            watch(next);
+            watch(number, next);
         } else {
-            later(COALESCE_MILLIS, () -> watch(next));
+            later(coalesceMillis(), () -> watch(number, next), number);
         }
     }
 
+    private long coalesceMillis() {
+        long forFleet = COALESCE_MILLIS_PER_DAEMON * directory.daemonCount();
+        return Math.min(MAXIMUM_COALESCE_MILLIS, COALESCE_MILLIS + forFleet);
+    }
+
     private void succeeded(String call) {
         metrics.count("store.calls", "result", call + "-answered");
         backoffMillis = MINIMUM_BACKOFF_MILLIS;
@@ -147,7 +190,7 @@
         }
     }
 
-    private void failed(String call, @Nullable Throwable failure, Runnable again) {
+    private void failed(String call, @Nullable Throwable failure, Runnable again, long number) {
         metrics.count("store.calls", "result", call + "-failed");
         if (!failing) {
             failing = true;
@@ -158,23 +201,18 @@
                     .write();
         }
         long spread = ThreadLocalRandom.current().nextLong(backoffMillis / 2 + 1);
-        later(backoffMillis + spread, again);
+        later(backoffMillis + spread, again, number);
         backoffMillis = Math.min(MAXIMUM_BACKOFF_MILLIS, backoffMillis * 2);
     }
 
-    private void later(long millis, Runnable action) {
+    private void later(long millis, Runnable action, long number) {
         var unused = eventLoop.schedule(
                 () -> {
-                    if (!stopped) {
+                    if (!isOver(number)) {
                         action.run();
                     }
                 },
                 millis,
                 TimeUnit.MILLISECONDS);
     }
-
-    static StoreException.@Nullable Kind kind(@Nullable Throwable failure) {
-        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-        return cause instanceof StoreException store ? store.kind() : null;
-    }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/StoreException.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/StoreException.java
@@ -1,5 +1,8 @@
 package org.banyanhook.gateway.port;
 
+import java.util.concurrent.CompletionException;
+import org.jspecify.annotations.Nullable;
+
 /** A call to the store that did not succeed. */
 public final class StoreException extends Exception {
 
@@ -36,4 +39,15 @@
     public Kind kind() {
         return kind;
     }
+
+    /**
+     * Tells why a call failed.
+     *
+     * @param failure how its future ended, or null
+     * @return the kind, or null if it was no failure of the store
+     */
+    public static @Nullable Kind kind(@Nullable Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof StoreException store ? store.kind() : null;
+    }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerEvidence.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerEvidence.java
@@ -5,10 +5,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.core.primary.PromotionPermission.Votes;
+import org.banyanhook.core.primary.ReplacementWitnesses;
 import org.banyanhook.daemon.peer.PeerMessenger;
 import org.banyanhook.gateway.fleet.FleetDirectory;
 import org.banyanhook.gateway.port.DaemonEntry;
@@ -24,8 +26,6 @@
      */
     private static final Duration TIMEOUT = Duration.ofMillis(800);
 
-    private static final Round SILENT = new Round(new Votes(1, 0, 0), Set.of());
-
     private final PeerMessenger messenger;
     private final FleetDirectory directory;
     private final EventLoop eventLoop;
@@ -35,18 +35,19 @@
      * What the other daemons answered.
      *
      * @param votes how many were asked and what they said
+     * @param silent the daemons that did not answer
      * @param inDoubt the groups whose primary was replaced, or may have been, as one of them knows
      */
-    public record Round(Votes votes, Set<String> inDoubt) {
-
-        private static final Round NONE = new Round(Votes.NONE, Set.of());
+    public record Round(Votes votes, Set<String> silent, Set<String> inDoubt) {
 
         public Round {
+            silent = Set.copyOf(silent);
             inDoubt = Set.copyOf(inDoubt);
         }
 
         private Round plus(Round other) {
-            return new Round(votes.plus(other.votes), Sets.union(inDoubt, other.inDoubt));
+            return new Round(
+                    votes.plus(other.votes), Sets.union(silent, other.silent), Sets.union(inDoubt, other.inDoubt));
         }
     }
 
@@ -127,41 +128,53 @@
      * @param planned whether the primary is to be replaced although it is alive
      * @return what they said, once all have answered or the time is over; never fails
      */
-    public CompletableFuture<Votes> askToReplace(String group, boolean planned) {
-        return ask(PrimaryEvidenceRequest.newBuilder().setDatabase(group).setPlanned(planned))
-                .thenApply(Round::votes);
+    public CompletableFuture<Round> askToReplace(String group, boolean planned) {
+        Map<String, DaemonEntry> all = directory.recentDaemons();
+        return ask(PrimaryEvidenceRequest.newBuilder().setDatabase(group).setPlanned(planned), all.keySet());
     }
 
     /**
-     * Asks all other daemons which primaries were replaced.
+     * Asks the other witnesses which primaries were replaced.
      *
      * @return what they said, once all have answered or the time is over; never fails
      */
     public CompletableFuture<Round> askForNews() {
+        Set<String> witnesses =
+                ReplacementWitnesses.of(directory.recentDaemons().keySet());
         // The request's term is the newest promotion known here, so that only news comes back.
-        return ask(PrimaryEvidenceRequest.newBuilder().setTerm(directory.newestPromotionRevision()));
+        return ask(PrimaryEvidenceRequest.newBuilder().setTerm(directory.newestPromotionRevision()), witnesses);
     }
 
-    private CompletableFuture<Round> ask(PrimaryEvidenceRequest.Builder request) {
+    private CompletableFuture<Round> ask(PrimaryEvidenceRequest.Builder request, Set<String> daemons) {
         PeerEnvelope body =
                 PeerEnvelope.newBuilder().setPrimaryEvidenceRequest(request).build();
+        Map<String, DaemonEntry> entries = directory.recentDaemons();
+        Set<String> witnesses = ReplacementWitnesses.of(entries.keySet());
         List<CompletableFuture<Round>> answers = new ArrayList<>();
-        for (DaemonEntry daemon : directory.recentDaemons().values()) {
-            if (!daemon.entryVm().equals(entryVm)) {
+        for (String daemon : daemons) {
+            DaemonEntry entry = entries.get(daemon);
+            if (entry != null && !daemon.equals(entryVm)) {
+                int witness = witnesses.contains(daemon) ? 1 : 0;
                 answers.add(messenger
-                        .request(daemon.peerAddress(), body, TIMEOUT)
-                        .handle((reply, failure) -> reply == null ? SILENT : round(reply.getPrimaryEvidence())));
+                        .request(entry.peerAddress(), body, TIMEOUT)
+                        .handle((reply, failure) -> reply == null
+                                ? new Round(new Votes(1, 0, 0, witness, 0), Set.of(daemon), Set.of())
+                                : round(reply.getPrimaryEvidence(), witness)));
             }
         }
+        // A daemon whose own entry has ended long ago counts on itself all the same.
+        boolean isWitness = witnesses.contains(entryVm) || witnesses.isEmpty();
+        Round own = new Round(isWitness ? Votes.NONE : Votes.NONE_OF_NO_WITNESS, Set.of(), Set.of());
         return CompletableFuture.allOf(answers.toArray(new CompletableFuture<?>[0]))
                 .thenApplyAsync(
-                        done -> answers.stream().map(CompletableFuture::join).reduce(Round.NONE, Round::plus),
-                        eventLoop);
+                        done -> answers.stream().map(CompletableFuture::join).reduce(own, Round::plus), eventLoop);
     }
 
-    private static Round round(PrimaryEvidence evidence) {
-        boolean unreachable = evidence.getPrimaryUnreachable();
+    private static Round round(PrimaryEvidence evidence, int witness) {
+        int unreachable = evidence.getPrimaryUnreachable() ? 1 : 0;
         return new Round(
-                new Votes(1, unreachable ? 1 : 0, unreachable ? 0 : 1), Set.copyOf(evidence.getDatabasesInDoubtList()));
+                new Votes(1, unreachable, 1 - unreachable, witness, witness),
+                Set.of(),
+                Set.copyOf(evidence.getDatabasesInDoubtList()));
     }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PrimaryWitness.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PrimaryWitness.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.banyanhook.core.primary.ReplacementGrants;
 import org.banyanhook.gateway.backend.DatabaseGroup;
@@ -27,8 +28,9 @@
     private final FleetDirectory directory;
     private final MemberProbe probe;
     private final LongSupplier storeContactNanos;
+    private final BooleanSupplier storeRead;
     private final SteadyClock clock;
-    private final ReplacementGrants grants;
+    private final ReplacementGrants grants = new ReplacementGrants();
 
     /**
      * Creates a witness that has agreed to nothing.
@@ -37,6 +39,7 @@
      * @param directory tells the promotions on record
      * @param probe asks the members
      * @param storeContactNanos tells when the last call was sent that the store answered
+     * @param storeRead tells whether this daemon has read all records since it started
      * @param clock the monotonic clock
      */
     public PrimaryWitness(
@@ -44,13 +47,14 @@
             FleetDirectory directory,
             MemberProbe probe,
             LongSupplier storeContactNanos,
+            BooleanSupplier storeRead,
             SteadyClock clock) {
         this.groups = groups;
         this.directory = directory;
         this.probe = probe;
         this.storeContactNanos = storeContactNanos;
+        this.storeRead = storeRead;
         this.clock = clock;
-        this.grants = new ReplacementGrants(clock.nowNanos());
     }
 
     @Override
@@ -66,17 +70,25 @@
         if (primary == null) {
             return CompletableFuture.completedFuture(stopUsing(group, 0));
         }
-        if (primary.failingNanos(now) >= 0) {
+        if (primary.failedWithin(RECENT_NANOS, now)) {
             return CompletableFuture.completedFuture(stopUsing(group, primary.failingNanos(now)));
         }
         if (primary.silentNanos(now) < RECENT_NANOS) {
             return CompletableFuture.completedFuture(-1L);
         }
-        return probe.send(primary, new MemberCommand.Status()).thenApply(report -> {
-            // A refused connection is an answer, too.
-            boolean answered = report.isPresent() || primary.silentNanos(clock.nowNanos()) < RECENT_NANOS;
-            return answered ? -1L : stopUsing(group, 0);
-        });
+        return answers(primary).thenApply(answered -> answered ? -1L : stopUsing(group, 0));
+    }
+
+    /**
+     * Tells whether a member answers now; what is known from a while ago may no longer hold.
+     *
+     * @param member the member
+     * @return true if it does; never fails
+     */
+    CompletableFuture<Boolean> answers(MemberServer member) {
+        // A refused connection is an answer, too.
+        return probe.send(member, new MemberCommand.Status())
+                .thenApply(report -> report.isPresent() || member.silentNanos(clock.nowNanos()) < RECENT_NANOS);
     }
 
     @Override
@@ -88,7 +100,7 @@
 
     @Override
     public boolean mayVouch() {
-        return grants.mayVouch(storeContactNanos.getAsLong());
+        return storeRead.getAsBoolean();
     }
 
     /**
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.core.routing.RendezvousScores;
 import org.banyanhook.gateway.backend.DatabaseGroup;
@@ -41,6 +42,7 @@
     private final DatabaseGroups groups;
     private final FleetDirectory directory;
     private final PromotionSteps steps;
+    private final PrimaryWitness witness;
     private final EventLoop eventLoop;
     private final SteadyClock clock;
     private final DecisionLog log;
@@ -73,6 +75,7 @@
      * @param groups the database groups
      * @param directory tells the daemons and what operators have taken out
      * @param steps carries a promotion out
+     * @param witness asks a primary once more
      * @param eventLoop where everything runs
      * @param clock the monotonic clock
      * @param log receives a line for each decision
@@ -82,6 +85,7 @@
             DatabaseGroups groups,
             FleetDirectory directory,
             PromotionSteps steps,
+            PrimaryWitness witness,
             EventLoop eventLoop,
             SteadyClock clock,
             DecisionLog log) {
@@ -89,6 +93,7 @@
         this.groups = groups;
         this.directory = directory;
         this.steps = steps;
+        this.witness = witness;
         this.eventLoop = eventLoop;
         this.clock = clock;
         this.log = log;
@@ -122,7 +127,10 @@
             return;
         }
         watch.running = true;
-        steps.replace(group, reason.get(), watch.rejected)
+        isConfirmed(group, reason.get())
+                .thenCompose(confirmed -> confirmed
+                        ? steps.replace(group, reason.get(), watch.rejected)
+                        : CompletableFuture.completedFuture("the primary answers"))
                 .whenCompleteAsync(
                         (outcome, failure) -> {
                             watch.running = false;
@@ -136,6 +144,14 @@
                         eventLoop);
     }
 
+    /** Asks a primary that could not be reached once more: it may have been cut off only from before it led. */
+    private CompletableFuture<Boolean> isConfirmed(DatabaseGroup group, Reason reason) {
+        MemberServer primary = group.primary().orElse(null);
+        return reason != Reason.UNREACHABLE || primary == null
+                ? CompletableFuture.completedFuture(true)
+                : witness.answers(primary).thenApply(answered -> !answered);
+    }
+
     private Optional<Reason> reason(DatabaseGroup group, long now) {
         if (group.servers().isEmpty()) {
             return Optional.empty();
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionSteps.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionSteps.java
@@ -5,10 +5,12 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.core.primary.PromotionPermission;
+import org.banyanhook.core.primary.PromotionPermission.Votes;
 import org.banyanhook.core.primary.ReplacementGrants;
 import org.banyanhook.core.replication.LogPosition;
 import org.banyanhook.gateway.backend.DatabaseGroup;
@@ -23,6 +25,7 @@
 import org.banyanhook.gateway.port.FleetRecords;
 import org.banyanhook.gateway.port.PromotionAuthority;
 import org.banyanhook.gateway.port.RecordStore;
+import org.banyanhook.gateway.port.StoreException;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -63,16 +66,17 @@
      *
      * @param askedNanos when the other daemons were asked, or the old primary stepped down
      * @param waitNanos how long daemons that did not answer may go on using the old primary
+     * @param silent these daemons
      * @param wanted the place that the new primary's log should hold
      */
-    private record Agreement(long askedNanos, long waitNanos, LogPosition wanted) {
+    private record Agreement(long askedNanos, long waitNanos, Set<String> silent, LogPosition wanted) {
 
         private Agreement renewedAt(long nanos) {
-            return new Agreement(nanos, 0, wanted);
+            return new Agreement(nanos, 0, Set.of(), wanted);
         }
 
         private Agreement wanting(LogPosition position) {
-            return new Agreement(askedNanos, waitNanos, position);
+            return new Agreement(askedNanos, waitNanos, silent, position);
         }
     }
 
@@ -145,7 +149,8 @@
             // The old primary serves while daemons that did not answer stop using it; then all agree once more.
             return agreement.waitNanos() == 0
                     ? move(group, rejected, agreement)
-                    : pause(agreement.waitNanos())
+                    : shutOut(agreement)
+                            .thenCompose(done -> pause(agreement.waitNanos()))
                             .thenCompose(done -> agree(group, true))
                             .thenCompose(again -> move(group, rejected, agreement.renewedAt(again.askedNanos())));
         });
@@ -154,7 +159,8 @@
     /** Asks all other daemons whether the primary may be replaced. */
     private CompletableFuture<Answer> agree(DatabaseGroup group, boolean planned) {
         long askedNanos = clock.nowNanos();
-        return peers.askToReplace(group.name(), planned).thenApply(votes -> {
+        return peers.askToReplace(group.name(), planned).thenApply(round -> {
+            Votes votes = round.votes();
             PromotionPermission permission = PromotionPermission.decide(votes, 0);
             log.line("primary-votes")
                     .with("group", group.name())
@@ -168,7 +174,10 @@
                 case GRANTED, SILENT_DAEMONS -> {
                     witness.agree(group.name());
                     long waitNanos = votes.silent() == 0 ? 0 : PromotionPermission.STOPPED_NANOS;
-                    yield new Answer(askedNanos, permission, new Agreement(askedNanos, waitNanos, LogPosition.START));
+                    yield new Answer(
+                            askedNanos,
+                            permission,
+                            new Agreement(askedNanos, waitNanos, round.silent(), LogPosition.START));
                 }
                 case STILL_REACHED, NO_MAJORITY -> new Answer(askedNanos, permission, null);
             };
@@ -258,17 +267,56 @@
                 .thenApply(revision -> Optional.empty());
     }
 
-    /** Orders the promotion once daemons that did not answer have stopped using the old primary. */
+    /**
+     * Ends the leases of daemons that did not answer: one that the store answers all the same would go on using the old
+     * primary if its watch were broken. It has to read the store anew before it counts as in contact again.
+     */
+    private CompletableFuture<Void> shutOut(Agreement agreement) {
+        List<CompletableFuture<Void>> ends = new ArrayList<>();
+        for (String daemon : agreement.silent()) {
+            OptionalLong lease = directory.daemonLease(daemon);
+            if (lease.isPresent()) {
+                log.line("shut-out")
+                        .with("daemon", daemon)
+                        .with("lease", lease.getAsLong())
+                        .write();
+                ends.add(store.endLease(lease.getAsLong()).exceptionallyCompose(PromotionSteps::unlessEnded));
+            }
+        }
+        return CompletableFuture.allOf(ends.toArray(new CompletableFuture<?>[0]));
+    }
+
+    private static CompletableFuture<Void> unlessEnded(Throwable failure) {
+        return StoreException.kind(failure) == StoreException.Kind.LEASE_ENDED
+                ? CompletableFuture.completedFuture(null)
+                : CompletableFuture.failedFuture(failure);
+    }
+
+    /**
+     * Orders the promotion once daemons that did not answer have stopped using the old primary. The others are asked
+     * once more: one that has restarted since has forgotten that it agreed, and one that restarts from now on reads the
+     * record.
+     */
     private CompletableFuture<String> afterWait(
             DatabaseGroup group, MemberServer server, long token, Set<String> rejected, Agreement agreement) {
-        if (agreement.waitNanos() == 0) {
-            return order(group, server, token, rejected, 1);
-        }
-        return pause(agreement.waitNanos())
+        return shutOut(agreement)
+                .thenCompose(done ->
+                        awaitHolding(agreement.waitNanos()).thenCombine(agree(group, true), (held, again) -> again))
+                .thenCompose(again -> again.agreement() == null
+                        ? CompletableFuture.completedFuture(
+                                "on record, but then: " + again.permission().reason())
+                        : duty.acquire()
+                                .thenCompose(renewed -> renewed == token
+                                        ? order(group, server, token, rejected, 1)
+                                        : CompletableFuture.completedFuture("the duty was lost meanwhile")));
+    }
+
+    /** Waits without losing the duty, which lasts little longer than the wait. */
+    private CompletableFuture<Long> awaitHolding(long nanos) {
+        return pause(nanos / 2)
                 .thenCompose(done -> duty.acquire())
-                .thenCompose(renewed -> renewed == token
-                        ? order(group, server, token, rejected, 1)
-                        : CompletableFuture.completedFuture("the duty was lost while daemons were silent"));
+                .thenCompose(token -> pause(nanos / 2))
+                .thenCompose(done -> duty.acquire());
     }
 
     private CompletableFuture<String> order(
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/StoreOrPeerContact.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/StoreOrPeerContact.java
@@ -18,10 +18,10 @@
  */
 public final class StoreOrPeerContact implements PrimaryContact {
 
-    /** Without an answer of the store for this long, the other daemons are asked. */
-    private static final long ASK_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(1_400);
+    /** Without an answer of the store for this long, the other daemons are asked; above a renewal's interval. */
+    private static final long ASK_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
 
-    private static final long ASK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+    private static final long ASK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(350);
 
     private final LongSupplier storeSilentNanos;
     private final PeerEvidence peers;
