--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -11,8 +11,6 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -77,7 +75,6 @@
     private final PromotionController promotions;
     private final SessionRegistry sessions = new SessionRegistry();
     private final SessionContext sessionContext;
-    private final List<Channel> listening = new ArrayList<>();
     private boolean draining;
 
     /**
@@ -277,7 +274,6 @@
         if (!binding.isSuccess()) {
             throw new IOException("cannot listen on " + address + "; set a free port", requireNonNull(binding.cause()));
         }
-        listening.add(binding.channel());
     }
 
     private static ChannelHandler initializer(java.util.function.Consumer<Channel> setUp) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionOpener.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionOpener.java
@@ -1,9 +1,5 @@
 package org.banyanhook.gateway.backend;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -13,7 +9,6 @@
 import org.banyanhook.core.routing.StatementPlacement.Access;
 import org.banyanhook.gateway.message.MemberAnswer;
 import org.banyanhook.gateway.message.SessionError;
-import org.banyanhook.gateway.operation.Connections;
 import org.banyanhook.gateway.port.DaemonEntry;
 import org.jspecify.annotations.Nullable;
 
@@ -140,23 +135,11 @@
         server.connections().add(connection);
         openings.put(connection, new Opening(work, placement));
         context.metrics().count("member.connections", "change", "opened");
-        Bootstrap bootstrap = Connections.outgoing(context.eventLoops(), CONNECT_TIMEOUT_MILLIS)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(context.codec().newMemberCodec(), connection);
-                    }
-                });
         // A member may accept the connection and then say nothing.
         var unused = context.eventLoops()
                 .next()
                 .schedule(() -> giveUpOpening(connection), OPENING_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-        ChannelFuture attempt = bootstrap.connect(server.entry().address());
-        attempt.addListener(done -> {
-            if (!done.isSuccess()) {
-                connection.connectFailed(done.cause());
-            }
-        });
+        connection.connect(context, CONNECT_TIMEOUT_MILLIS);
     }
 
     private void giveUpOpening(MemberConnection connection) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
@@ -84,16 +84,6 @@
         return highestTerm;
     }
 
-    /** Returns how much work waits. */
-    public int waiting() {
-        return primaryQueue.size() + readQueue.size();
-    }
-
-    /** Returns whether work waits that only the primary can run. */
-    public boolean isPrimaryWanted() {
-        return primaryQueue.size() > 0;
-    }
-
     /**
      * Places work now or as soon as a connection can be had.
      *
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberConnection.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -14,6 +15,7 @@
 import org.banyanhook.gateway.message.SessionStatement;
 import org.banyanhook.gateway.message.SessionStatement.PreparedShape;
 import org.banyanhook.gateway.message.TransactionState;
+import org.banyanhook.gateway.operation.Connections;
 import org.banyanhook.gateway.operation.SteadyClock;
 import org.jspecify.annotations.Nullable;
 
@@ -254,8 +256,21 @@
         context.close();
     }
 
-    void connectFailed(Throwable cause) {
-        ended("not connected: " + cause.getMessage());
+    /** Connects to the member; the owner is told when it is open, or that it ended. */
+    void connect(GroupContext context, int timeoutMillis) {
+        Connections.outgoing(context.eventLoops(), timeoutMillis)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel connected) {
+                        connected.pipeline().addLast(context.codec().newMemberCodec(), MemberConnection.this);
+                    }
+                })
+                .connect(server.entry().address())
+                .addListener(done -> {
+                    if (!done.isSuccess()) {
+                        ended("not connected: " + done.cause().getMessage());
+                    }
+                });
     }
 
     private void onOpenAnswer(@Nullable MemberAnswer answer, long sentNanos) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
@@ -98,11 +98,6 @@
         return listed && !entry.leaving();
     }
 
-    /** Returns whether its entry is in the directory. */
-    public boolean isListed() {
-        return listed;
-    }
-
     /** Returns since when it has not been reached, or a negative number if it was reached at the last attempt. */
     public long failingNanos(long nowNanos) {
         return failures == 0 ? -1 : nowNanos - failingSinceNanos;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ProbeConnections.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ProbeConnections.java
@@ -1,14 +1,11 @@
 package org.banyanhook.gateway.backend;
 
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.gateway.message.MemberAnswer;
 import org.banyanhook.gateway.message.MemberCommand;
 import org.banyanhook.gateway.message.MemberReport;
-import org.banyanhook.gateway.operation.Connections;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -45,19 +42,7 @@
         }
         MemberConnection connection =
                 new MemberConnection(server, accounts.get(0).name(), context.clock(), new Asker(command, result));
-        var attempt = Connections.outgoing(context.eventLoops(), TIMEOUT_MILLIS)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(context.codec().newMemberCodec(), connection);
-                    }
-                })
-                .connect(server.entry().address());
-        attempt.addListener(done -> {
-            if (!done.isSuccess()) {
-                connection.connectFailed(done.cause());
-            }
-        });
+        connection.connect(context, TIMEOUT_MILLIS);
         var timer = context.eventLoops()
                 .next()
                 .schedule(() -> connection.close("probe timed out"), TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/MoreSets.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/HomeRegions.java
@@ -4,12 +4,12 @@
 import java.util.Set;
 
 /** Operations on sets of home regions, where an empty set means all regions. */
-final class MoreSets {
+final class HomeRegions {
 
     /** A name that no region has, for the case that two sets of homes have none in common. */
     private static final String NO_REGION = "";
 
-    private MoreSets() {}
+    private HomeRegions() {}
 
     /**
      * Intersects two sets of home regions.
@@ -18,7 +18,7 @@
      * @param second another set, empty for all regions
      * @return the regions that both allow, empty for all
      */
-    static Set<String> intersectionOfHomes(Set<String> first, Set<String> second) {
+    static Set<String> allowedByBoth(Set<String> first, Set<String> second) {
         if (first.isEmpty()) {
             return second;
         }
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/soak/SoakCaller.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/soak/SoakCaller.java
@@ -34,6 +34,7 @@
     private final Random random;
     private final BooleanSupplier over;
     private long lastNumber;
+    private int sessions;
 
     SoakCaller(int number, int callers, GatewayFleet fleet, SoakHistory history, long seed, BooleanSupplier over) {
         this.number = number;
@@ -53,6 +54,7 @@
                     new LineCaller(fleet.gateways().get(gateway).clientPort())) {
                 String key = GatewayFleet.KEYS.get(number % GatewayFleet.KEYS.size());
                 String database = freshness.name().toLowerCase(Locale.ROOT);
+                sessions++;
                 if (session.open(database, key).get(0).startsWith("READY")) {
                     session.run("SET who " + number);
                     use(session, gateway, freshness);
@@ -105,7 +107,7 @@
         if (succeeded(answer) && answer.get(0).startsWith("DATAROW ")) {
             String[] row = answer.get(0).substring("DATAROW ".length()).split("\\|", -1);
             long value = row[0].equals("-") ? 0 : Long.parseLong(row[0]);
-            history.add(new Read(item(other), value, sentNanos, freshness, other == number, gateway));
+            history.add(new Read(item(other), value, sentNanos, freshness, sessionName(), gateway));
             if (!row[1].equals("who " + number + ";")) {
                 history.violation("values mixed: session of caller " + number + " ran with " + row[1]);
             }
@@ -114,7 +116,11 @@
     }
 
     private void note(long value, Outcome outcome) {
-        history.add(new Write(item(number), value, System.nanoTime(), outcome));
+        history.add(new Write(item(number), value, System.nanoTime(), outcome, sessionName()));
+    }
+
+    private String sessionName() {
+        return number + "-" + sessions;
     }
 
     private static Outcome outcome(List<String> answer) {
