Ask a promoted primary for its term before it is given up

A gateway had its answer of the old term, then a replica's answer of the new one, and took the claim for superseded; with nobody asking that primary any more, its term stayed unknown for good.

Ruled out: the store (its watch and lease were answered), the record of the promotion (seen), the votes (three daemons reached the primary).

Change: where no primary is believed, the members that claim to lead are asked before the other daemons are, and the claims are weighed anew.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
@@ -79,6 +79,12 @@
         return Optional.ofNullable(primary);
     }
 
+    /** Works out anew which member is the primary, after members have answered; returns it, or empty. */
+    public Optional<MemberServer> lookForPrimary() {
+        reconsider("members answered");
+        return primary();
+    }
+
     /** Returns the highest term that any member has named. */
     public long highestTerm() {
         return highestTerm;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
@@ -144,12 +144,24 @@
                         eventLoop);
     }
 
-    /** Asks a primary that could not be reached once more: it may have been cut off only from before it led. */
+    /**
+     * Asks once more before the others are: a primary that could not be reached may have been cut off only from before
+     * it led, and one that was promoted names its term only with its first commit.
+     */
     private CompletableFuture<Boolean> isConfirmed(DatabaseGroup group, Reason reason) {
         MemberServer primary = group.primary().orElse(null);
-        return reason != Reason.UNREACHABLE || primary == null
-                ? CompletableFuture.completedFuture(true)
-                : witness.answers(primary).thenApply(answered -> !answered);
+        if (reason == Reason.UNREACHABLE && primary != null) {
+            return witness.answers(primary).thenApply(answered -> !answered);
+        }
+        if (reason != Reason.ABSENT) {
+            return CompletableFuture.completedFuture(true);
+        }
+        List<CompletableFuture<Boolean>> answers = group.servers().stream()
+                .filter(server -> server.primarySinceRevision() > 0)
+                .map(witness::answers)
+                .toList();
+        return CompletableFuture.allOf(answers.toArray(new CompletableFuture<?>[0]))
+                .thenApply(done -> group.lookForPrimary().isEmpty());
     }
 
     private Optional<Reason> reason(DatabaseGroup group, long now) {
--- a/banyanhook-testbed/src/test/java/org/banyanhook/testbed/line/GatewayIT.java
+++ b/banyanhook-testbed/src/test/java/org/banyanhook/testbed/line/GatewayIT.java
@@ -246,6 +246,22 @@
         assertThat(fleet.group().count("drained 1")).isEqualTo(1);
     }
 
+    /** Found by the soak, seed 3006: a primary names its new term only with its first commit. */
+    @Test
+    void aPrimaryWhoseTermAReplicaNamedFirstIsBelievedAgain() throws IOException {
+        fleet.group().promote(fleet.group().members().get(1).name());
+        try (LineCaller current = opened(0, "current", 0);
+                LineCaller bounded = opened(0, "bounded", 0);
+                LineCaller elsewhere = opened(1, "current", 0)) {
+            eventually(CONFIGURATION, () -> succeeded(current.run("READ term")));
+            eventually(CONFIGURATION, () -> succeeded(elsewhere.run("WRITE term 1")));
+            for (int count = 0; count < 20; count++) {
+                bounded.run("READ term");
+            }
+            eventually(FAILOVER, () -> succeeded(current.run("WRITE term 2")));
+        }
+    }
+
     private LineCaller opened(int gateway, String database, int account) throws IOException {
         LineCaller caller = new LineCaller(fleet.gateways().get(gateway).clientPort());
         caller.open(database, GatewayFleet.KEYS.get(account));
--- a/banyanhook-testbed/src/test/java/org/banyanhook/testbed/soak/SoakIT.java
+++ b/banyanhook-testbed/src/test/java/org/banyanhook/testbed/soak/SoakIT.java
@@ -18,11 +18,11 @@
     private Path folder;
 
     /**
-     * Seeds that broke a promise: 100 and 201 (a daemon whose watch had gone silent counted as in contact by its lease and
-     * read at a replaced primary).
+     * Seeds that broke a promise: 100 and 201 (a daemon whose watch had gone silent counted as in contact by its lease
+     * and read at a replaced primary), 3006 (a primary whose new term a replica named first was not believed any more).
      */
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 100, 201})
+    @ValueSource(longs = {1, 2, 100, 201, 3006})
     void keepsThePromisesUnderRandomFaults(long seed) throws IOException, InterruptedException {
         SoakRun.Result result = new SoakRun(seed, SECONDS, folder).play();
         assertWithMessage("seed %s, faults %s", seed, result.faults())
