Follow the store past odd entries and lost watches; announce promotions to daemons

Causes: - A member entry with a very large warm-up time made WarmUpLimiter throw an ArithmeticException inside the watch's callback. A daemon in touch could apply an old configuration for longer than the bound. - In a planned switchover the old primary answers reads after its step-down.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/routing/WarmUpLimiter.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/routing/WarmUpLimiter.java
@@ -1,6 +1,7 @@
 package org.banyanhook.core.routing;
 
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Spaces the requests that one daemon sends to a member that is warming up, so that all daemons together stay within
@@ -26,12 +27,12 @@
     /**
      * Records the remaining warm-up time that the member reported.
      *
-     * @param remainingMillis the remaining warm-up time
+     * @param remainingMillis the remaining warm-up time, at most 292 years
      * @param nowNanos the time on this entry VM's monotonic clock
      */
     public void recordRemainingWarmUp(long remainingMillis, long nowNanos) {
-        warmUpEndNanos =
-                nowNanos + Duration.ofMillis(Math.max(0, remainingMillis)).toNanos();
+        // Saturates instead of throwing an exception, because the member reports the time itself.
+        warmUpEndNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(Math.max(0, remainingMillis));
     }
 
     /**
--- a/banyanhook-core/src/test/java/org/banyanhook/core/routing/WarmUpLimiterTest.java
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/routing/WarmUpLimiterTest.java
@@ -38,4 +38,11 @@
         limiter.recordRequest(0, 4, 0);
         assertThat(limiter.allowsRequest(1)).isTrue();
     }
+
+    @Test
+    void remainingTimeBeyondTheRangeOfTheClockIsAccepted() {
+        limiter.recordRemainingWarmUp(Long.MAX_VALUE, 5);
+        limiter.recordRequest(1, 1, 5);
+        assertThat(limiter.allowsRequest(6)).isFalse();
+    }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -121,7 +121,7 @@
                 ports.store(),
                 ports.recordCodec().daemonKey(settings.entryVm()),
                 ports.recordCodec().encode(self),
-                storeMirror::reloadAll,
+                storeMirror,
                 eventLoop,
                 clock,
                 log,
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroups.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroups.java
@@ -45,7 +45,20 @@
                     .put(member.entry().member(), member);
         }
         byGroup.keySet().forEach(this::group);
-        groups.forEach((name, group) -> group.update(byGroup.getOrDefault(name, Map.of())));
+        groups.forEach((name, group) -> updateOrLog(group, byGroup.getOrDefault(name, Map.of())));
+    }
+
+    /** Updates a group; an entry that one group cannot apply must not keep the others from being updated. */
+    private void updateOrLog(DatabaseGroup group, Map<String, MemberRecord> members) {
+        try {
+            group.update(members);
+        } catch (RuntimeException exception) {
+            context.log()
+                    .line("fault")
+                    .with("group", group.name())
+                    .with("reason", exception.toString())
+                    .write();
+        }
     }
 
     private void clearPositionHistories() {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DaemonRegistration.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DaemonRegistration.java
@@ -5,7 +5,6 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.GatewayMetrics;
 import org.banyanhook.gateway.operation.MonotonicClock;
@@ -28,7 +27,7 @@
     private final RecordStore store;
     private final String key;
     private final byte[] value;
-    private final Supplier<CompletableFuture<Void>> reloadRecords;
+    private final RecordReader recordReader;
     private final EventLoop eventLoop;
     private final MonotonicClock clock;
     private final DecisionLog log;
@@ -36,15 +35,29 @@
     private long lease;
     private long lastContactNanos;
     private boolean contactEstablished;
+    private boolean lastCallFailed;
     private boolean stopped;
 
+    /** Reads the records of the store. */
+    public interface RecordReader {
+        /**
+         * Reads all records again.
+         *
+         * @return a future that completes when all records have been read
+         */
+        CompletableFuture<Void> reloadAll();
+
+        /** Sends the pending watch again. */
+        void restartWatch();
+    }
+
     /**
      * Creates a registration.
      *
      * @param store the store
      * @param key the key of the entry
      * @param value the entry
-     * @param reloadRecords reads all records of the store again
+     * @param recordReader reads the records again after the store was not reachable
      * @param eventLoop the event loop on which everything runs
      * @param clock the monotonic clock
      * @param log receives a line for each new or expired lease and each failed call
@@ -54,7 +67,7 @@
             RecordStore store,
             String key,
             byte[] value,
-            Supplier<CompletableFuture<Void>> reloadRecords,
+            RecordReader recordReader,
             EventLoop eventLoop,
             MonotonicClock clock,
             DecisionLog log,
@@ -62,7 +75,7 @@
         this.store = store;
         this.key = key;
         this.value = value.clone();
-        this.reloadRecords = reloadRecords;
+        this.recordReader = recordReader;
         this.eventLoop = eventLoop;
         this.clock = clock;
         this.log = log;
@@ -126,7 +139,8 @@
                         .write();
                 // The lease may have been revoked because a primary is being replaced, so read the records before
                 // registering.
-                reloadRecords.get().thenRun(this::start);
+                lastCallFailed = false;
+                recordReader.reloadAll().thenRun(this::start);
             } else {
                 retryAfterFailure(failure, this::renew);
             }
@@ -137,10 +151,15 @@
         metrics.count("store.calls", "result", "lease-answered");
         contactEstablished = true;
         lastContactNanos = sentNanos;
+        if (lastCallFailed) {
+            lastCallFailed = false;
+            recordReader.restartWatch();
+        }
     }
 
     private void retryAfterFailure(@Nullable Throwable failure, Runnable retry) {
         metrics.count("store.calls", "result", "lease-failed");
+        lastCallFailed = true;
         log.line("registration")
                 .with("change", "failed")
                 .with("reason", String.valueOf(failure))
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
@@ -198,6 +198,16 @@
         }
     }
 
+    /**
+     * Applies a promotion that another daemon has recorded in the store, in case the change has not been read yet.
+     *
+     * @param promotion the promotion
+     * @param revision the revision of its record
+     */
+    public void applyPromotion(FleetRecord.Promotion promotion, long revision) {
+        apply(new StoreRecord(recordCodec.promotionKey(promotion.group()), revision, recordCodec.encode(promotion), 0));
+    }
+
     /** Applies a change. */
     public void apply(StoreRecord change) {
         if (applyRecord(change)) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreMirror.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreMirror.java
@@ -17,7 +17,7 @@
 import org.jspecify.annotations.Nullable;
 
 /** Keeps the fleet directory up to date: reads all records once, then watches for changes. Runs on the event loop. */
-public final class StoreMirror {
+public final class StoreMirror implements DaemonRegistration.RecordReader {
 
     /**
      * How long the store may wait for a change. A connection that no longer responds is detected only after the wait,
@@ -50,6 +50,8 @@
     private long backoffMillis = MINIMUM_BACKOFF_MILLIS;
     private final List<CompletableFuture<Void>> pendingReloads = new ArrayList<>();
     private long readGeneration;
+    private long watchedRevision;
+    private boolean watching;
     private boolean complete;
     private boolean failing;
     private boolean stopped;
@@ -81,15 +83,12 @@
 
     /** Starts to read all records; results of an earlier reading are discarded. */
     public void start() {
+        watching = false;
         readGeneration++;
         readPage(readGeneration, new ArrayList<>(), Optional.empty(), -1);
     }
 
-    /**
-     * Reads all records again, because changes may have been missed.
-     *
-     * @return a future that completes when all records have been read
-     */
+    @Override
     public CompletableFuture<Void> reloadAll() {
         CompletableFuture<Void> done = new CompletableFuture<>();
         pendingReloads.add(done);
@@ -97,6 +96,18 @@
         return done;
     }
 
+    /**
+     * {@inheritDoc} The store may have lost the watch while it did not answer other calls either; changes would then be
+     * noticed only after the longest wait of a watch.
+     */
+    @Override
+    public void restartWatch() {
+        if (watching) {
+            readGeneration++;
+            watch(readGeneration, watchedRevision);
+        }
+    }
+
     /** Stops after the pending call. */
     public void stop() {
         stopped = true;
@@ -129,7 +140,7 @@
                 readPage(generation, records, Optional.of(last), revision);
                 return;
             }
-            directory.replaceAll(records, revision);
+            applyOrLog("all", () -> directory.replaceAll(records, revision));
             complete = true;
             List.copyOf(pendingReloads).forEach(waiting -> waiting.complete(null));
             pendingReloads.clear();
@@ -138,6 +149,8 @@
     }
 
     private void watch(long generation, long revision) {
+        watching = true;
+        watchedRevision = revision;
         store.watch(prefix, revision, watchWait()).whenComplete((page, failure) -> {
             if (isObsolete(generation)) {
                 return;
@@ -169,7 +182,7 @@
     }
 
     private void onChanges(long generation, StorePage page, long revision) {
-        page.records().forEach(directory::apply);
+        page.records().forEach(change -> applyOrLog(change.key(), () -> directory.apply(change)));
         long next = Math.max(revision, page.revision());
         if (page.records().isEmpty()) {
             watch(generation, next);
@@ -178,6 +191,19 @@
         }
     }
 
+    /** Applies a change; a record that cannot be applied must not end the watch. */
+    private void applyOrLog(String key, Runnable change) {
+        try {
+            change.run();
+        } catch (RuntimeException exception) {
+            metrics.count("store.records", "result", "not-applied");
+            log.line("fault")
+                    .with("key", key)
+                    .with("reason", exception.toString())
+                    .write();
+        }
+    }
+
     private long coalesceMillis() {
         long forFleet = COALESCE_MILLIS_PER_DAEMON * directory.daemonCount();
         return Math.min(MAXIMUM_COALESCE_MILLIS, BASE_COALESCE_MILLIS + forFleet);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerVoteExchange.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerVoteExchange.java
@@ -14,6 +14,7 @@
 import org.banyanhook.daemon.peer.PeerMessenger;
 import org.banyanhook.gateway.fleet.FleetDirectory;
 import org.banyanhook.gateway.port.DaemonEntry;
+import org.banyanhook.gateway.port.FleetRecord;
 import org.banyanhook.protocol.generated.PeerEnvelope;
 import org.banyanhook.protocol.generated.PrimaryEvidence;
 import org.banyanhook.protocol.generated.PrimaryEvidenceRequest;
@@ -69,6 +70,14 @@
          */
         CompletableFuture<Long> voteOnReplacement(String group, boolean planned);
 
+        /**
+         * Learns of a promotion that the requesting daemon has recorded in the store, and stops using the old primary.
+         *
+         * @param promotion the promotion
+         * @param revision the revision of its record
+         */
+        void learnPromotion(FleetRecord.Promotion promotion, long revision);
+
         /**
          * Returns the groups whose primary was or may have been replaced since a revision.
          *
@@ -110,6 +119,12 @@
 
     private static CompletableFuture<PeerEnvelope> respond(Voter voter, PrimaryEvidenceRequest request) {
         PrimaryEvidence.Builder evidence = PrimaryEvidence.newBuilder().setDatabase(request.getDatabase());
+        if (request.getPromotionRevision() > 0) {
+            voter.learnPromotion(
+                    new FleetRecord.Promotion(request.getDatabase(), request.getPromotedMember()),
+                    request.getPromotionRevision());
+            return CompletableFuture.completedFuture(envelope(evidence.setPrimaryUnreachable(true)));
+        }
         if (!request.getDatabase().isEmpty()) {
             return voter.voteOnReplacement(request.getDatabase(), request.getPlanned())
                     .thenApply(nanos -> envelope(evidence.setPrimaryUnreachable(nanos >= 0)
@@ -140,6 +155,24 @@
                 PrimaryEvidenceRequest.newBuilder().setDatabase(group).setPlanned(planned), all.keySet());
     }
 
+    /**
+     * Tells all other daemons about a promotion that was recorded in the store. A daemon that answers has stopped using
+     * the old primary, even if it has not read the record yet.
+     *
+     * @param promotion the promotion
+     * @param revision the revision of its record
+     * @return the combined answers, completed once all daemons have answered or timed out; never fails
+     */
+    public CompletableFuture<RoundResult> announcePromotion(FleetRecord.Promotion promotion, long revision) {
+        return sendRequests(
+                PrimaryEvidenceRequest.newBuilder()
+                        .setDatabase(promotion.group())
+                        .setPlanned(true)
+                        .setPromotedMember(promotion.member())
+                        .setPromotionRevision(revision),
+                directory.recentDaemons().keySet());
+    }
+
     /**
      * Asks the other voters which primaries were replaced.
      *
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionVoter.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionVoter.java
@@ -14,6 +14,7 @@
 import org.banyanhook.gateway.fleet.FleetDirectory;
 import org.banyanhook.gateway.message.MemberCommand;
 import org.banyanhook.gateway.operation.MonotonicClock;
+import org.banyanhook.gateway.port.FleetRecord;
 
 /**
  * Votes on the replacement of primaries when other daemons request it, and keeps the votes that it granted. Used on the
@@ -61,7 +62,7 @@
     public CompletableFuture<Long> voteOnReplacement(String groupName, boolean planned) {
         DatabaseGroup group = groups.group(groupName);
         if (planned) {
-            // Daemons need not stop using the old primary: it rejects requests itself once it has stepped down.
+            // The old primary stays in use until the promotion is recorded; once it has stepped down it rejects writes.
             grantVote(groupName);
             return CompletableFuture.completedFuture(0L);
         }
@@ -79,6 +80,11 @@
         return isResponding(primary).thenApply(answered -> answered ? -1L : stopUsingPrimary(group, 0));
     }
 
+    @Override
+    public void learnPromotion(FleetRecord.Promotion promotion, long revision) {
+        directory.applyPromotion(promotion, revision);
+    }
+
     /**
      * Checks with a probe whether a member responds now, because the recorded state may be outdated.
      *
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
@@ -1,8 +1,10 @@
 package org.banyanhook.gateway.primary;
 
+import com.google.common.collect.Sets;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -65,22 +67,30 @@
      * The approval of a replacement by the other daemons.
      *
      * @param requestedNanos when the votes were requested
-     * @param waitNanos how long daemons that did not answer may still use the old primary
-     * @param unresponsive the daemons that did not answer
+     * @param unresponsive the daemons that did not answer and may still use the old primary
+     * @param shutOut the daemons that did not answer and whose contact to the store has ended since
      * @param targetPosition the log position that the new primary should have reached
      */
     private record QuorumApproval(
-            long requestedNanos, long waitNanos, Set<String> unresponsive, LogPosition targetPosition) {
+            long requestedNanos, Set<String> unresponsive, Set<String> shutOut, LogPosition targetPosition) {
 
         private QuorumApproval renewedAt(long nanos) {
-            return new QuorumApproval(nanos, 0, Set.of(), targetPosition);
+            return new QuorumApproval(nanos, Set.of(), Sets.union(unresponsive, shutOut), targetPosition);
         }
 
         private QuorumApproval withTargetPosition(LogPosition position) {
-            return new QuorumApproval(requestedNanos, waitNanos, unresponsive, position);
+            return new QuorumApproval(requestedNanos, unresponsive, shutOut, position);
         }
     }
 
+    /**
+     * The result of recording a promotion in the store.
+     *
+     * @param promotion the promotion
+     * @param revision the revision of the record, or 0 if it was not written
+     */
+    private record Recording(FleetRecord.Promotion promotion, long revision) {}
+
     private record VoteOutcome(
             long requestedNanos,
             PromotionPermission permission,
@@ -149,10 +159,10 @@
             }
             // The old primary serves until unresponsive daemons have stopped using it; then the votes are requested
             // again.
-            return approval.waitNanos() == 0
+            return approval.unresponsive().isEmpty()
                     ? switchOver(group, rejected, approval)
-                    : revokeLeases(approval)
-                            .thenCompose(done -> delay(approval.waitNanos()))
+                    : revokeLeases(approval.unresponsive())
+                            .thenCompose(done -> delay(PromotionPermission.STOPPED_AFTER_NANOS))
                             .thenCompose(done -> collectVotes(group, true))
                             .thenCompose(secondVote ->
                                     switchOver(group, rejected, approval.renewedAt(secondVote.requestedNanos())));
@@ -163,30 +173,36 @@
     private CompletableFuture<VoteOutcome> collectVotes(DatabaseGroup group, boolean planned) {
         long requestedNanos = clock.nowNanos();
         return voteExchange.requestVotes(group.name(), planned).thenApply(round -> {
-            VoteTally votes = round.votes();
-            PromotionPermission permission = PromotionPermission.decide(votes, 0);
-            log.line("primary-votes")
-                    .with("group", group.name())
-                    .with("planned", planned)
-                    .with("asked", votes.asked())
-                    .with("unreachable", votes.unreachable())
-                    .with("reachable", votes.reachable())
-                    .with("outcome", permission.name())
-                    .write();
-            return switch (permission) {
-                case GRANTED, SILENT_DAEMONS -> {
-                    voter.grantVote(group.name());
-                    long waitNanos = votes.unanswered() == 0 ? 0 : PromotionPermission.STOPPED_AFTER_NANOS;
-                    yield new VoteOutcome(
-                            requestedNanos,
-                            permission,
-                            new QuorumApproval(requestedNanos, waitNanos, round.unresponsive(), LogPosition.START));
-                }
-                case STILL_REACHED, NO_MAJORITY -> new VoteOutcome(requestedNanos, permission, null);
-            };
+            VoteOutcome outcome = evaluateVotes(group, planned, requestedNanos, round);
+            if (outcome.approval() != null) {
+                voter.grantVote(group.name());
+            }
+            return outcome;
         });
     }
 
+    private VoteOutcome evaluateVotes(
+            DatabaseGroup group, boolean planned, long requestedNanos, PeerVoteExchange.RoundResult round) {
+        VoteTally votes = round.votes();
+        PromotionPermission permission = PromotionPermission.decide(votes, 0);
+        log.line("primary-votes")
+                .with("group", group.name())
+                .with("planned", planned)
+                .with("asked", votes.asked())
+                .with("unreachable", votes.unreachable())
+                .with("reachable", votes.reachable())
+                .with("outcome", permission.name())
+                .write();
+        return switch (permission) {
+            case GRANTED, SILENT_DAEMONS ->
+                new VoteOutcome(
+                        requestedNanos,
+                        permission,
+                        new QuorumApproval(requestedNanos, round.unresponsive(), Set.of(), LogPosition.START));
+            case STILL_REACHED, NO_MAJORITY -> new VoteOutcome(requestedNanos, permission, null);
+        };
+    }
+
     /** Makes the old primary step down, then promotes a member that has caught up with it. */
     private CompletableFuture<String> switchOver(DatabaseGroup group, Set<String> rejected, QuorumApproval approval) {
         return promotionLease.acquire().thenCompose(token -> {
@@ -250,27 +266,28 @@
                     .with("token", token)
                     .write();
             return recordPromotion(group, chosen.server(), token, approval)
-                    .thenCompose(failure -> failure.isPresent()
-                            ? CompletableFuture.completedFuture(failure.get())
-                            : promoteAfterWait(group, chosen.server(), token, rejected, approval));
+                    .thenCompose(recording -> recording.revision() == 0
+                            ? CompletableFuture.completedFuture(
+                                    "not recorded: the votes of the other daemons are too old")
+                            : promoteRecorded(group, chosen.server(), recording, token, rejected, approval));
         });
     }
 
-    /** Records the promotion in the store; returns why it was not recorded, or empty on success. */
-    private CompletableFuture<Optional<String>> recordPromotion(
+    /** Records the promotion in the store, unless the votes are too old. */
+    private CompletableFuture<Recording> recordPromotion(
             DatabaseGroup group, MemberServer server, long token, QuorumApproval approval) {
+        FleetRecord.Promotion promotion = new FleetRecord.Promotion(group.name(), server.name());
         if (clock.nowNanos() - approval.requestedNanos() > GrantedVotes.RECORDING_TIMEOUT_NANOS) {
-            return CompletableFuture.completedFuture(
-                    Optional.of("not recorded: the votes of the other daemons are too old"));
+            return CompletableFuture.completedFuture(new Recording(promotion, 0));
         }
-        group.pausePrimary(clock.nowNanos() + PROMOTION_TIMEOUT_NANOS + approval.waitNanos());
-        FleetRecord.Promotion promotion = new FleetRecord.Promotion(group.name(), server.name());
+        long silenceNanos = approval.unresponsive().isEmpty() ? 0 : PromotionPermission.STOPPED_AFTER_NANOS;
+        group.pausePrimary(clock.nowNanos() + PROMOTION_TIMEOUT_NANOS + silenceNanos);
         return store.putGuarded(
                         recordCodec.promotionKey(group.name()),
                         recordCodec.encode(promotion),
                         recordCodec.promotionLeaseKey(),
                         token)
-                .thenApply(revision -> Optional.empty());
+                .thenApply(revision -> new Recording(promotion, revision));
     }
 
     /**
@@ -278,9 +295,9 @@
      * on using the old primary if its watch were broken. After the revocation, it has to read all records again before
      * it counts as being in contact with the store.
      */
-    private CompletableFuture<Void> revokeLeases(QuorumApproval approval) {
+    private CompletableFuture<Void> revokeLeases(Set<String> unresponsive) {
         List<CompletableFuture<Void>> revocations = new ArrayList<>();
-        for (String daemon : approval.unresponsive()) {
+        for (String daemon : unresponsive) {
             OptionalLong lease = directory.daemonLease(daemon);
             if (lease.isPresent()) {
                 log.line("shut-out")
@@ -301,26 +318,52 @@
     }
 
     /**
-     * Requests the promotion once unresponsive daemons have stopped using the old primary. The votes of the others are
-     * requested again, because a daemon that has restarted since has lost its vote. A daemon that restarts later reads
-     * the recorded promotion.
+     * Requests the promotion once no daemon uses the old primary any more. Each daemon is told of the record, since a
+     * daemon whose watch is broken would not read it, and the old primary still answers reads after its step-down. A
+     * daemon that does not answer is shut out. A daemon that restarts later reads the record.
      */
-    private CompletableFuture<String> promoteAfterWait(
-            DatabaseGroup group, MemberServer server, long token, Set<String> rejected, QuorumApproval approval) {
-        return revokeLeases(approval)
-                .thenCompose(done -> awaitHoldingLease(approval.waitNanos())
-                        .thenCombine(collectVotes(group, true), (held, secondVote) -> secondVote))
-                .thenCompose(secondVote -> secondVote.approval() == null
+    private CompletableFuture<String> promoteRecorded(
+            DatabaseGroup group,
+            MemberServer server,
+            Recording recording,
+            long token,
+            Set<String> rejected,
+            QuorumApproval approval) {
+        voter.learnPromotion(recording.promotion(), recording.revision());
+        long announcedNanos = clock.nowNanos();
+        return shutOut(approval.unresponsive())
+                .thenCombine(
+                        voteExchange.announcePromotion(recording.promotion(), recording.revision()),
+                        (done, round) -> evaluateVotes(group, true, announcedNanos, round))
+                .thenCompose(announcement -> announcement.approval() == null
                         ? CompletableFuture.completedFuture("recorded, but not approved again: "
-                                + secondVote.permission().reason())
-                        : promotionLease
-                                .acquire()
+                                + announcement.permission().reason())
+                        : shutOut(stillConnected(announcement.approval().unresponsive(), approval))
+                                .thenCompose(done -> promotionLease.acquire())
                                 .thenCompose(renewed -> renewed == token
                                         ? requestPromotion(group, server, token, rejected, 1)
                                         : CompletableFuture.completedFuture(
                                                 "the promotion lease was lost before the request")));
     }
 
+    /** Returns the unresponsive daemons that may be in contact with the store and have not been shut out yet. */
+    private Set<String> stillConnected(Set<String> unresponsive, QuorumApproval approval) {
+        Set<String> connected = new HashSet<>(unresponsive);
+        connected.removeAll(approval.unresponsive());
+        connected.removeIf(daemon -> approval.shutOut().contains(daemon)
+                && directory.daemonLease(daemon).isEmpty());
+        return connected;
+    }
+
+    /** Revokes the leases of daemons and waits until they have certainly stopped using the old primary. */
+    private CompletableFuture<Void> shutOut(Set<String> daemons) {
+        return daemons.isEmpty()
+                ? CompletableFuture.completedFuture(null)
+                : revokeLeases(daemons)
+                        .thenCompose(done -> awaitHoldingLease(PromotionPermission.STOPPED_AFTER_NANOS))
+                        .thenApply(renewed -> null);
+    }
+
     /** Waits and renews the promotion lease, which lasts little longer than the wait. */
     private CompletableFuture<Long> awaitHoldingLease(long nanos) {
         return delay(nanos / 2)
--- /dev/null
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/ScriptedRecordStore.java
@@ -0,0 +1,90 @@
+package org.banyanhook.gateway.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import org.banyanhook.gateway.port.RecordStore;
+import org.banyanhook.gateway.port.StorePage;
+
+/** A record store whose calls are answered by the test. */
+final class ScriptedRecordStore implements RecordStore {
+
+    private final List<CompletableFuture<StorePage>> lists = new ArrayList<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private final List<CompletableFuture<Long>> openedLeases = new ArrayList<>();
+    private final List<CompletableFuture<Long>> writes = new ArrayList<>();
+    private final List<CompletableFuture<Void>> renewals = new ArrayList<>();
+
+    record Watch(long afterRevision, CompletableFuture<StorePage> answer) {}
+
+    /** Returns the listings that were requested. */
+    List<CompletableFuture<StorePage>> lists() {
+        return lists;
+    }
+
+    /** Returns the watches that were requested. */
+    List<Watch> watches() {
+        return watches;
+    }
+
+    /** Returns the leases that were requested. */
+    List<CompletableFuture<Long>> openedLeases() {
+        return openedLeases;
+    }
+
+    /** Returns the writes that were requested. */
+    List<CompletableFuture<Long>> writes() {
+        return writes;
+    }
+
+    /** Returns the renewals that were requested. */
+    List<CompletableFuture<Void>> renewals() {
+        return renewals;
+    }
+
+    @Override
+    public CompletableFuture<StorePage> list(String prefix, Optional<String> afterKey) {
+        return add(lists);
+    }
+
+    @Override
+    public CompletableFuture<StorePage> watch(String prefix, long afterRevision, Duration maximumWait) {
+        CompletableFuture<StorePage> answer = new CompletableFuture<>();
+        watches.add(new Watch(afterRevision, answer));
+        return answer;
+    }
+
+    @Override
+    public CompletableFuture<Long> put(String key, byte[] value, OptionalLong expectedRevision, long lease) {
+        return add(writes);
+    }
+
+    @Override
+    public CompletableFuture<Long> putGuarded(String key, byte[] value, String guardKey, long guardRevision) {
+        return add(writes);
+    }
+
+    @Override
+    public CompletableFuture<Long> openLease(Duration timeToLive) {
+        return add(openedLeases);
+    }
+
+    @Override
+    public CompletableFuture<Void> renewLease(long lease) {
+        return add(renewals);
+    }
+
+    @Override
+    public CompletableFuture<Void> endLease(long lease) {
+        return CompletableFuture.completedFuture(null);
+    }
+
+    private static <T> CompletableFuture<T> add(List<CompletableFuture<T>> calls) {
+        CompletableFuture<T> call = new CompletableFuture<>();
+        calls.add(call);
+        return call;
+    }
+}
--- /dev/null
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/StoreMirrorTest.java
@@ -0,0 +1,133 @@
+package org.banyanhook.gateway.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.OutputStream;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.banyanhook.gateway.operation.DecisionLog;
+import org.banyanhook.gateway.operation.GatewayMetrics;
+import org.banyanhook.gateway.operation.MonotonicClock;
+import org.banyanhook.gateway.port.StoreException;
+import org.banyanhook.gateway.port.StorePage;
+import org.banyanhook.gateway.port.StoreRecord;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+final class StoreMirrorTest {
+
+    private static final long LEASE = 8;
+
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+    private final MonotonicClock clock = new MonotonicClock(System::nanoTime, System::currentTimeMillis);
+    private final DecisionLog log = new DecisionLog("vm", OutputStream.nullOutputStream(), System::nanoTime);
+    private final GatewayMetrics metrics = new GatewayMetrics();
+    private final ScriptedRecordStore store = new ScriptedRecordStore();
+    private final FleetDirectory directory = new FleetDirectory(new TextRecordCodec(), log, clock);
+    private final StoreMirror mirror = new StoreMirror(store, "", directory, channel.eventLoop(), log, metrics);
+    private final DaemonRegistration registration =
+            new DaemonRegistration(store, "daemons/vm", new byte[0], mirror, channel.eventLoop(), clock, log, metrics);
+
+    @BeforeEach
+    void readAllRecords() {
+        mirror.start();
+        store.lists().get(0).complete(new StorePage(List.of(), 5, false));
+    }
+
+    @AfterEach
+    void closeChannel() {
+        channel.close();
+        log.close();
+    }
+
+    @Test
+    void recordThatCannotBeAppliedDoesNotEndTheWatch() {
+        directory.addListener(() -> {
+            if (directory.isEvacuated("odd")) {
+                throw new ArithmeticException("long overflow");
+            }
+        });
+        answerWatch(6, evacuation("odd", 6), evacuation("b", 6));
+        assertThat(directory.isEvacuated("b")).isTrue();
+        advanceSeconds(1);
+        assertThat(newestWatch().afterRevision()).isEqualTo(6);
+        answerWatch(7, evacuation("c", 7));
+        assertThat(directory.isEvacuated("c")).isTrue();
+    }
+
+    @Test
+    void listenerThatFailsAfterTheListingDoesNotPreventTheWatch() {
+        FleetDirectory failing = new FleetDirectory(new TextRecordCodec(), log, clock);
+        failing.addListener(() -> {
+            throw new IllegalStateException("expected by the test");
+        });
+        StoreMirror other = new StoreMirror(store, "", failing, channel.eventLoop(), log, metrics);
+        other.start();
+        store.lists().get(1).complete(new StorePage(List.of(evacuation("a", 4)), 5, false));
+        assertThat(other.isComplete()).isTrue();
+        assertThat(store.watches()).hasSize(2);
+    }
+
+    /** The store loses a watch that it received while it was silent, but answers the next renewal of the lease. */
+    @Test
+    void watchLostByASilentStoreIsSentAgainWhenTheStoreAnswers() {
+        register();
+        advanceSeconds(1);
+        store.renewals().get(0).completeExceptionally(noAnswer());
+        advanceSeconds(1);
+        store.renewals().get(1).complete(null);
+        assertThat(store.watches()).hasSize(2);
+        assertThat(newestWatch().afterRevision()).isEqualTo(5);
+        answerWatch(6, evacuation("a", 6));
+        assertThat(directory.isEvacuated("a")).isTrue();
+    }
+
+    @Test
+    void lateAnswerToTheReplacedWatchIsIgnored() {
+        watchLostByASilentStoreIsSentAgainWhenTheStoreAnswers();
+        int watches = store.watches().size();
+        store.watches().get(0).answer().complete(new StorePage(List.of(), 5, false));
+        advanceSeconds(1);
+        assertThat(store.watches()).hasSize(watches + 1);
+        assertThat(newestWatch().afterRevision()).isEqualTo(6);
+    }
+
+    @Test
+    void renewalsThatAllSucceedDoNotRepeatTheWatch() {
+        register();
+        for (int renewal = 0; renewal < 5; renewal++) {
+            advanceSeconds(1);
+            store.renewals().get(renewal).complete(null);
+        }
+        assertThat(store.watches()).hasSize(1);
+    }
+
+    private void register() {
+        registration.start();
+        store.openedLeases().get(0).complete(LEASE);
+        store.writes().get(0).complete(6L);
+    }
+
+    private void answerWatch(long revision, StoreRecord... changes) {
+        newestWatch().answer().complete(new StorePage(List.of(changes), revision, false));
+    }
+
+    private ScriptedRecordStore.Watch newestWatch() {
+        return store.watches().get(store.watches().size() - 1);
+    }
+
+    private void advanceSeconds(long seconds) {
+        channel.advanceTimeBy(seconds, TimeUnit.SECONDS);
+        channel.runScheduledPendingTasks();
+    }
+
+    private static StoreRecord evacuation(String failureDomain, long revision) {
+        return new StoreRecord(TextRecordCodec.EVACUATION_PREFIX + failureDomain, revision, new byte[0], 0);
+    }
+
+    private static StoreException noAnswer() {
+        return new StoreException(StoreException.Kind.NO_ANSWER, "expected by the test");
+    }
+}
--- /dev/null
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/TextRecordCodec.java
@@ -0,0 +1,59 @@
+package org.banyanhook.gateway.fleet;
+
+import java.nio.charset.StandardCharsets;
+import org.banyanhook.gateway.port.DaemonEntry;
+import org.banyanhook.gateway.port.FleetRecord;
+import org.banyanhook.gateway.port.FleetRecordCodec;
+
+/** A codec for the record types that tests use, with the fields separated by commas. */
+final class TextRecordCodec implements FleetRecordCodec {
+
+    static final String EVACUATION_PREFIX = "evacuations/";
+    static final String DAEMON_PREFIX = "daemons/";
+    static final String PROMOTION_PREFIX = "promotions/";
+
+    @Override
+    public String keyPrefix() {
+        return "";
+    }
+
+    @Override
+    public FleetRecord decode(String key, byte[] value) {
+        String text = new String(value, StandardCharsets.UTF_8);
+        if (key.startsWith(EVACUATION_PREFIX)) {
+            return new FleetRecord.Evacuation(key.substring(EVACUATION_PREFIX.length()));
+        }
+        if (key.startsWith(PROMOTION_PREFIX)) {
+            return new FleetRecord.Promotion(key.substring(PROMOTION_PREFIX.length()), text);
+        }
+        if (key.startsWith(DAEMON_PREFIX)) {
+            return new FleetRecord.Daemon(new DaemonEntry(key.substring(DAEMON_PREFIX.length()), text, "127.0.0.1:1"));
+        }
+        return new FleetRecord.Other();
+    }
+
+    @Override
+    public String daemonKey(String entryVm) {
+        return DAEMON_PREFIX + entryVm;
+    }
+
+    @Override
+    public byte[] encode(DaemonEntry entry) {
+        return entry.failureDomain().getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public String promotionKey(String group) {
+        return PROMOTION_PREFIX + group;
+    }
+
+    @Override
+    public byte[] encode(FleetRecord.Promotion promotion) {
+        return promotion.member().getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public String promotionLeaseKey() {
+        return "duties/promotion";
+    }
+}
