Wait for a transaction's home that is not known yet instead of reporting the transaction lost

Cause: a daemon that has just started learns of other entry VMs within two probe intervals. Until then it answered a step of a transaction whose home it did not know like one whose home is gone (transaction-lost, 409).

Change: the membership tells whether it has a record of an entry VM, alive or dead.

Measured: the two new tests of ForwardingExecutorTest pass, with MembershipControllerTest.

--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/DeferredMembershipSource.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/DeferredMembershipSource.java
@@ -18,4 +18,9 @@
     public List<EntryVm> liveEntryVms() {
         return delegate.liveEntryVms();
     }
+
+    @Override
+    public boolean hasRecord(String entryVm) {
+        return delegate.hasRecord(entryVm);
+    }
 }
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/forwarding/ForwardingTransactionExecutor.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/forwarding/ForwardingTransactionExecutor.java
@@ -5,6 +5,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.banyanhook.core.error.Execution;
@@ -32,6 +34,11 @@
     private static final Logger LOGGER = LogManager.getLogger(ForwardingTransactionExecutor.class);
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
+    /** A running entry VM becomes known within two probe intervals; one that is not known by then is not running. */
+    private static final Duration HOME_DISCOVERY_TIMEOUT = Duration.ofSeconds(3);
+
+    private static final Duration HOME_DISCOVERY_INTERVAL = Duration.ofMillis(50);
+
     private final HomeDirectory homes;
     private final TransactionExecutor local;
     private final PeerMessenger messenger;
@@ -51,14 +58,33 @@
 
     @Override
     public CompletableFuture<TransactionOutcome> execute(TransactionCommand command) {
-        boolean isBegin = command.step() == TransactionStep.BEGIN;
-        List<EntryVm> candidates = isBegin
-                ? homes.homes(command.database())
-                : homes.liveEntryVm(command.transaction().homeEntryVm());
-        if (candidates.isEmpty()) {
-            return CompletableFuture.failedFuture(isBegin ? noAvailableHome(command) : homeNotLive(command));
+        if (command.step() != TransactionStep.BEGIN) {
+            return executeAtHome(command, System.nanoTime() + HOME_DISCOVERY_TIMEOUT.toNanos());
+        }
+        List<EntryVm> candidates = homes.homes(command.database());
+        return candidates.isEmpty()
+                ? CompletableFuture.failedFuture(noAvailableHome(command))
+                : execute(command, candidates, 0);
+    }
+
+    /** Executes a step at the home of its transaction, which a daemon that has just started may not know yet. */
+    private CompletableFuture<TransactionOutcome> executeAtHome(TransactionCommand command, long discoveryEndNanos) {
+        String home = command.transaction().homeEntryVm();
+        List<EntryVm> candidates = homes.liveEntryVm(home);
+        if (!candidates.isEmpty()) {
+            return execute(command, candidates, 0);
         }
-        return execute(command, candidates, 0);
+        long now = System.nanoTime();
+        if (homes.hasRecord(home) || now - discoveryEndNanos >= 0) {
+            return CompletableFuture.failedFuture(homeNotLive(command));
+        }
+        if (now + HOME_DISCOVERY_INTERVAL.toNanos() - command.deadlineNanos() >= 0) {
+            return CompletableFuture.failedFuture(homeNotKnownYet(home));
+        }
+        Executor delayed = CompletableFuture.delayedExecutor(
+                HOME_DISCOVERY_INTERVAL.toMillis(), TimeUnit.MILLISECONDS, Runnable::run);
+        return CompletableFuture.supplyAsync(() -> executeAtHome(command, discoveryEndNanos), delayed)
+                .thenCompose(outcome -> outcome);
     }
 
     private CompletableFuture<TransactionOutcome> execute(
@@ -119,6 +145,14 @@
                 "No live entry VM accepts new requests for database " + command.database() + ".");
     }
 
+    private static RefusalException homeNotKnownYet(String home) {
+        return RefusalException.builder(RefusalKind.PEER_UNAVAILABLE)
+                .execution(Execution.NOT_RUN)
+                .detail("Home " + home + " of the transaction is not known to this entry VM yet.")
+                .retryAfter(RETRY_AFTER)
+                .build();
+    }
+
     private static RefusalException homeNotLive(TransactionCommand command) {
         boolean isCommit = command.step() == TransactionStep.COMMIT;
         return RefusalException.builder(isCommit ? RefusalKind.OUTCOME_UNKNOWN : RefusalKind.TRANSACTION_LOST)
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/forwarding/HomeDirectory.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/forwarding/HomeDirectory.java
@@ -70,6 +70,15 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /**
+     * Returns whether there is a record of an entry VM, alive or dead. One without a record may not be known here yet.
+     *
+     * @param name its name
+     */
+    public boolean hasRecord(String name) {
+        return membership.hasRecord(name);
+    }
+
     /**
      * Computes this daemon's share of the connections to one member of a database.
      *
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/membership/MembershipController.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/membership/MembershipController.java
@@ -64,6 +64,7 @@
     private Set<String> platformAddresses = ImmutableSet.of();
     private long ticks;
     private volatile List<EntryVm> snapshot;
+    private volatile Set<String> recordedNames;
     private @Nullable TaskLoop taskLoop;
 
     private MembershipController(Builder builder) {
@@ -80,6 +81,7 @@
         this.sentBytes = builder.meterRegistry.counter("banyanhook.membership.sent.bytes");
         this.membershipChanges = builder.meterRegistry.counter("banyanhook.membership.changes");
         this.snapshot = snapshotOf(state);
+        this.recordedNames = recordedNamesOf(state);
         builder.meterRegistry.gauge("banyanhook.membership.live", this, self -> self.snapshot.size());
     }
 
@@ -109,6 +111,11 @@
         return snapshot;
     }
 
+    @Override
+    public boolean hasRecord(String entryVm) {
+        return recordedNames.contains(entryVm);
+    }
+
     /** Announces the shutdown of this entry VM to peers. The controller continues to answer them until it is closed. */
     public void announceShutdown() {
         submit(() -> {
@@ -298,6 +305,7 @@
 
     private void updateSnapshot() {
         snapshot = snapshotOf(state);
+        recordedNames = recordedNamesOf(state);
     }
 
     private void readPlatformAddresses() {
@@ -322,6 +330,10 @@
                 .collect(ImmutableSet.toImmutableSet());
     }
 
+    private static Set<String> recordedNamesOf(MembershipState state) {
+        return state.allMembers().stream().map(Member::name).collect(ImmutableSet.toImmutableSet());
+    }
+
     private static List<EntryVm> snapshotOf(MembershipState state) {
         return state.running().stream()
                 .map(member -> new EntryVm(
--- a/banyanhook-daemon/src/test/java/org/banyanhook/daemon/forwarding/ForwardingExecutorTest.java
+++ b/banyanhook-daemon/src/test/java/org/banyanhook/daemon/forwarding/ForwardingExecutorTest.java
@@ -11,6 +11,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +27,7 @@
 import org.banyanhook.daemon.execution.TransactionCommand;
 import org.banyanhook.daemon.execution.TransactionOutcome;
 import org.banyanhook.daemon.membership.EntryVm;
+import org.banyanhook.daemon.membership.MembershipSource;
 import org.banyanhook.daemon.peer.PeerException;
 import org.banyanhook.daemon.peer.PeerMessageHandler;
 import org.banyanhook.daemon.peer.PeerMessenger;
@@ -42,7 +44,8 @@
     private final InProcessMessenger messenger = new InProcessMessenger();
     private final RequestGate gate = new RequestGate();
     private ExecutionFixture fixture;
-    private List<EntryVm> liveEntryVms = List.of(
+    private volatile Set<String> recordedEntryVms = Set.of("vm-0", "vm-1", "vm-2");
+    private volatile List<EntryVm> liveEntryVms = List.of(
             new EntryVm("vm-1", "east", "peer-1", false),
             new EntryVm("vm-2", "west", "peer-2", false),
             new EntryVm("vm-0", "north", "peer-0", true));
@@ -52,7 +55,18 @@
     @BeforeEach
     void start() throws Exception {
         fixture = new ExecutionFixture();
-        HomeDirectory homes = new HomeDirectory("vm-0", "north", () -> liveEntryVms, () -> fixture.configuration);
+        MembershipSource membership = new MembershipSource() {
+            @Override
+            public List<EntryVm> liveEntryVms() {
+                return liveEntryVms;
+            }
+
+            @Override
+            public boolean hasRecord(String entryVm) {
+                return recordedEntryVms.contains(entryVm);
+            }
+        };
+        HomeDirectory homes = new HomeDirectory("vm-0", "north", membership, () -> fixture.configuration);
         statements = ForwardingExecutor.builder()
                 .homes(homes)
                 .local(command -> CompletableFuture.failedFuture(new IllegalStateException("no home")))
@@ -116,6 +130,29 @@
         assertThat(messenger.addresses).containsNoneOf("peer-0", "");
     }
 
+    /** A daemon that has just started learns of a transaction's home after the first step arrives. */
+    @Test
+    void waitsForAHomeThatIsNotKnownYet() throws Exception {
+        TransactionId begun = run(TransactionStep.BEGIN, null).transaction();
+        List<EntryVm> all = liveEntryVms;
+        liveEntryVms = List.of(new EntryVm("vm-0", "north", "peer-0", true));
+        recordedEntryVms = Set.of("vm-0");
+        CompletableFuture.delayedExecutor(300, TimeUnit.MILLISECONDS).execute(() -> liveEntryVms = all);
+        assertThat(run(TransactionStep.STATEMENT, begun).transaction()).isEqualTo(begun);
+    }
+
+    @Test
+    void refusesAStepAsNotRunIfItsHomeDoesNotBecomeKnownInTime() throws Exception {
+        TransactionId begun = run(TransactionStep.BEGIN, null).transaction();
+        liveEntryVms = List.of(new EntryVm("vm-0", "north", "peer-0", true));
+        recordedEntryVms = Set.of("vm-0");
+        RefusalException refusal =
+                refusal(assertThrows(ExecutionException.class, () -> run(TransactionStep.STATEMENT, begun)));
+        assertThat(refusal.kind()).isEqualTo(RefusalKind.PEER_UNAVAILABLE);
+        assertThat(refusal.execution()).isEqualTo(Execution.NOT_RUN);
+        assertThat(refusal.retryAfter()).isPresent();
+    }
+
     /**
      * Guards against a write that is forwarded again after it may have been sent. The faults are applied to the
      * requests in order; later requests succeed.
