Give out accrued tokens before refusing requests whose wait has ended

A process that was busy for the length of the wait refused requests of accounts within their rate although it held tokens for them.

Measured: the new test of TokenExchangeTest fails on the code before and passes here.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/rate/TokenExchange.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/rate/TokenExchange.java
@@ -175,12 +175,14 @@
         bucket.accrue(nowNanos, leaseExpiryNanos);
         boolean ownUsable = nowNanos - leaseExpiryNanos < 0;
         String reason = ownUsable ? "no token here or at peers" : "no contact with platform or failure domain";
-        for (long expired : state.removeExpired(nowNanos)) {
-            actions.add(refusal(state.account(), expired, reason, NANOS_PER_SECOND));
-        }
+        // Tokens that have accrued or arrived are given out before requests are refused: a process that was busy may
+        // look at them only after their time.
         while (state.waitingCount() > 0 && bucket.spend(Tokens.MICROS_PER_TOKEN, ownUsable)) {
             actions.add(new TokenAction.Accept(state.removeOldest()));
         }
+        for (long expired : state.removeExpired(nowNanos)) {
+            actions.add(refusal(state.account(), expired, reason, NANOS_PER_SECOND));
+        }
         requestMissingTokens(state, bucket.availableMicros(ownUsable), nowNanos, actions);
         return actions;
     }
--- a/banyanhook-core/src/test/java/org/banyanhook/core/rate/TokenExchangeTest.java
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/rate/TokenExchangeTest.java
@@ -40,6 +40,19 @@
         assertThat(exchange.onTick(FOREVER, 101 * MILLI).get(0)).isInstanceOf(Refuse.class);
     }
 
+    /** A busy process looks at a waiting request only after its time, when enough tokens have accrued for it. */
+    @Test
+    void tokensAccruedInTheMeantimeAreGivenOutBeforeRequestsAreRefused() {
+        exchange.acquire("hanbit", 1, 100 * MILLI, FOREVER, 0);
+        exchange.acquire("hanbit", 2, 100 * MILLI, FOREVER, 0);
+        exchange.acquire("hanbit", 3, 100 * MILLI, FOREVER, 0);
+        List<TokenAction> actions = exchange.onTick(FOREVER, 2_100 * MILLI);
+        assertThat(actions.subList(0, 2))
+                .containsExactly(new Accept(1), new Accept(2))
+                .inOrder();
+        assertThat(((Refuse) actions.get(2)).requestNumber()).isEqualTo(3);
+    }
+
     @Test
     void transferIsAppliedOnceAndNotAfterItExpired() {
         RequestTokens sent = (RequestTokens)
