Replace failed primaries sooner: a lease for each group, fewer waits, earlier detection

Change: each group has a promotion lease; a daemon that restarts, or whose write was executed without an answer, ends its former lease; a silent daemon is waited for only if it may be in contact with the store or with a majority of the voters (SilentDaemon; voters report who asked them recently); a failure counts from the start of the attempt; contact to the store dispatches at once.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -35,7 +35,7 @@
 import org.banyanhook.gateway.port.SessionCodec;
 import org.banyanhook.gateway.primary.PeerVoteExchange;
 import org.banyanhook.gateway.primary.PromotionController;
-import org.banyanhook.gateway.primary.PromotionLease;
+import org.banyanhook.gateway.primary.PromotionLeases;
 import org.banyanhook.gateway.primary.PromotionVoter;
 import org.banyanhook.gateway.primary.PromotionWorkflow;
 import org.banyanhook.gateway.primary.StoreOrQuorumPolicy;
@@ -126,13 +126,15 @@
                 clock,
                 log,
                 metrics);
-        PeerVoteExchange voteExchange = new PeerVoteExchange(settings.entryVm(), messenger, directory, eventLoop);
+        PeerVoteExchange voteExchange =
+                new PeerVoteExchange(settings.entryVm(), messenger, directory, eventLoop, clock);
         this.primaryAccess =
                 new StoreOrQuorumPolicy(registration::nanosSinceContact, voteExchange, clock, eventLoop, log);
         GroupContext groupContext = new GroupContext(
                 settings, directory, eventLoops, primaryAccess, ports.sessionCodec(), clock, log, metrics);
         this.databaseGroups = new DatabaseGroups(groupContext);
         directory.addListener(databaseGroups);
+        registration.onContact(databaseGroups::tick);
         PeerTokenTransfers tokenTransfers = new PeerTokenTransfers(messenger, directory, eventLoop);
         this.rateLimiter = new AccountRateLimiter(
                 settings.entryVm(), settings.failureDomain(), directory, tokenTransfers, clock, log, metrics);
@@ -142,21 +144,26 @@
                 databaseGroups, directory, probe, registration::lastContactNanos, storeMirror::isComplete, clock);
         voteExchange.serve(promotionVoter);
         primaryAccess.groupsWithUnresolvedVotes(promotionVoter::groupsWithUnresolvedVotes);
-        this.promotionController = newPromotionController(voteExchange, promotionVoter, probe, clock);
+        PromotionLeases promotionLeases =
+                new PromotionLeases(settings.entryVm(), ports.store(), ports.recordCodec(), directory, clock, log);
+        storeMirror.onFirstReading(promotionLeases::endFormerLeases);
+        this.promotionController = newPromotionController(promotionLeases, voteExchange, promotionVoter, probe, clock);
         this.sessionContext = new SessionContext(
                 settings, directory, databaseGroups, rateLimiter, primaryAccess, eventLoop, clock, log, metrics);
     }
 
     private PromotionController newPromotionController(
-            PeerVoteExchange voteExchange, PromotionVoter promotionVoter, ConnectionProbe probe, MonotonicClock clock) {
-        PromotionLease promotionLease = new PromotionLease(
-                ports.store(), ports.recordCodec().promotionLeaseKey(), settings.entryVm(), clock, log);
+            PromotionLeases promotionLeases,
+            PeerVoteExchange voteExchange,
+            PromotionVoter promotionVoter,
+            ConnectionProbe probe,
+            MonotonicClock clock) {
         PromotionWorkflow workflow = new PromotionWorkflow(
                 settings.entryVm(),
                 ports.store(),
                 ports.recordCodec(),
                 directory,
-                promotionLease,
+                promotionLeases,
                 voteExchange,
                 promotionVoter,
                 probe,
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionAllocator.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionAllocator.java
@@ -93,7 +93,10 @@
             if (answer.error() == SessionError.CONNECTION_LIMIT) {
                 connection.server().recordConnectionRefusal(context.clock().nowNanos());
             } else {
-                connection.server().recordFailure(context.clock().nowNanos());
+                connection
+                        .server()
+                        .recordFailure(
+                                connection.lastLeasedNanos(), context.clock().nowNanos());
             }
             resubmit(pendingOpen, resubmit);
             return;
@@ -117,7 +120,9 @@
                 .write();
         PendingOpen pendingOpen = pendingOpens.remove(connection);
         if (pendingOpen != null) {
-            connection.server().recordFailure(context.clock().nowNanos());
+            connection
+                    .server()
+                    .recordFailure(connection.lastLeasedNanos(), context.clock().nowNanos());
             resubmit(pendingOpen, resubmit);
         }
     }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
@@ -179,8 +179,10 @@
     }
 
     /** Handles that a member did not answer in time; it may never answer the other commands of this daemon either. */
-    public void onTimeout(MemberServer server) {
-        server.recordFailure(context.clock().nowNanos());
+    public void onTimeout(MemberConnection connection) {
+        connection
+                .server()
+                .recordFailure(connection.lastLeasedNanos(), context.clock().nowNanos());
     }
 
     /** Records how long a member took to run a statement. */
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
@@ -160,9 +160,16 @@
         }
     }
 
-    void recordFailure(long nowNanos) {
+    /**
+     * Records that an attempt to reach the member failed.
+     *
+     * @param attemptNanos when the attempt began; the member has not answered it since
+     * @param nowNanos the time
+     */
+    void recordFailure(long attemptNanos, long nowNanos) {
         if (consecutiveFailures == 0) {
-            firstFailureNanos = nowNanos;
+            // An answer to an earlier attempt may have arrived in the meantime.
+            firstFailureNanos = attemptNanos - lastAnswerNanos > 0 ? attemptNanos : lastAnswerNanos;
         }
         long delay = Math.min(MAXIMUM_RETRY_DELAY_NANOS, MINIMUM_RETRY_DELAY_NANOS << Math.min(consecutiveFailures, 8));
         consecutiveFailures++;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DaemonRegistration.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DaemonRegistration.java
@@ -36,6 +36,7 @@
     private long lastContactNanos;
     private boolean contactEstablished;
     private boolean lastCallFailed;
+    private Runnable contactListener = () -> {};
     private boolean stopped;
 
     /** Reads the records of the store. */
@@ -82,6 +83,11 @@
         this.metrics = metrics;
     }
 
+    /** Sets a listener that is called when contact is established, and when it is regained after a failed call. */
+    public void onContact(Runnable listener) {
+        contactListener = listener;
+    }
+
     /** Opens a lease and writes the entry; retries until it succeeds. */
     public void start() {
         if (stopped) {
@@ -149,12 +155,17 @@
 
     private void recordContact(long sentNanos) {
         metrics.count("store.calls", "result", "lease-answered");
+        boolean regained = lastCallFailed;
+        boolean established = !contactEstablished;
         contactEstablished = true;
+        lastCallFailed = false;
         lastContactNanos = sentNanos;
-        if (lastCallFailed) {
-            lastCallFailed = false;
+        if (regained) {
             recordReader.restartWatch();
         }
+        if (regained || established) {
+            contactListener.run();
+        }
     }
 
     private void retryAfterFailure(@Nullable Throwable failure, Runnable retry) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
@@ -58,6 +58,7 @@
     private final Map<String, Long> daemonLeases = new HashMap<>();
     private final Map<String, EndedDaemon> endedDaemons = new HashMap<>();
     private final Map<String, RecordedPromotion> promotions = new HashMap<>();
+    private final Map<String, HeldPromotionLease> promotionLeases = new HashMap<>();
     private final Set<String> evacuatedDomains = new HashSet<>();
     private final Deque<DaemonCount> daemonCounts = new ArrayDeque<>();
     private Map<String, String> recentFailureDomains = Map.of();
@@ -70,6 +71,8 @@
 
     private record RecordedPromotion(String member, long revision) {}
 
+    private record HeldPromotionLease(String entryVm, long lease) {}
+
     /**
      * A member's entry, with the revision of its report to be primary.
      *
@@ -122,6 +125,12 @@
         return lease == null || lease == 0 ? OptionalLong.empty() : OptionalLong.of(lease);
     }
 
+    /** Returns the time since a daemon's entry was seen to end, in nanoseconds; 0 if that is not known. */
+    public long nanosSinceEntryEnded(String entryVm) {
+        EndedDaemon ended = endedDaemons.get(entryVm);
+        return ended == null ? 0 : clock.nowNanos() - ended.endedNanos();
+    }
+
     /** Returns how many daemons have an entry. */
     public int daemonCount() {
         return daemons.size();
@@ -172,6 +181,17 @@
         return groups;
     }
 
+    /** Returns the promotion leases that a daemon holds according to the store, by database group. */
+    public Map<String, Long> promotionLeasesOf(String entryVm) {
+        Map<String, Long> leases = new HashMap<>();
+        promotionLeases.forEach((group, held) -> {
+            if (held.entryVm().equals(entryVm)) {
+                leases.put(group, held.lease());
+            }
+        });
+        return leases;
+    }
+
     /**
      * Returns the number of daemons by which limits are divided: the highest number that had an entry at the same time
      * recently, because a daemon whose entry ended may still be running for a while.
@@ -310,6 +330,8 @@
                     .with("member", found.member())
                     .with("revision", change.revision())
                     .write();
+        } else if (record instanceof FleetRecord.PromotionLeaseHolder found) {
+            promotionLeases.put(found.group(), new HeldPromotionLease(found.entryVm(), change.lease()));
         } else if (record instanceof FleetRecord.Unusable found) {
             log.line("record")
                     .with("key", change.key())
@@ -329,6 +351,8 @@
                     .with("change", "back")
                     .with("revision", change.revision())
                     .write();
+        } else if (record instanceof FleetRecord.PromotionLeaseHolder found) {
+            promotionLeases.remove(found.group());
         } else if (record instanceof FleetRecord.Daemon found) {
             daemonCounts.addLast(new DaemonCount(clock.nowNanos(), daemons.size()));
             daemons.remove(found.entry().entryVm());
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreMirror.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreMirror.java
@@ -52,6 +52,7 @@
     private long readGeneration;
     private long watchedRevision;
     private boolean watching;
+    private Runnable firstReadingListener = () -> {};
     private boolean complete;
     private boolean failing;
     private boolean stopped;
@@ -81,6 +82,11 @@
         this.metrics = metrics;
     }
 
+    /** Sets a listener that is called when all records have been read for the first time. */
+    public void onFirstReading(Runnable listener) {
+        firstReadingListener = listener;
+    }
+
     /** Starts to read all records; results of an earlier reading are discarded. */
     public void start() {
         watching = false;
@@ -141,7 +147,10 @@
                 return;
             }
             applyOrLog("all", () -> directory.replaceAll(records, revision));
-            complete = true;
+            if (!complete) {
+                complete = true;
+                firstReadingListener.run();
+            }
             List.copyOf(pendingReloads).forEach(waiting -> waiting.complete(null));
             pendingReloads.clear();
             watch(generation, revision);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/FleetRecord.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/FleetRecord.java
@@ -41,6 +41,14 @@
      */
     record Promotion(String group, String member) implements FleetRecord {}
 
+    /**
+     * The holder of a group's promotion lease.
+     *
+     * @param group the database group
+     * @param entryVm the entry VM whose daemon holds the lease
+     */
+    record PromotionLeaseHolder(String group, String entryVm) implements FleetRecord {}
+
     /**
      * A record with invalid contents.
      *
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/FleetRecordCodec.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/FleetRecordCodec.java
@@ -37,6 +37,14 @@
      */
     byte[] encode(FleetRecord.Promotion promotion);
 
-    /** Returns the key of the promotion lease, whose holder may replace primaries. */
-    String promotionLeaseKey();
+    /** Returns the key of a group's promotion lease, whose holder may replace the group's primary. */
+    String promotionLeaseKey(String group);
+
+    /**
+     * Encodes the holder of a promotion lease.
+     *
+     * @param holder the lease and the daemon that holds it
+     * @return the encoded bytes
+     */
+    byte[] encode(FleetRecord.PromotionLeaseHolder holder);
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerVoteExchange.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerVoteExchange.java
@@ -4,15 +4,18 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.banyanhook.core.primary.PromotionPermission;
 import org.banyanhook.core.primary.PromotionPermission.VoteTally;
 import org.banyanhook.core.primary.PromotionVoters;
 import org.banyanhook.daemon.peer.PeerMessenger;
 import org.banyanhook.gateway.fleet.FleetDirectory;
+import org.banyanhook.gateway.operation.MonotonicClock;
 import org.banyanhook.gateway.port.DaemonEntry;
 import org.banyanhook.gateway.port.FleetRecord;
 import org.banyanhook.protocol.generated.PeerEnvelope;
@@ -34,6 +37,8 @@
     private final FleetDirectory directory;
     private final EventLoop eventLoop;
     private final String entryVm;
+    private final MonotonicClock clock;
+    private final Map<String, Long> inquiryNanos = new HashMap<>();
 
     /**
      * The combined answers of the other daemons to one round of requests.
@@ -41,19 +46,23 @@
      * @param votes the number of daemons asked and their votes
      * @param unresponsive the daemons that did not answer
      * @param groupsInDoubt the groups whose primary, according to any of the daemons, was or may have been replaced
+     * @param inquirers the daemons that recently asked any of the daemons which primaries were replaced
      */
-    public record RoundResult(VoteTally votes, Set<String> unresponsive, Set<String> groupsInDoubt) {
+    public record RoundResult(
+            VoteTally votes, Set<String> unresponsive, Set<String> groupsInDoubt, Set<String> inquirers) {
 
         public RoundResult {
             unresponsive = Set.copyOf(unresponsive);
             groupsInDoubt = Set.copyOf(groupsInDoubt);
+            inquirers = Set.copyOf(inquirers);
         }
 
         private RoundResult merge(RoundResult other) {
             return new RoundResult(
                     votes.plus(other.votes),
                     Sets.union(unresponsive, other.unresponsive),
-                    Sets.union(groupsInDoubt, other.groupsInDoubt));
+                    Sets.union(groupsInDoubt, other.groupsInDoubt),
+                    Sets.union(inquirers, other.inquirers));
         }
     }
 
@@ -96,12 +105,19 @@
      * @param messenger sends messages to other daemons
      * @param directory provides the addresses of the other daemons
      * @param eventLoop the event loop on which answers are handled
+     * @param clock the monotonic clock
      */
-    public PeerVoteExchange(String entryVm, PeerMessenger messenger, FleetDirectory directory, EventLoop eventLoop) {
+    public PeerVoteExchange(
+            String entryVm,
+            PeerMessenger messenger,
+            FleetDirectory directory,
+            EventLoop eventLoop,
+            MonotonicClock clock) {
         this.entryVm = entryVm;
         this.messenger = messenger;
         this.directory = directory;
         this.eventLoop = eventLoop;
+        this.clock = clock;
     }
 
     /**
@@ -112,13 +128,15 @@
     public void serve(Voter voter) {
         messenger.registerHandler(PeerEnvelope.BodyCase.PRIMARY_EVIDENCE_REQUEST, message -> {
             PrimaryEvidenceRequest request = message.getPrimaryEvidenceRequest();
-            return CompletableFuture.supplyAsync(() -> respond(voter, request), eventLoop)
+            return CompletableFuture.supplyAsync(() -> respond(voter, message.getSenderEntryVm(), request), eventLoop)
                     .thenCompose(answer -> answer);
         });
     }
 
-    private static CompletableFuture<PeerEnvelope> respond(Voter voter, PrimaryEvidenceRequest request) {
-        PrimaryEvidence.Builder evidence = PrimaryEvidence.newBuilder().setDatabase(request.getDatabase());
+    private CompletableFuture<PeerEnvelope> respond(Voter voter, String sender, PrimaryEvidenceRequest request) {
+        PrimaryEvidence.Builder evidence = PrimaryEvidence.newBuilder()
+                .setDatabase(request.getDatabase())
+                .addAllRecentInquirers(recentInquirers());
         if (request.getPromotionRevision() > 0) {
             voter.learnPromotion(
                     new FleetRecord.Promotion(request.getDatabase(), request.getPromotedMember()),
@@ -130,6 +148,7 @@
                     .thenApply(nanos -> envelope(evidence.setPrimaryUnreachable(nanos >= 0)
                             .setUnreachableMillis(Math.max(0, TimeUnit.NANOSECONDS.toMillis(nanos)))));
         }
+        inquiryNanos.put(sender, clock.nowNanos());
         if (!voter.hasReadStore()) {
             return CompletableFuture.failedFuture(new IllegalStateException(
                     "cannot report promotions: not all store records have been read since the start"));
@@ -138,6 +157,13 @@
                 envelope(evidence.addAllDatabasesInDoubt(voter.groupsInDoubt(request.getTerm()))));
     }
 
+    /** Returns the daemons whose last inquiry is so recent that they may still rely on the answers. */
+    private Set<String> recentInquirers() {
+        long now = clock.nowNanos();
+        inquiryNanos.values().removeIf(nanos -> now - nanos >= PromotionPermission.STOPPED_AFTER_NANOS);
+        return Set.copyOf(inquiryNanos.keySet());
+    }
+
     private static PeerEnvelope envelope(PrimaryEvidence.Builder evidence) {
         return PeerEnvelope.newBuilder().setPrimaryEvidence(evidence).build();
     }
@@ -197,14 +223,18 @@
                 answers.add(messenger
                         .request(entry.peerAddress(), body, REQUEST_TIMEOUT)
                         .handle((reply, failure) -> reply == null
-                                ? new RoundResult(new VoteTally(1, 0, 0, voterCount, 0), Set.of(daemon), Set.of())
+                                ? new RoundResult(
+                                        new VoteTally(1, 0, 0, voterCount, 0), Set.of(daemon), Set.of(), Set.of())
                                 : toResult(reply.getPrimaryEvidence(), voterCount)));
             }
         }
         // With no daemon listed, not even this one because its own entry ended long ago, this daemon is the only voter.
         boolean isVoter = voters.contains(entryVm) || voters.isEmpty();
         RoundResult ownResult = new RoundResult(
-                isVoter ? VoteTally.EMPTY_FOR_VOTER : VoteTally.EMPTY_FOR_NON_VOTER, Set.of(), Set.of());
+                isVoter ? VoteTally.EMPTY_FOR_VOTER : VoteTally.EMPTY_FOR_NON_VOTER,
+                Set.of(),
+                Set.of(),
+                recentInquirers());
         return CompletableFuture.allOf(answers.toArray(new CompletableFuture<?>[0]))
                 .thenApplyAsync(
                         done -> answers.stream().map(CompletableFuture::join).reduce(ownResult, RoundResult::merge),
@@ -216,6 +246,7 @@
         return new RoundResult(
                 new VoteTally(1, unreachable, 1 - unreachable, voterCount, voterCount),
                 Set.of(),
-                Set.copyOf(evidence.getDatabasesInDoubtList()));
+                Set.copyOf(evidence.getDatabasesInDoubtList()),
+                Set.copyOf(evidence.getRecentInquirersList()));
     }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionLease.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionLease.java
@@ -1,19 +1,20 @@
 package org.banyanhook.gateway.primary;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.banyanhook.core.primary.GrantedVotes;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.MonotonicClock;
 import org.banyanhook.gateway.port.RecordStore;
+import org.banyanhook.gateway.port.StoreException;
 
 /**
- * The lease that allows a daemon to promote members, held by one daemon at a time: a record in the store under a store
- * lease. The revision of the record grows whenever the holder changes, so it serves as the fencing token. Used on the
- * event loop only.
+ * The lease that allows a daemon to promote members of one database group, held by one daemon at a time: a record in
+ * the store under a store lease. The revision of the record grows whenever the holder changes, so it serves as the
+ * fencing token. Used on the event loop only.
  */
 public final class PromotionLease {
 
@@ -25,7 +26,9 @@
 
     private final RecordStore store;
     private final String key;
-    private final String holder;
+    private final byte[] value;
+    private final String group;
+    private final Supplier<OptionalLong> formerLease;
     private final MonotonicClock clock;
     private final DecisionLog log;
     private long leaseId;
@@ -38,14 +41,25 @@
      *
      * @param store the store
      * @param key the key of the lease record
-     * @param holder the name of this daemon
+     * @param value the lease record with the name of this daemon
+     * @param group the database group
+     * @param formerLease returns the lease of this group that this daemon holds according to the store, or empty
      * @param clock the monotonic clock
      * @param log receives a line when the lease is acquired
      */
-    public PromotionLease(RecordStore store, String key, String holder, MonotonicClock clock, DecisionLog log) {
+    public PromotionLease(
+            RecordStore store,
+            String key,
+            byte[] value,
+            String group,
+            Supplier<OptionalLong> formerLease,
+            MonotonicClock clock,
+            DecisionLog log) {
         this.store = store;
         this.key = key;
-        this.holder = holder;
+        this.value = value.clone();
+        this.group = group;
+        this.formerLease = formerLease;
         this.clock = clock;
         this.log = log;
         clock.addJumpListener(() -> held = false);
@@ -64,15 +78,16 @@
                 return fencingToken;
             });
         }
-        return store.openLease(TIME_TO_LIVE)
-                .thenCompose(opened -> store.put(
-                                key, holder.getBytes(StandardCharsets.UTF_8), OptionalLong.of(0), opened)
+        return endFormerLease()
+                .thenCompose(done -> store.openLease(TIME_TO_LIVE))
+                .thenCompose(opened -> store.put(key, value, OptionalLong.of(0), opened)
                         .thenApply(revision -> {
                             leaseId = opened;
                             fencingToken = revision;
                             held = true;
                             expiresAtNanos = sentNanos + TIME_TO_LIVE.toNanos() - EXPIRY_MARGIN_NANOS;
                             log.line("promotion-duty")
+                                    .with("group", group)
                                     .with("token", revision)
                                     .with("change", "taken")
                                     .write();
@@ -80,6 +95,24 @@
                         }));
     }
 
+    /**
+     * Ends a lease of this daemon that it does not know of any more: one that it held before a restart, or whose record
+     * was written although the answer was lost. It would otherwise block every daemon until it expires.
+     */
+    private CompletableFuture<Void> endFormerLease() {
+        OptionalLong former = formerLease.get();
+        return former.isEmpty()
+                ? CompletableFuture.completedFuture(null)
+                : store.endLease(former.getAsLong()).exceptionallyCompose(PromotionLease::ignoreEndedLease);
+    }
+
+    /** Returns success if the failure says that the lease has ended already, else the failure. */
+    static CompletableFuture<Void> ignoreEndedLease(Throwable failure) {
+        return StoreException.kind(failure) == StoreException.Kind.LEASE_ENDED
+                ? CompletableFuture.completedFuture(null)
+                : CompletableFuture.failedFuture(failure);
+    }
+
     /** Returns whether this daemon holds the lease and it cannot have expired yet. */
     public boolean isHeld() {
         return held && clock.nowNanos() - expiresAtNanos < 0;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
@@ -14,6 +14,7 @@
 import org.banyanhook.core.primary.GrantedVotes;
 import org.banyanhook.core.primary.PromotionPermission;
 import org.banyanhook.core.primary.PromotionPermission.VoteTally;
+import org.banyanhook.core.primary.SilentDaemon;
 import org.banyanhook.core.replication.LogPosition;
 import org.banyanhook.gateway.backend.DatabaseGroup;
 import org.banyanhook.gateway.backend.MemberProbe;
@@ -27,7 +28,6 @@
 import org.banyanhook.gateway.port.FleetRecordCodec;
 import org.banyanhook.gateway.port.PromotionAuthority;
 import org.banyanhook.gateway.port.RecordStore;
-import org.banyanhook.gateway.port.StoreException;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -51,7 +51,7 @@
     private final RecordStore store;
     private final FleetRecordCodec recordCodec;
     private final FleetDirectory directory;
-    private final PromotionLease promotionLease;
+    private final PromotionLeases promotionLeases;
     private final PeerVoteExchange voteExchange;
     private final PromotionVoter voter;
     private final MemberProbe probe;
@@ -103,7 +103,7 @@
      * @param store stores the last promotion of each group
      * @param recordCodec provides the keys and the encoding of the records
      * @param directory provides the failure domains that operators have taken out and the leases of the daemons
-     * @param promotionLease the lease that allows this daemon to promote members
+     * @param promotionLeases the leases that allow this daemon to promote members
      * @param voteExchange requests the votes of the other daemons
      * @param voter records the vote of this daemon
      * @param probe sends commands to members
@@ -117,7 +117,7 @@
             RecordStore store,
             FleetRecordCodec recordCodec,
             FleetDirectory directory,
-            PromotionLease promotionLease,
+            PromotionLeases promotionLeases,
             PeerVoteExchange voteExchange,
             PromotionVoter voter,
             MemberProbe probe,
@@ -129,7 +129,7 @@
         this.store = store;
         this.recordCodec = recordCodec;
         this.directory = directory;
-        this.promotionLease = promotionLease;
+        this.promotionLeases = promotionLeases;
         this.voteExchange = voteExchange;
         this.voter = voter;
         this.probe = probe;
@@ -155,7 +155,10 @@
             }
             if (!reason.planned()) {
                 group.closePrimaryConnections("the primary is being replaced");
-                return promotionLease.acquire().thenCompose(token -> promoteBest(group, token, rejected, approval));
+                return promotionLeases
+                        .lease(group.name())
+                        .acquire()
+                        .thenCompose(token -> promoteBest(group, token, rejected, approval));
             }
             // The old primary serves until unresponsive daemons have stopped using it; then the votes are requested
             // again.
@@ -198,14 +201,25 @@
                 new VoteOutcome(
                         requestedNanos,
                         permission,
-                        new QuorumApproval(requestedNanos, round.unresponsive(), Set.of(), LogPosition.START));
+                        new QuorumApproval(requestedNanos, mayUsePrimary(round), Set.of(), LogPosition.START));
             case STILL_REACHED, NO_MAJORITY -> new VoteOutcome(requestedNanos, permission, null);
         };
     }
 
+    /** Returns the daemons that did not answer and may still use the old primary. */
+    private Set<String> mayUsePrimary(PeerVoteExchange.RoundResult round) {
+        Set<String> daemons = new HashSet<>(round.unresponsive());
+        daemons.removeIf(daemon -> !new SilentDaemon(
+                        directory.daemonLease(daemon).isPresent(),
+                        directory.nanosSinceEntryEnded(daemon),
+                        round.inquirers().contains(daemon))
+                .mayUsePrimary());
+        return daemons;
+    }
+
     /** Makes the old primary step down, then promotes a member that has caught up with it. */
     private CompletableFuture<String> switchOver(DatabaseGroup group, Set<String> rejected, QuorumApproval approval) {
-        return promotionLease.acquire().thenCompose(token -> {
+        return promotionLeases.lease(group.name()).acquire().thenCompose(token -> {
             MemberServer oldPrimary = group.primary().orElse(null);
             if (oldPrimary == null) {
                 return CompletableFuture.completedFuture("the group has no primary any more");
@@ -285,7 +299,7 @@
         return store.putGuarded(
                         recordCodec.promotionKey(group.name()),
                         recordCodec.encode(promotion),
-                        recordCodec.promotionLeaseKey(),
+                        recordCodec.promotionLeaseKey(group.name()),
                         token)
                 .thenApply(revision -> new Recording(promotion, revision));
     }
@@ -305,18 +319,12 @@
                         .with("lease", lease.getAsLong())
                         .write();
                 revocations.add(
-                        store.endLease(lease.getAsLong()).exceptionallyCompose(PromotionWorkflow::ignoreEndedLease));
+                        store.endLease(lease.getAsLong()).exceptionallyCompose(PromotionLease::ignoreEndedLease));
             }
         }
         return CompletableFuture.allOf(revocations.toArray(new CompletableFuture<?>[0]));
     }
 
-    private static CompletableFuture<Void> ignoreEndedLease(Throwable failure) {
-        return StoreException.kind(failure) == StoreException.Kind.LEASE_ENDED
-                ? CompletableFuture.completedFuture(null)
-                : CompletableFuture.failedFuture(failure);
-    }
-
     /**
      * Requests the promotion once no daemon uses the old primary any more. Each daemon is told of the record, since a
      * daemon whose watch is broken would not read it, and the old primary still answers reads after its step-down. A
@@ -331,15 +339,16 @@
             QuorumApproval approval) {
         voter.learnPromotion(recording.promotion(), recording.revision());
         long announcedNanos = clock.nowNanos();
-        return shutOut(approval.unresponsive())
+        return shutOut(group, approval.unresponsive())
                 .thenCombine(
                         voteExchange.announcePromotion(recording.promotion(), recording.revision()),
                         (done, round) -> evaluateVotes(group, true, announcedNanos, round))
                 .thenCompose(announcement -> announcement.approval() == null
                         ? CompletableFuture.completedFuture("recorded, but not approved again: "
                                 + announcement.permission().reason())
-                        : shutOut(stillConnected(announcement.approval().unresponsive(), approval))
-                                .thenCompose(done -> promotionLease.acquire())
+                        : shutOut(group, stillConnected(announcement.approval().unresponsive(), approval))
+                                .thenCompose(done ->
+                                        promotionLeases.lease(group.name()).acquire())
                                 .thenCompose(renewed -> renewed == token
                                         ? requestPromotion(group, server, token, rejected, 1)
                                         : CompletableFuture.completedFuture(
@@ -356,16 +365,17 @@
     }
 
     /** Revokes the leases of daemons and waits until they have certainly stopped using the old primary. */
-    private CompletableFuture<Void> shutOut(Set<String> daemons) {
+    private CompletableFuture<Void> shutOut(DatabaseGroup group, Set<String> daemons) {
         return daemons.isEmpty()
                 ? CompletableFuture.completedFuture(null)
                 : revokeLeases(daemons)
-                        .thenCompose(done -> awaitHoldingLease(PromotionPermission.STOPPED_AFTER_NANOS))
+                        .thenCompose(done -> awaitHoldingLease(group, PromotionPermission.STOPPED_AFTER_NANOS))
                         .thenApply(renewed -> null);
     }
 
     /** Waits and renews the promotion lease, which lasts little longer than the wait. */
-    private CompletableFuture<Long> awaitHoldingLease(long nanos) {
+    private CompletableFuture<Long> awaitHoldingLease(DatabaseGroup group, long nanos) {
+        PromotionLease promotionLease = promotionLeases.lease(group.name());
         return delay(nanos / 2)
                 .thenCompose(done -> promotionLease.acquire())
                 .thenCompose(token -> delay(nanos / 2))
@@ -374,7 +384,7 @@
 
     private CompletableFuture<String> requestPromotion(
             DatabaseGroup group, MemberServer server, long token, Set<String> rejected, int attempt) {
-        if (!promotionLease.isHeld()) {
+        if (!promotionLeases.lease(group.name()).isHeld()) {
             return CompletableFuture.completedFuture("the promotion lease expired before the request");
         }
         return authority.promote(group.name(), server.name(), entryVm, token).thenCompose(result -> switch (result) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
@@ -391,7 +391,7 @@
         fail(error, "the member did not answer within " + route.statementTimeoutMillis() + " ms");
         memberConnection.close("statement timed out");
         if (memberConnection.server().nanosSinceLastAnswer(context.clock().nowNanos()) >= UNRESPONSIVE_MEMBER_NANOS) {
-            group.onTimeout(memberConnection.server());
+            group.onTimeout(memberConnection);
         }
     }
 
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/ScriptedRecordStore.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/ScriptedRecordStore.java
@@ -10,41 +10,48 @@
 import org.banyanhook.gateway.port.StorePage;
 
 /** A record store whose calls are answered by the test. */
-final class ScriptedRecordStore implements RecordStore {
+public final class ScriptedRecordStore implements RecordStore {
 
     private final List<CompletableFuture<StorePage>> lists = new ArrayList<>();
     private final List<Watch> watches = new ArrayList<>();
     private final List<CompletableFuture<Long>> openedLeases = new ArrayList<>();
     private final List<CompletableFuture<Long>> writes = new ArrayList<>();
     private final List<CompletableFuture<Void>> renewals = new ArrayList<>();
+    private final List<Long> endedLeases = new ArrayList<>();
 
-    record Watch(long afterRevision, CompletableFuture<StorePage> answer) {}
+    /** A watch that was requested. */
+    public record Watch(long afterRevision, CompletableFuture<StorePage> answer) {}
 
     /** Returns the listings that were requested. */
-    List<CompletableFuture<StorePage>> lists() {
+    public List<CompletableFuture<StorePage>> lists() {
         return lists;
     }
 
     /** Returns the watches that were requested. */
-    List<Watch> watches() {
+    public List<Watch> watches() {
         return watches;
     }
 
     /** Returns the leases that were requested. */
-    List<CompletableFuture<Long>> openedLeases() {
+    public List<CompletableFuture<Long>> openedLeases() {
         return openedLeases;
     }
 
     /** Returns the writes that were requested. */
-    List<CompletableFuture<Long>> writes() {
+    public List<CompletableFuture<Long>> writes() {
         return writes;
     }
 
     /** Returns the renewals that were requested. */
-    List<CompletableFuture<Void>> renewals() {
+    public List<CompletableFuture<Void>> renewals() {
         return renewals;
     }
 
+    /** Returns the leases that were ended. */
+    public List<Long> endedLeases() {
+        return endedLeases;
+    }
+
     @Override
     public CompletableFuture<StorePage> list(String prefix, Optional<String> afterKey) {
         return add(lists);
@@ -79,6 +86,7 @@
 
     @Override
     public CompletableFuture<Void> endLease(long lease) {
+        endedLeases.add(lease);
         return CompletableFuture.completedFuture(null);
     }
 
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/TextRecordCodec.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/TextRecordCodec.java
@@ -6,11 +6,12 @@
 import org.banyanhook.gateway.port.FleetRecordCodec;
 
 /** A codec for the record types that tests use, with the fields separated by commas. */
-final class TextRecordCodec implements FleetRecordCodec {
+public final class TextRecordCodec implements FleetRecordCodec {
 
-    static final String EVACUATION_PREFIX = "evacuations/";
-    static final String DAEMON_PREFIX = "daemons/";
-    static final String PROMOTION_PREFIX = "promotions/";
+    public static final String EVACUATION_PREFIX = "evacuations/";
+    public static final String DAEMON_PREFIX = "daemons/";
+    public static final String PROMOTION_PREFIX = "promotions/";
+    public static final String PROMOTION_LEASE_PREFIX = "duties/promotion/";
 
     @Override
     public String keyPrefix() {
@@ -29,6 +30,9 @@
         if (key.startsWith(DAEMON_PREFIX)) {
             return new FleetRecord.Daemon(new DaemonEntry(key.substring(DAEMON_PREFIX.length()), text, "127.0.0.1:1"));
         }
+        if (key.startsWith(PROMOTION_LEASE_PREFIX)) {
+            return new FleetRecord.PromotionLeaseHolder(key.substring(PROMOTION_LEASE_PREFIX.length()), text);
+        }
         return new FleetRecord.Other();
     }
 
@@ -53,7 +57,12 @@
     }
 
     @Override
-    public String promotionLeaseKey() {
-        return "duties/promotion";
+    public String promotionLeaseKey(String group) {
+        return PROMOTION_LEASE_PREFIX + group;
+    }
+
+    @Override
+    public byte[] encode(FleetRecord.PromotionLeaseHolder holder) {
+        return holder.entryVm().getBytes(StandardCharsets.UTF_8);
     }
 }
--- /dev/null
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionLeasesTest.java
@@ -0,0 +1,94 @@
+package org.banyanhook.gateway.primary;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.banyanhook.gateway.fleet.FleetDirectory;
+import org.banyanhook.gateway.fleet.ScriptedRecordStore;
+import org.banyanhook.gateway.fleet.TextRecordCodec;
+import org.banyanhook.gateway.operation.DecisionLog;
+import org.banyanhook.gateway.operation.MonotonicClock;
+import org.banyanhook.gateway.port.StoreException;
+import org.banyanhook.gateway.port.StoreRecord;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+final class PromotionLeasesTest {
+
+    private final DecisionLog log = new DecisionLog("vm-1", OutputStream.nullOutputStream(), System::nanoTime);
+    private final MonotonicClock clock = MonotonicClock.ofSystem();
+    private final ScriptedRecordStore store = new ScriptedRecordStore();
+    private final TextRecordCodec recordCodec = new TextRecordCodec();
+    private final FleetDirectory directory = new FleetDirectory(recordCodec, log, clock);
+    private final PromotionLeases leases = new PromotionLeases("vm-1", store, recordCodec, directory, clock, log);
+
+    @AfterEach
+    void closeLog() {
+        log.close();
+    }
+
+    /** All daemons restart while one of them holds the lease; none may wait until it expires. */
+    @Test
+    void leasesFromBeforeARestartAreEnded() {
+        directory.apply(holder("orders", "vm-1", 3, 70));
+        directory.apply(holder("stock", "vm-2", 4, 80));
+        leases.endFormerLeases();
+        assertThat(store.endedLeases()).containsExactly(70L);
+    }
+
+    @Test
+    void leaseWhoseAnswerWasLostIsEndedBeforeItIsAcquiredAgain() throws Exception {
+        CompletableFuture<Long> first = leases.lease("orders").acquire();
+        store.openedLeases().get(0).complete(70L);
+        store.writes()
+                .get(0)
+                .completeExceptionally(new StoreException(StoreException.Kind.NO_ANSWER, "expected by the test"));
+        assertThat(first.isCompletedExceptionally()).isTrue();
+        directory.apply(holder("orders", "vm-1", 3, 70));
+        CompletableFuture<Long> second = leases.lease("orders").acquire();
+        assertThat(store.endedLeases()).containsExactly(70L);
+        store.openedLeases().get(1).complete(71L);
+        store.writes().get(1).complete(9L);
+        assertThat(second.get(1, TimeUnit.SECONDS)).isEqualTo(9);
+        assertThat(leases.lease("orders").isHeld()).isTrue();
+    }
+
+    @Test
+    void leaseOfAnotherDaemonIsNotEnded() {
+        directory.apply(holder("orders", "vm-2", 3, 80));
+        var unused = leases.lease("orders").acquire();
+        assertThat(store.endedLeases()).isEmpty();
+    }
+
+    @Test
+    void heldLeaseIsRenewedWithItsToken() throws Exception {
+        var unused = leases.lease("orders").acquire();
+        store.openedLeases().get(0).complete(70L);
+        store.writes().get(0).complete(9L);
+        directory.apply(holder("orders", "vm-1", 9, 70));
+        CompletableFuture<Long> renewed = leases.lease("orders").acquire();
+        store.renewals().get(0).complete(null);
+        assertThat(renewed.get(1, TimeUnit.SECONDS)).isEqualTo(9);
+        assertThat(store.endedLeases()).isEmpty();
+    }
+
+    @Test
+    void groupsHaveLeasesOfTheirOwn() {
+        var unused = leases.lease("orders").acquire();
+        store.openedLeases().get(0).complete(70L);
+        store.writes().get(0).complete(9L);
+        assertThat(leases.lease("orders").isHeld()).isTrue();
+        assertThat(leases.lease("stock").isHeld()).isFalse();
+    }
+
+    private static StoreRecord holder(String group, String entryVm, long revision, long lease) {
+        return new StoreRecord(
+                TextRecordCodec.PROMOTION_LEASE_PREFIX + group,
+                revision,
+                entryVm.getBytes(StandardCharsets.UTF_8),
+                lease);
+    }
+}
