Log what identifies a caller that is refused before its first request, and why a statement failed

A caller that is refused when it opens a session has no request id. Its line now carries its address, the fingerprint of its key, and the configuration's version and age; `banyanhook story` finds by address and fingerprint. The line of a statement that failed carries the explanation that the caller received. Tests: StoryCommandTest.

--- a/banyanhook-cli/src/main/java/org/banyanhook/cli/RequestTimeline.java
+++ b/banyanhook-cli/src/main/java/org/banyanhook/cli/RequestTimeline.java
@@ -22,6 +22,8 @@
     private static final Set<String> GROUP_STATE_EVENTS =
             Set.of("primary", "promotion-record", "primary-suspicion", "promotion");
 
+    private static final List<String> IDENTIFYING_FIELDS = List.of("request", "caller", "key");
+
     private static final Comparator<JsonNode> BY_TIME =
             Comparator.comparingLong(line -> line.path("t").asLong());
 
@@ -45,7 +47,7 @@
         for (JsonNode line : ordered) {
             String vm = line.path("vm").asText();
             String event = line.path("event").asText();
-            if (line.path("request").asText().equals(request)) {
+            if (names(line)) {
                 addStateLines(timeline, latestStateLines, vm, line.path("group").asText());
                 timeline.add(line);
             } else if (DAEMON_STATE_EVENTS.contains(event)) {
@@ -57,6 +59,15 @@
         return timeline;
     }
 
+    /**
+     * Returns whether a line is about the request. A caller that is refused when it opens a session has no request id
+     * yet, so that its address or the fingerprint of its key may be given instead.
+     */
+    private boolean names(JsonNode line) {
+        return IDENTIFYING_FIELDS.stream()
+                .anyMatch(field -> line.path(field).asText().equals(request));
+    }
+
     private static void addStateLines(
             List<JsonNode> timeline, Map<String, JsonNode> latestStateLines, String vm, String group) {
         latestStateLines.values().stream()
--- a/banyanhook-cli/src/main/java/org/banyanhook/cli/StoryCommand.java
+++ b/banyanhook-cli/src/main/java/org/banyanhook/cli/StoryCommand.java
@@ -28,7 +28,10 @@
     @SuppressWarnings("NullAway.Init")
     private CommandSpec spec;
 
-    @Parameters(index = "0", paramLabel = "REQUEST", description = "The id of the request, as the caller sent it.")
+    @Parameters(
+            index = "0",
+            paramLabel = "REQUEST",
+            description = "The id of the request as the caller sent it, or a caller's address or key fingerprint.")
     @SuppressWarnings("NullAway.Init")
     private String request;
 
--- a/banyanhook-cli/src/test/java/org/banyanhook/cli/StoryCommandTest.java
+++ b/banyanhook-cli/src/test/java/org/banyanhook/cli/StoryCommandTest.java
@@ -7,6 +7,7 @@
 import java.io.StringWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import picocli.CommandLine;
@@ -31,6 +32,19 @@
     @SuppressWarnings("NullAway.Init")
     private Path folder;
 
+    /** A caller that is refused when it opens a session has no request id. */
+    @Test
+    void findsRefusedSessionsByTheAddressOrTheKeyOfTheCaller() throws IOException {
+        String refusal = "{\"t\":5000,\"vm\":\"edge-1\",\"event\":\"session-refusal\",\"caller\":\"10.1.2.3:4567\","
+                + "\"key\":\"0f1e2d3c4b5a\",\"outcome\":\"KEY_UNKNOWN\",\"version\":8,\"versionAgeMs\":2000}";
+        Path log = folder.resolve("refusals.log");
+        Files.writeString(log, LOG + "\n" + refusal);
+        for (String caller : List.of("10.1.2.3:4567", "0f1e2d3c4b5a")) {
+            assertThat(run("story", caller, log.toString()))
+                    .contains("session-refusal  caller=10.1.2.3:4567  key=0f1e2d3c4b5a  outcome=KEY_UNKNOWN");
+        }
+    }
+
     @Test
     void printsTheRequestAfterTheStateInForceAtItsTime() throws IOException {
         String output = run("story", "r1", log());
--- a/banyanhook-core/src/main/java/org/banyanhook/core/key/KeyHashes.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/key/KeyHashes.java
@@ -7,6 +7,8 @@
 /** Hashes keys and compares hashes. */
 public final class KeyHashes {
 
+    private static final int FINGERPRINT_DIGITS = 12;
+
     private KeyHashes() {}
 
     /**
@@ -19,6 +21,16 @@
         return Hashing.sha256().hashString(key, StandardCharsets.UTF_8).toString();
     }
 
+    /**
+     * Computes a short form of the hash of a key, by which log lines about the same key can be found.
+     *
+     * @param key the key
+     * @return the first twelve hexadecimal digits of its hash
+     */
+    public static String fingerprint(String key) {
+        return hash(key).substring(0, FINGERPRINT_DIGITS);
+    }
+
     /**
      * Compares two hashes in a time that does not depend on where they differ.
      *
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
@@ -63,6 +63,7 @@
     private final Deque<DaemonCount> daemonCounts = new ArrayDeque<>();
     private Map<String, String> recentFailureDomains = Map.of();
     private SessionConfiguration configuration = SessionConfiguration.EMPTY;
+    private long configurationAppliedNanos;
     private KeyRegistry keys = KeyRegistry.of(FleetConfiguration.EMPTY);
 
     private record DaemonCount(long observedNanos, int count) {}
@@ -104,6 +105,13 @@
         return configuration;
     }
 
+    /** Returns for how long this daemon has applied the configuration, in milliseconds; 0 if it has none. */
+    public long configurationAgeMillis() {
+        return configuration.version() == 0
+                ? 0
+                : TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - configurationAppliedNanos);
+    }
+
     /** Returns the members that may be used, including those whose entry ended recently. */
     public Collection<MemberRecord> members() {
         return members.values();
@@ -371,6 +379,7 @@
             return;
         }
         configuration = found;
+        configurationAppliedNanos = clock.nowNanos();
         keys = KeyRegistry.of(
                 FleetConfiguration.EMPTY.toBuilder().accounts(found.accounts()).build());
         log.line("configuration")
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -16,6 +17,7 @@
 import org.banyanhook.core.configuration.ClientAccount;
 import org.banyanhook.core.configuration.DatabaseRoute;
 import org.banyanhook.core.configuration.SessionConfiguration;
+import org.banyanhook.core.key.KeyHashes;
 import org.banyanhook.core.replication.LogPosition;
 import org.banyanhook.gateway.backend.MemberConnection;
 import org.banyanhook.gateway.message.ClientAnswer;
@@ -197,13 +199,16 @@
 
     private void refuseSession(SessionError error, String detail) {
         context.metrics().count("sessions.refused", "reason", error.name());
+        Channel clientChannel = channel;
         context.log()
                 .line("session-refusal")
                 .with("database", databaseName)
+                .with("caller", callerAddress(clientChannel))
+                .with("key", key.isEmpty() ? null : KeyHashes.fingerprint(key))
                 .with("outcome", error.name())
                 .with("version", context.directory().configuration().version())
+                .with("versionAgeMs", context.directory().configurationAgeMillis())
                 .write();
-        Channel clientChannel = channel;
         if (clientChannel != null) {
             clientChannel
                     .writeAndFlush(new ClientAnswer.OpenRefused(error, detail))
@@ -211,6 +216,12 @@
         }
     }
 
+    private static @Nullable String callerAddress(@Nullable Channel clientChannel) {
+        return clientChannel != null && clientChannel.remoteAddress() instanceof InetSocketAddress address
+                ? address.getAddress().getHostAddress() + ":" + address.getPort()
+                : null;
+    }
+
     private void receiveRequest(ClientRequest.Run run) {
         if (!opened) {
             refuseSession(SessionError.MALFORMED, "the session is not open; open it first");
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
@@ -143,7 +143,7 @@
         if (statementSent) {
             return;
         }
-        finish("abandoned", null);
+        finish("abandoned", null, null);
         cancelConnectionRequest();
         if (transaction != null && connection != null) {
             // The answer to BEGIN is still outstanding; the connection is released when it arrives.
@@ -286,7 +286,7 @@
         } else if (answer.state() != TransactionState.OPEN) {
             memberConnection.close("member ended the transaction");
         }
-        finish("success", memberConnection);
+        finish("success", null, memberConnection);
         listener.onSuccess(answer);
     }
 
@@ -406,7 +406,7 @@
         if (finished) {
             return;
         }
-        finish(error.name(), connection);
+        finish(error.name(), detail, connection);
         listener.onFailure(error, detail);
     }
 
@@ -438,7 +438,7 @@
         TransactionConnections.rollBack(memberConnection, group);
     }
 
-    private void finish(String outcome, @Nullable MemberConnection memberConnection) {
+    private void finish(String outcome, @Nullable String detail, @Nullable MemberConnection memberConnection) {
         finished = true;
         ScheduledFuture<?> scheduledDeadline = deadlineTimer;
         if (scheduledDeadline != null) {
@@ -464,6 +464,7 @@
                 .with("term", group.highestTerm())
                 .with("attempts", attempts)
                 .with("outcome", outcome)
+                .with("detail", detail)
                 .with("ms", TimeUnit.NANOSECONDS.toMillis(now - arrivedNanos));
         if (currentPlacement != null) {
             line.with("primary", currentPlacement.primary())
