Apply a page of changes at once, and spare groups the changes of daemons

Causes: each record of a page updated every group, also when only a daemon had registered; the holders of every account's tokens were ranked by sorting with two hashes a comparison; the share of connections copied the list of daemons for each candidate. With 95 daemons that start together, each of them did this for each of the others.

A daemon that started recently asked only the daemons it knew for their votes. One whose entry had lapsed before, and which relied on the answers of the others, was neither asked nor waited for and could read at the old primary meanwhile. It now counts as unresponsive if a voter reports it.

Tests: PeerVoteExchangeTest (new), FleetDirectoryTest, TokenHoldersTest (the same holders as by sorting).

--- a/banyanhook-core/src/main/java/org/banyanhook/core/rate/TokenHolders.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/rate/TokenHolders.java
@@ -1,7 +1,6 @@
 package org.banyanhook.core.rate;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -79,15 +78,34 @@
         Map<String, List<String>> chosen = new HashMap<>();
         int count = 0;
         for (Map.Entry<String, List<EntryVm>> domain : byDomain.entrySet()) {
-            List<String> names = domain.getValue().stream()
-                    .sorted(Comparator.comparingLong((EntryVm vm) -> RendezvousScores.score(accountHash, vm.nameHash()))
-                            .reversed())
-                    .limit(holdersPerDomain)
-                    .map(EntryVm::name)
-                    .toList();
+            List<String> names = highestRanked(domain.getValue(), accountHash, holdersPerDomain);
             chosen.put(domain.getKey(), names);
             count += names.size();
         }
         return new Holders(new TreeMap<>(chosen), count);
     }
+
+    /** Returns the entry VMs with the highest scores, highest first. Each score is computed once. */
+    private static List<String> highestRanked(List<EntryVm> entryVms, long accountHash, int limit) {
+        String[] names = new String[Math.min(limit, entryVms.size())];
+        long[] scores = new long[names.length];
+        int found = 0;
+        for (EntryVm vm : entryVms) {
+            long score = RendezvousScores.score(accountHash, vm.nameHash());
+            int rank = found;
+            while (rank > 0 && scores[rank - 1] < score) {
+                rank--;
+            }
+            if (rank < names.length) {
+                found = Math.min(found + 1, names.length);
+                for (int index = found - 1; index > rank; index--) {
+                    names[index] = names[index - 1];
+                    scores[index] = scores[index - 1];
+                }
+                names[rank] = vm.name();
+                scores[rank] = score;
+            }
+        }
+        return List.of(names);
+    }
 }
--- a/banyanhook-core/src/test/java/org/banyanhook/core/rate/TokenHoldersTest.java
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/rate/TokenHoldersTest.java
@@ -2,10 +2,14 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
+import org.banyanhook.core.routing.RendezvousScores;
 import org.junit.jupiter.api.Test;
 
 /** Tests the number, the spread and the order of the holders in small and large fleets. */
@@ -60,6 +64,19 @@
         assertThat(used.size()).isAtLeast(60);
     }
 
+    @Test
+    void holdersAreThoseWithTheHighestScores() {
+        long accountHash = RendezvousScores.nameHash("orders");
+        List<String> expected = IntStream.range(0, 50)
+                .mapToObj(number -> "edge-" + number)
+                .sorted(Comparator.comparingLong(
+                                (String name) -> RendezvousScores.score(accountHash, RendezvousScores.nameHash(name)))
+                        .reversed())
+                .limit(3)
+                .toList();
+        assertThat(holders(50, 1).choose("orders", 200).byDomain()).containsExactly("domain-0", expected);
+    }
+
     private static TokenHolders holders(int entryVms, int domains) {
         Map<String, String> failureDomains = new HashMap<>();
         for (int number = 0; number < entryVms; number++) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionAllocator.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionAllocator.java
@@ -9,7 +9,6 @@
 import org.banyanhook.core.routing.StatementPlacement.Access;
 import org.banyanhook.gateway.message.MemberAnswer;
 import org.banyanhook.gateway.message.SessionError;
-import org.banyanhook.gateway.port.DaemonEntry;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -41,13 +40,9 @@
     /** Returns how many connections to a member this daemon may keep. */
     int connectionShare(MemberServer server, boolean primary, IntSupplier limit) {
         String domain = server.entry().failureDomain();
-        int daemonsInDomain = 0;
-        if (domain.equals(context.settings().failureDomain())) {
-            for (DaemonEntry daemon : context.directory().daemons().values()) {
-                daemonsInDomain += daemon.failureDomain().equals(domain) ? 1 : 0;
-            }
-            daemonsInDomain = Math.max(1, daemonsInDomain);
-        }
+        int daemonsInDomain = domain.equals(context.settings().failureDomain())
+                ? Math.max(1, context.directory().daemonCount(domain))
+                : 0;
         return ConnectionShare.perEntryVm(
                 limit.getAsInt(), primary, context.directory().daemonsSharingLimits(), daemonsInDomain);
     }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
@@ -61,6 +61,8 @@
     private final Map<String, HeldPromotionLease> promotionLeases = new HashMap<>();
     private final Set<String> evacuatedDomains = new HashSet<>();
     private final Deque<DaemonCount> daemonCounts = new ArrayDeque<>();
+    private final Map<String, Integer> daemonCountsByDomain = new HashMap<>();
+    private Map<String, DaemonEntry> daemonsByEntryVm = Map.of();
     private Map<String, String> recentFailureDomains = Map.of();
     private SessionConfiguration configuration = SessionConfiguration.EMPTY;
     private long configurationAppliedNanos;
@@ -124,7 +126,12 @@
 
     /** Returns the daemons that have an entry, by entry VM. */
     public Map<String, DaemonEntry> daemons() {
-        return ImmutableMap.copyOf(daemons);
+        return daemonsByEntryVm;
+    }
+
+    /** Returns how many daemons in a failure domain have an entry. */
+    public int daemonCount(String failureDomain) {
+        return daemonCountsByDomain.getOrDefault(failureDomain, 0);
     }
 
     /** Returns the lease of a daemon's entry, or empty if it has none. */
@@ -238,11 +245,40 @@
 
     /** Applies a change. */
     public void apply(StoreRecord change) {
-        if (applyRecord(change)) {
+        apply(List.of(change));
+    }
+
+    /**
+     * Applies changes and then notifies the listeners once. Changes of daemons alone concern no listener; in a large
+     * fleet they are the most frequent ones.
+     *
+     * @param changes the changes, in any order
+     */
+    public void apply(List<StoreRecord> changes) {
+        boolean daemonsChanged = false;
+        boolean othersChanged = false;
+        for (StoreRecord change : changes) {
+            FleetRecord before = recordsByKey.get(change.key());
+            if (applyRecord(change)) {
+                boolean daemonChange = concernsDaemons(before) && concernsDaemons(recordsByKey.get(change.key()));
+                daemonsChanged |= daemonChange;
+                othersChanged |= !daemonChange;
+            }
+        }
+        if (othersChanged) {
             notifyListeners();
+        } else if (daemonsChanged) {
+            updateDaemonViews();
         }
     }
 
+    /** Returns whether a record is absent or one that daemons write about themselves. */
+    private static boolean concernsDaemons(@Nullable FleetRecord record) {
+        return record == null
+                || record instanceof FleetRecord.Daemon
+                || record instanceof FleetRecord.PromotionLeaseHolder;
+    }
+
     /**
      * Applies all records of the store, and removes those that the store no longer holds.
      *
@@ -268,7 +304,7 @@
         long now = clock.nowNanos();
         daemonCounts.removeIf(count -> now - count.observedNanos() > DAEMON_COUNT_RETENTION_NANOS);
         if (endedDaemons.values().removeIf(ended -> now - ended.endedNanos() > ENDED_DAEMON_RETENTION_NANOS)) {
-            updateRecentFailureDomains();
+            updateDaemonViews();
         }
         boolean removed = false;
         for (Map.Entry<String, Long> removal :
@@ -429,7 +465,10 @@
                 .write();
     }
 
-    private void updateRecentFailureDomains() {
+    private void updateDaemonViews() {
+        daemonsByEntryVm = ImmutableMap.copyOf(daemons);
+        daemonCountsByDomain.clear();
+        daemons.values().forEach(entry -> daemonCountsByDomain.merge(entry.failureDomain(), 1, Integer::sum));
         Map<String, String> found = new HashMap<>();
         recentDaemons().forEach((entryVm, entry) -> found.put(entryVm, entry.failureDomain()));
         if (!found.equals(recentFailureDomains)) {
@@ -438,7 +477,7 @@
     }
 
     private void notifyListeners() {
-        updateRecentFailureDomains();
+        updateDaemonViews();
         listeners.forEach(FleetListener::onFleetChange);
     }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreMirror.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreMirror.java
@@ -191,7 +191,7 @@
     }
 
     private void onChanges(long generation, StorePage page, long revision) {
-        page.records().forEach(change -> applyOrLog(change.key(), () -> directory.apply(change)));
+        applyOrLog("changes", () -> directory.apply(page.records()));
         long next = Math.max(revision, page.revision());
         if (page.records().isEmpty()) {
             watch(generation, next);
@@ -200,14 +200,14 @@
         }
     }
 
-    /** Applies a change; a record that cannot be applied must not end the watch. */
-    private void applyOrLog(String key, Runnable change) {
+    /** Applies records; a record that cannot be applied must not end the watch. */
+    private void applyOrLog(String records, Runnable change) {
         try {
             change.run();
         } catch (RuntimeException exception) {
             metrics.count("store.records", "result", "not-applied");
             log.line("fault")
-                    .with("key", key)
+                    .with("records", records)
                     .with("reason", exception.toString())
                     .write();
         }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerVoteExchange.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerVoteExchange.java
@@ -57,6 +57,15 @@
             inquirers = Set.copyOf(inquirers);
         }
 
+        /**
+         * Adds daemons that a voter reports but that were not asked to the unresponsive ones. A daemon that started
+         * recently does not know of daemons whose entries had ended before.
+         */
+        private RoundResult withUnaskedInquirers(Set<String> asked) {
+            return new RoundResult(
+                    votes, Sets.union(unresponsive, Sets.difference(inquirers, asked)), groupsInDoubt, inquirers);
+        }
+
         private RoundResult merge(RoundResult other) {
             return new RoundResult(
                     votes.plus(other.votes),
@@ -237,7 +246,10 @@
                 recentInquirers());
         return CompletableFuture.allOf(answers.toArray(new CompletableFuture<?>[0]))
                 .thenApplyAsync(
-                        done -> answers.stream().map(CompletableFuture::join).reduce(ownResult, RoundResult::merge),
+                        done -> answers.stream()
+                                .map(CompletableFuture::join)
+                                .reduce(ownResult, RoundResult::merge)
+                                .withUnaskedInquirers(Sets.union(daemons, Set.of(entryVm))),
                         eventLoop);
     }
 
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/FleetDirectoryTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/FleetDirectoryTest.java
@@ -17,6 +17,8 @@
     private final DecisionLog log = new DecisionLog("vm", OutputStream.nullOutputStream(), System::nanoTime);
     private final FleetDirectory directory = new FleetDirectory(new TextRecordCodec(), log, MonotonicClock.ofSystem());
 
+    private int notifications;
+
     @AfterEach
     void closeLog() {
         log.close();
@@ -46,6 +48,33 @@
         assertThat(directory.recordedPrimary("group")).hasValue("newest");
     }
 
+    /** In a large fleet, the entries of daemons are the most frequent changes. */
+    @Test
+    void entriesOfDaemonsAreAppliedWithoutNotifyingListeners() {
+        directory.addListener(() -> notifications++);
+        directory.apply(List.of(daemon("vm-1", 3), daemon("vm-2", 4)));
+        assertThat(notifications).isEqualTo(0);
+        assertThat(directory.daemons().keySet()).containsExactly("vm-1", "vm-2");
+        assertThat(directory.daemonCount("east")).isEqualTo(2);
+        assertThat(directory.recentFailureDomains()).containsExactly("vm-1", "east", "vm-2", "east");
+        directory.apply(new StoreRecord(TextRecordCodec.DAEMON_PREFIX + "vm-1", 5, null, 0));
+        assertThat(directory.daemonCount("east")).isEqualTo(1);
+        assertThat(notifications).isEqualTo(0);
+    }
+
+    @Test
+    void changesOfOnePageNotifyListenersOnce() {
+        directory.addListener(() -> notifications++);
+        directory.apply(List.of(daemon("vm-1", 3), promotion("a", 4), promotion("b", 5)));
+        assertThat(notifications).isEqualTo(1);
+        assertThat(directory.recordedPrimary("group")).hasValue("b");
+    }
+
+    private static StoreRecord daemon(String entryVm, long revision) {
+        return new StoreRecord(
+                TextRecordCodec.DAEMON_PREFIX + entryVm, revision, "east".getBytes(StandardCharsets.UTF_8), 7);
+    }
+
     private static StoreRecord promotion(String member, long revision) {
         return new StoreRecord(
                 TextRecordCodec.PROMOTION_PREFIX + "group", revision, member.getBytes(StandardCharsets.UTF_8), 0);
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/TextRecordCodec.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/TextRecordCodec.java
@@ -28,7 +28,8 @@
             return new FleetRecord.Promotion(key.substring(PROMOTION_PREFIX.length()), text);
         }
         if (key.startsWith(DAEMON_PREFIX)) {
-            return new FleetRecord.Daemon(new DaemonEntry(key.substring(DAEMON_PREFIX.length()), text, "127.0.0.1:1"));
+            String entryVm = key.substring(DAEMON_PREFIX.length());
+            return new FleetRecord.Daemon(new DaemonEntry(entryVm, text, entryVm));
         }
         if (key.startsWith(PROMOTION_LEASE_PREFIX)) {
             return new FleetRecord.PromotionLeaseHolder(key.substring(PROMOTION_LEASE_PREFIX.length()), text);
--- /dev/null
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PeerVoteExchangeTest.java
@@ -0,0 +1,161 @@
+package org.banyanhook.gateway.primary;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.DefaultEventLoop;
+import java.io.OutputStream;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.banyanhook.daemon.peer.PeerMessageHandler;
+import org.banyanhook.daemon.peer.PeerMessenger;
+import org.banyanhook.gateway.fleet.FleetDirectory;
+import org.banyanhook.gateway.fleet.TextRecordCodec;
+import org.banyanhook.gateway.operation.DecisionLog;
+import org.banyanhook.gateway.operation.MonotonicClock;
+import org.banyanhook.gateway.port.FleetRecord;
+import org.banyanhook.gateway.port.StoreRecord;
+import org.banyanhook.protocol.generated.PeerEnvelope;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+final class PeerVoteExchangeTest {
+
+    private static final long REVISION = 12;
+
+    private final DefaultEventLoop eventLoop = new DefaultEventLoop();
+    private final DecisionLog log = new DecisionLog("vm", OutputStream.nullOutputStream(), System::nanoTime);
+    private final MonotonicClock clock = MonotonicClock.ofSystem();
+    private final Map<String, PeerMessageHandler> handlers = new HashMap<>();
+    private final Set<String> votes = new HashSet<>();
+    private final Map<String, FleetRecord.Promotion> learned = new HashMap<>();
+
+    @AfterEach
+    void stop() {
+        eventLoop.shutdownGracefully();
+        log.close();
+    }
+
+    @Test
+    void collectsTheVotesOfAllKnownDaemons() throws Exception {
+        daemon("vm-2", "vm-1");
+        PeerVoteExchange.RoundResult result =
+                daemon("vm-1", "vm-2", "vm-4").requestVotes("orders", false).get(5, TimeUnit.SECONDS);
+        assertThat(result.votes().unreachable()).isEqualTo(1);
+        assertThat(result.unresponsive()).containsExactly("vm-4");
+        assertThat(votes).containsExactly("vm-2 votes on orders");
+    }
+
+    /**
+     * A daemon without contact to the store relies on the answers of the others. One that has started since does not
+     * know of it, but must not replace a primary that it may still use.
+     */
+    @Test
+    void daemonThatOnlyAVoterKnowsCountsAsUnresponsive() throws Exception {
+        daemon("vm-2", "vm-1", "vm-3");
+        daemon("vm-3", "vm-2").queryReplacedPrimaries().get(5, TimeUnit.SECONDS);
+        PeerVoteExchange.RoundResult result =
+                daemon("vm-1", "vm-2").requestVotes("orders", true).get(5, TimeUnit.SECONDS);
+        assertThat(result.inquirers()).containsExactly("vm-3");
+        assertThat(result.unresponsive()).containsExactly("vm-3");
+    }
+
+    @Test
+    void inquirerThatAnswersItselfIsNotUnresponsive() throws Exception {
+        daemon("vm-2", "vm-1", "vm-3");
+        daemon("vm-3", "vm-2").queryReplacedPrimaries().get(5, TimeUnit.SECONDS);
+        PeerVoteExchange.RoundResult result =
+                daemon("vm-1", "vm-2", "vm-3").requestVotes("orders", true).get(5, TimeUnit.SECONDS);
+        assertThat(result.unresponsive()).isEmpty();
+    }
+
+    @Test
+    void announcedPromotionIsLearnedWithoutAnotherVote() throws Exception {
+        daemon("vm-2", "vm-1");
+        FleetRecord.Promotion promotion = new FleetRecord.Promotion("orders", "member-2");
+        PeerVoteExchange.RoundResult result =
+                daemon("vm-1", "vm-2").announcePromotion(promotion, REVISION).get(5, TimeUnit.SECONDS);
+        assertThat(result.votes().unreachable()).isEqualTo(1);
+        assertThat(learned).containsExactly("vm-2 at 12", promotion);
+        assertThat(votes).isEmpty();
+    }
+
+    /** Creates the exchange of a daemon that knows some other daemons. */
+    private PeerVoteExchange daemon(String name, String... known) {
+        FleetDirectory directory = new FleetDirectory(new TextRecordCodec(), log, clock);
+        directory.apply(daemonRecord(name));
+        for (String other : known) {
+            directory.apply(daemonRecord(other));
+        }
+        PeerVoteExchange exchange =
+                new PeerVoteExchange(name, new InProcessMessenger(name), directory, eventLoop, clock);
+        exchange.serve(new RecordingVoter(name));
+        return exchange;
+    }
+
+    private static StoreRecord daemonRecord(String name) {
+        return new StoreRecord(TextRecordCodec.DAEMON_PREFIX + name, 1, new byte[] {'a'}, 5);
+    }
+
+    /** Delivers requests to the handler of the daemon whose entry VM's name is the address. */
+    private final class InProcessMessenger implements PeerMessenger {
+        private final String sender;
+
+        private InProcessMessenger(String sender) {
+            this.sender = sender;
+        }
+
+        @Override
+        public CompletableFuture<PeerEnvelope> request(String address, PeerEnvelope body, Duration timeout) {
+            PeerMessageHandler handler = handlers.get(address);
+            return handler == null
+                    ? CompletableFuture.failedFuture(new TimeoutException("expected by the test"))
+                    : handler.handle(body.toBuilder().setSenderEntryVm(sender).build());
+        }
+
+        @Override
+        public void send(String address, PeerEnvelope body) {
+            throw new UnsupportedOperationException("an exchange sends requests only");
+        }
+
+        @Override
+        public void registerHandler(PeerEnvelope.BodyCase bodyCase, PeerMessageHandler handler) {
+            handlers.put(sender, handler);
+        }
+    }
+
+    private final class RecordingVoter implements PeerVoteExchange.Voter {
+        private final String name;
+
+        private RecordingVoter(String name) {
+            this.name = name;
+        }
+
+        @Override
+        public CompletableFuture<Long> voteOnReplacement(String group, boolean planned) {
+            votes.add(name + " votes on " + group);
+            return CompletableFuture.completedFuture(0L);
+        }
+
+        @Override
+        public void learnPromotion(FleetRecord.Promotion promotion, long revision) {
+            learned.put(name + " at " + revision, promotion);
+        }
+
+        @Override
+        public Set<String> groupsInDoubt(long knownRevision) {
+            return Set.copyOf(List.of());
+        }
+
+        @Override
+        public boolean hasReadStore() {
+            return true;
+        }
+    }
+}
