Fetch the entries of daemons together in large fleets, and bound the wait of a watch

With 95 daemons a watch waited up to 16.7 s; one that the store had lost without failing another call would be noticed only then, later than a configuration must be in force.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
@@ -253,8 +253,9 @@
      * fleet they are the most frequent ones.
      *
      * @param changes the changes, in any order
+     * @return whether anything but the entries of daemons changed
      */
-    public void apply(List<StoreRecord> changes) {
+    public boolean apply(List<StoreRecord> changes) {
         boolean daemonsChanged = false;
         boolean othersChanged = false;
         for (StoreRecord change : changes) {
@@ -270,6 +271,7 @@
         } else if (daemonsChanged) {
             updateDaemonViews();
         }
+        return othersChanged;
     }
 
     /** Returns whether a record is absent or one that daemons write about themselves. */
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreMirror.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreMirror.java
@@ -20,13 +20,14 @@
 public final class StoreMirror implements DaemonRegistration.RecordReader {
 
     /**
-     * How long the store may wait for a change. A connection that no longer responds is detected only after the wait,
-     * and each wait that ends without a change costs a call, so a large fleet waits longer.
+     * How long the store may wait for a change. A watch that the store has lost is detected only after the wait if no
+     * other call fails, and each wait that ends without a change costs a call, so a large fleet waits longer. The
+     * maximum stays below the time after an outage of the store within which a configuration must be in force.
      */
     private static final Duration MINIMUM_WATCH_WAIT = Duration.ofSeconds(5);
 
     private static final Duration WATCH_WAIT_PER_DAEMON = Duration.ofMillis(160);
-    private static final Duration MAXIMUM_WATCH_WAIT = Duration.ofSeconds(25);
+    private static final Duration MAXIMUM_WATCH_WAIT = Duration.ofSeconds(9);
 
     /**
      * The delay between a change and the next call, so that changes close together are fetched by one call. Each daemon
@@ -38,6 +39,15 @@
     private static final long COALESCE_MILLIS_PER_DAEMON = 5;
     private static final long MAXIMUM_COALESCE_MILLIS = 600;
 
+    /**
+     * The same delay after a page with nothing but entries of daemons. When a large fleet starts or is restarted, each
+     * daemon would otherwise be woken by all others. The maximum is half of the shortest time within which a
+     * configuration must be in force.
+     */
+    private static final long DAEMON_COALESCE_MILLIS_PER_DAEMON = 15;
+
+    private static final long MAXIMUM_DAEMON_COALESCE_MILLIS = 1_400;
+
     private static final long MINIMUM_BACKOFF_MILLIS = 150;
     private static final long MAXIMUM_BACKOFF_MILLIS = 1_000;
 
@@ -52,6 +62,7 @@
     private long readGeneration;
     private long watchedRevision;
     private boolean watching;
+    private boolean onlyDaemonsChanged;
     private Runnable firstReadingListener = () -> {};
     private boolean complete;
     private boolean failing;
@@ -191,12 +202,13 @@
     }
 
     private void onChanges(long generation, StorePage page, long revision) {
-        applyOrLog("changes", () -> directory.apply(page.records()));
+        onlyDaemonsChanged = false;
+        applyOrLog("changes", () -> onlyDaemonsChanged = !directory.apply(page.records()));
         long next = Math.max(revision, page.revision());
         if (page.records().isEmpty()) {
             watch(generation, next);
         } else {
-            schedule(coalesceMillis(), () -> watch(generation, next), generation);
+            schedule(coalesceMillis(onlyDaemonsChanged), () -> watch(generation, next), generation);
         }
     }
 
@@ -213,9 +225,13 @@
         }
     }
 
-    private long coalesceMillis() {
-        long forFleet = COALESCE_MILLIS_PER_DAEMON * directory.daemonCount();
-        return Math.min(MAXIMUM_COALESCE_MILLIS, BASE_COALESCE_MILLIS + forFleet);
+    private long coalesceMillis(boolean onlyDaemons) {
+        long daemons = directory.daemonCount();
+        long millis = Math.min(MAXIMUM_COALESCE_MILLIS, BASE_COALESCE_MILLIS + COALESCE_MILLIS_PER_DAEMON * daemons);
+        return onlyDaemons
+                ? Math.max(
+                        millis, Math.min(MAXIMUM_DAEMON_COALESCE_MILLIS, DAEMON_COALESCE_MILLIS_PER_DAEMON * daemons))
+                : millis;
     }
 
     private void recordSuccess(String call) {
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/StoreMirrorTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/StoreMirrorTest.java
@@ -104,6 +104,24 @@
         assertThat(store.watches()).hasSize(1);
     }
 
+    /** All daemons of a large fleet start together; none of them may be woken by each of the others. */
+    @Test
+    void entriesOfDaemonsInALargeFleetAreFetchedTogether() {
+        StoreRecord[] daemons = new StoreRecord[95];
+        for (int number = 0; number < daemons.length; number++) {
+            daemons[number] = new StoreRecord(
+                    TextRecordCodec.DAEMON_PREFIX + "vm-" + number, 6 + number, new byte[] {'a'}, LEASE);
+        }
+        answerWatch(120, daemons);
+        advanceMillis(1_300);
+        assertThat(store.watches()).hasSize(1);
+        advanceMillis(200);
+        assertThat(store.watches()).hasSize(2);
+        answerWatch(121, evacuation("a", 121));
+        advanceMillis(700);
+        assertThat(store.watches()).hasSize(3);
+    }
+
     private void register() {
         registration.start();
         store.openedLeases().get(0).complete(LEASE);
@@ -119,7 +137,11 @@
     }
 
     private void advanceSeconds(long seconds) {
-        channel.advanceTimeBy(seconds, TimeUnit.SECONDS);
+        advanceMillis(TimeUnit.SECONDS.toMillis(seconds));
+    }
+
+    private void advanceMillis(long millis) {
+        channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
         channel.runScheduledPendingTasks();
     }
 
