--- a/banyanhook-core/src/main/java/org/banyanhook/core/routing/WarmUpLimiter.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/routing/WarmUpLimiter.java
@@ -1,7 +1,6 @@
 package org.banyanhook.core.routing;
 
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Spaces the requests that one daemon sends to a member that is warming up, so that all daemons together stay within
@@ -9,6 +8,9 @@
  */
 public final class WarmUpLimiter {
 
+    /** The member reports the time itself; without a bound an odd value would exceed the range of the clock. */
+    private static final Duration MAXIMUM_WARM_UP = Duration.ofDays(1);
+
     private static final double NANOS_PER_SECOND = Duration.ofSeconds(1).toNanos();
 
     private long warmUpEndNanos;
@@ -27,12 +29,12 @@
     /**
      * Records the remaining warm-up time that the member reported.
      *
-     * @param remainingMillis the remaining warm-up time, at most 292 years
+     * @param remainingMillis the remaining warm-up time; a longer one than a day counts as a day
      * @param nowNanos the time on this entry VM's monotonic clock
      */
     public void recordRemainingWarmUp(long remainingMillis, long nowNanos) {
-        // Saturates instead of throwing an exception, because the member reports the time itself.
-        warmUpEndNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(Math.max(0, remainingMillis));
+        long boundedMillis = Math.min(Math.max(0, remainingMillis), MAXIMUM_WARM_UP.toMillis());
+        warmUpEndNanos = nowNanos + Duration.ofMillis(boundedMillis).toNanos();
     }
 
     /**
