Decide at once on requests that may not wait for a token; end a switchover that is not approved again

Cause: since accrued tokens are given out before refusals, a request without any time to wait was accepted when a peer's tokens arrived later. The decision is now made at once, and no peer is asked in vain.

Tests: TokenExchangeTest.requestThatMayNotWaitIsDecidedAtOnce.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/rate/TokenExchange.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/rate/TokenExchange.java
@@ -84,10 +84,26 @@
                     MAXIMUM_WAITING_REQUESTS + " requests of the account are already waiting",
                     NANOS_PER_SECOND));
         }
+        if (requestDeadlineNanos - nowNanos <= 0) {
+            return serveWithoutWaiting(state, requestNumber, leaseExpiryNanos, nowNanos);
+        }
         state.addWaiting(requestNumber, requestDeadlineNanos);
         return serve(state, leaseExpiryNanos, nowNanos);
     }
 
+    /** Decides on a request that may not wait. No peer is asked, as its answer would come too late. */
+    private List<TokenAction> serveWithoutWaiting(
+            AccountTokenState state, long requestNumber, long leaseExpiryNanos, long nowNanos) {
+        List<TokenAction> actions = new ArrayList<>(serve(state, leaseExpiryNanos, nowNanos));
+        boolean ownUsable = nowNanos - leaseExpiryNanos < 0;
+        boolean accepted = state.waitingCount() == 0 && state.bucket().spend(Tokens.MICROS_PER_TOKEN, ownUsable);
+        actions.add(
+                accepted
+                        ? new TokenAction.Accept(requestNumber)
+                        : refusal(state.account(), requestNumber, refusalReason(ownUsable), NANOS_PER_SECOND));
+        return actions;
+    }
+
     /**
      * Handles the answer to a token request. A duplicate answer, or one to a request that has ended, is dropped.
      *
@@ -174,14 +190,13 @@
         TokenBucket bucket = state.bucket();
         bucket.accrue(nowNanos, leaseExpiryNanos);
         boolean ownUsable = nowNanos - leaseExpiryNanos < 0;
-        String reason = ownUsable ? "no token here or at peers" : "no contact with platform or failure domain";
         // Tokens that have accrued or arrived are given out before requests are refused: a process that was busy may
         // look at them only after their time.
         while (state.waitingCount() > 0 && bucket.spend(Tokens.MICROS_PER_TOKEN, ownUsable)) {
             actions.add(new TokenAction.Accept(state.removeOldest()));
         }
         for (long expired : state.removeExpired(nowNanos)) {
-            actions.add(refusal(state.account(), expired, reason, NANOS_PER_SECOND));
+            actions.add(refusal(state.account(), expired, refusalReason(ownUsable), NANOS_PER_SECOND));
         }
         requestMissingTokens(state, bucket.availableMicros(ownUsable), nowNanos, actions);
         return actions;
@@ -226,6 +241,10 @@
         return wantedMicros <= ownMicros ? wantedMicros : ownMicros - ownMicros % Tokens.MICROS_PER_TOKEN;
     }
 
+    private static String refusalReason(boolean ownUsable) {
+        return ownUsable ? "no token here or at peers" : "no contact with platform or failure domain";
+    }
+
     private static TokenAction refusal(String account, long requestNumber, String reason, long retryAfterNanos) {
         return new TokenAction.Refuse(requestNumber, account, reason, retryAfterNanos);
     }
--- a/banyanhook-core/src/test/java/org/banyanhook/core/rate/TokenExchangeTest.java
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/rate/TokenExchangeTest.java
@@ -53,6 +53,15 @@
         assertThat(((Refuse) actions.get(2)).requestNumber()).isEqualTo(3);
     }
 
+    @Test
+    void requestThatMayNotWaitIsDecidedAtOnce() {
+        List<TokenAction> refused = exchange.acquire("hanbit", 1, 0, FOREVER, 0);
+        assertThat(refused).hasSize(1);
+        assertThat(((Refuse) refused.get(0)).requestNumber()).isEqualTo(1);
+        assertThat(exchange.acquire("hanbit", 2, 1_000 * MILLI, FOREVER, 1_000 * MILLI))
+                .containsExactly(new Accept(2));
+    }
+
     @Test
     void transferIsAppliedOnceAndNotAfterItExpired() {
         RequestTokens sent = (RequestTokens)
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
@@ -167,8 +167,10 @@
                     : revokeLeases(approval.unresponsive())
                             .thenCompose(done -> delay(PromotionPermission.STOPPED_AFTER_NANOS))
                             .thenCompose(done -> collectVotes(group, true))
-                            .thenCompose(secondVote ->
-                                    switchOver(group, rejected, approval.renewedAt(secondVote.requestedNanos())));
+                            .thenCompose(secondVote -> secondVote.approval() == null
+                                    ? CompletableFuture.completedFuture("not approved again: "
+                                            + secondVote.permission().reason())
+                                    : switchOver(group, rejected, approval.renewedAt(secondVote.requestedNanos())));
         });
     }
 
