--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreMirror.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreMirror.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.GatewayMetrics;
 import org.banyanhook.gateway.port.RecordStore;
@@ -62,7 +63,6 @@
     private long readGeneration;
     private long watchedRevision;
     private boolean watching;
-    private boolean onlyDaemonsChanged;
     private Runnable firstReadingListener = () -> {};
     private boolean complete;
     private boolean failing;
@@ -157,7 +157,10 @@
                 readPage(generation, records, Optional.of(last), revision);
                 return;
             }
-            applyOrLog("all", () -> directory.replaceAll(records, revision));
+            applyOrLog("all", () -> {
+                directory.replaceAll(records, revision);
+                return true;
+            });
             if (!complete) {
                 complete = true;
                 firstReadingListener.run();
@@ -202,26 +205,30 @@
     }
 
     private void onChanges(long generation, StorePage page, long revision) {
-        onlyDaemonsChanged = false;
-        applyOrLog("changes", () -> onlyDaemonsChanged = !directory.apply(page.records()));
+        boolean othersChanged = applyOrLog("changes", () -> directory.apply(page.records()));
         long next = Math.max(revision, page.revision());
         if (page.records().isEmpty()) {
             watch(generation, next);
         } else {
-            schedule(coalesceMillis(onlyDaemonsChanged), () -> watch(generation, next), generation);
+            schedule(coalesceMillis(!othersChanged), () -> watch(generation, next), generation);
         }
     }
 
-    /** Applies records; a record that cannot be applied must not end the watch. */
-    private void applyOrLog(String records, Runnable change) {
+    /**
+     * Applies records; one that cannot be applied must not end the watch.
+     *
+     * @return whether anything but the entries of daemons changed, or may have changed
+     */
+    private boolean applyOrLog(String records, BooleanSupplier change) {
         try {
-            change.run();
+            return change.getAsBoolean();
         } catch (RuntimeException exception) {
             metrics.count("store.records", "result", "not-applied");
             log.line("fault")
                     .with("records", records)
                     .with("reason", exception.toString())
                     .write();
+            return true;
         }
     }
 
