--- a/review/standins/Fleet.java
+++ b/review/standins/Fleet.java
@@ -27,8 +27,12 @@
 final class Fleet implements AutoCloseable {
     static final String SERVICE = "orders-db-1";
     static final String KEY = "u3f1";
+    static final int TENANTS = 8;
     static final List<String> ZONES = List.of("zone-a", "zone-b", "zone-c");
 
+    /** The zones of the members; the last two are started to replace others. */
+    private static final List<String> MEMBER_ZONES = List.of("zone-a", "zone-b", "zone-c", "zone-a", "zone-b");
+
     final Journal journal;
     final Store store;
     final Group group;
@@ -64,7 +68,7 @@
         this.folder = Files.createTempDirectory("review");
         Runtime.getRuntime().addShutdownHook(new Thread(this::killDaemons));
         this.store = new Store(journal);
-        this.group = new Group(SERVICE, ZONES, store, journal);
+        this.group = new Group(SERVICE, MEMBER_ZONES, store, journal);
         this.authority = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 50);
         authority.setExecutor(Executors.newCachedThreadPool(task -> {
             Thread thread = new Thread(task, "authority");
@@ -112,7 +116,12 @@
         return link;
     }
 
-    /** A route of each type, the limits and one tenant, like a small site's. */
+    /** The key of a tenant; that of the first is {@link #KEY}. */
+    static String key(int tenant) {
+        return "u3f" + (tenant + 1);
+    }
+
+    /** A route of each type, the limits and the tenants, like a small site's. */
     private static String configuration() {
         StringBuilder routes = new StringBuilder();
         for (String type : List.of("primary", "bounded_staleness", "read_your_writes")) {
@@ -122,10 +131,14 @@
                             + SERVICE + "\",\"attempts\":2,\"max_staleness_ms\":1500,\"public\":false,"
                             + "\"allowed_regions\":[]}");
         }
+        StringBuilder tenants = new StringBuilder();
+        for (int tenant = 0; tenant < TENANTS; tenant++) {
+            tenants.append(tenant == 0 ? "" : ",")
+                    .append("{\"name\":\"tenant" + tenant + "\",\"api_keys\":[\"" + key(tenant)
+                            + "\"],\"rate_per_s\":2000,\"burst\":2000,\"allowed_regions\":[]}");
+        }
         return "{\"version\":7,\"routes\":[" + routes + "],\"backends\":[{\"name\":\"" + SERVICE
-                + "\",\"max_conns\":37,\"warmup_per_s\":1000}],\"limits\":{\"idle_tx_ms\":10000},\"tenants\":[{\"name\":"
-                + "\"tenant\",\"api_keys\":[\"" + KEY + "\"],\"rate_per_s\":2000,\"burst\":2000,"
-                + "\"allowed_regions\":[]}]}";
+                + "\",\"max_conns\":37,\"warmup_per_s\":1000}],\"limits\":{\"idle_tx_ms\":10000},\"tenants\":[" + tenants + "]}";
     }
 
     private void prepare(int number) throws IOException {
--- a/review/standins/Group.java
+++ b/review/standins/Group.java
@@ -1,6 +1,4 @@
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -24,6 +22,15 @@
     private static final long PROMOTE_MILLIS = 300;
     private static final long HEARTBEAT_MILLIS = 1_200;
     private static final long OLD_PRIMARY_MILLIS = 1_000;
+    private static final long DRAIN_MILLIS = 12_000;
+
+    /** A read of an item with this name and a number returns so many rows of a kilobyte. */
+    static final String EXTRACT = "extract";
+
+    private static final String EXTRACT_ROW = "x".repeat(1_000);
+
+    /** Of the members that are given, so many run from the start; the others replace them later. */
+    private static final int FIRST_MEMBERS = 3;
 
     final String name;
     final List<Member> members = new ArrayList<>();
@@ -37,8 +44,17 @@
     private long newestTerm = 1;
     private volatile boolean closed;
 
-    /** A statement that a member ran. Kind: READ, WRITE (inside a transaction or not) or COMMIT. */
-    record Run(double at, String member, int connection, String id, String text, String state, long term, boolean old) {}
+    /** A statement that a member ran, with the number of the connection's transaction and its state before. */
+    record Run(
+            double at,
+            String member,
+            int connection,
+            int transaction,
+            String id,
+            String text,
+            String state,
+            long term,
+            boolean old) {}
 
     record Led(double at, String member, long term) {}
 
@@ -57,6 +73,7 @@
         this.journal = journal;
         for (int number = 0; number < zones.size(); number++) {
             members.add(new Member("i-" + name + "-" + number, zones.get(number), number == 0));
+            members.get(number).started = number < FIRST_MEMBERS;
         }
         members.forEach(Member::report);
         Link.start("replication", this::replicate);
@@ -80,7 +97,7 @@
                 .filter(member -> member.id.equals(id))
                 .findFirst()
                 .orElse(null);
-        if (chosen == null || chosen.dark) {
+        if (chosen == null || chosen.dark || !chosen.started || chosen.left) {
             return 409;
         }
         if (chosen.primary && chosen.term == newestTerm || chosen.beingPromoted) {
@@ -102,6 +119,29 @@
         return 200;
     }
 
+    /**
+     * Replaces a member: the new one starts, and when it has the log, the old one reports that it drains. It goes on
+     * serving, and ends later.
+     */
+    void release(Member old, Member replacement) {
+        journal.line(replacement.id, "starts");
+        replacement.started = true;
+        replacement.report();
+        sleep(1_000);
+        journal.line(old.id, "drains");
+        old.draining = true;
+        old.report();
+        Link.start("leave", () -> {
+            sleep(DRAIN_MILLIS);
+            if (!closed) {
+                journal.line(old.id, "ends");
+                old.left = true;
+                store.remove("servers/" + old.id);
+                old.dropConnections();
+            }
+        });
+    }
+
     /** Takes a member off the network without a reset; it comes back with its log, its connections lost. */
     void dark(Member member, boolean value) {
         synchronized (this) {
@@ -133,7 +173,11 @@
             synchronized (this) {
                 Member leader = primary();
                 for (Member member : leader == null || leader.dark ? List.<Member>of() : members) {
-                    if (member == leader || member.dark || !reach.between(leader, member)) {
+                    if (member == leader
+                            || member.dark
+                            || !member.started
+                            || member.left
+                            || !reach.between(leader, member)) {
                         member.reachedNewerSince = 0;
                         continue;
                     }
@@ -206,6 +250,9 @@
         private long sequence;
         volatile boolean dark;
         private volatile long darkSinceNanos;
+        private volatile boolean started;
+        private volatile boolean draining;
+        private volatile boolean left;
         private boolean beingPromoted;
         private boolean primary;
         private long term = 1;
@@ -245,11 +292,12 @@
         private void report() {
             String text;
             synchronized (Group.this) {
-                if (dark) {
+                if (dark || !started || left) {
                     return;
                 }
                 text = "{\"backend\":\"" + name + "\",\"address\":\"127.0.0.1:" + listener.getLocalPort()
-                        + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":3,\"state\":\"ready\","
+                        + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":3,\"state\":\""
+                        + (draining ? "draining" : "ready") + "\","
                         + "\"warmup_left_ms\":0,\"db_role\":\"" + (primary ? "primary" : "replica") + "\",\"seq\":"
                         + ++sequence + ",\"born\":" + born + "}";
             }
@@ -272,8 +320,7 @@
 
         private void serve(Socket socket, int number) {
             try (socket) {
-                BufferedReader in =
-                        new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+                LineReader in = new LineReader(socket.getInputStream());
                 OutputStream out = socket.getOutputStream();
                 Connection connection = new Connection(number);
                 for (String line = in.readLine(); line != null && !line.equals("TERMINATE"); line = in.readLine()) {
@@ -300,6 +347,7 @@
             private final List<String> writes = new ArrayList<>();
             private String state = "I";
             private boolean plain;
+            private int transaction;
 
             Connection(int number) {
                 this.number = number;
@@ -357,6 +405,7 @@
                         }
                         plain = rest.isEmpty();
                         state = "T";
+                        transaction++;
                         answer.append("COMPLETE -\r\n");
                         return "";
                     case "ROLLBACK":
@@ -429,7 +478,11 @@
                     }
                     switch (kind) {
                         case "READ":
-                            answer.append("DATAROW " + read(rest) + "\r\n");
+                            if (rest.startsWith(EXTRACT)) {
+                                appendExtract(Integer.parseInt(rest.substring(EXTRACT.length())), answer);
+                            } else {
+                                answer.append("DATAROW " + read(rest) + "\r\n");
+                            }
                             break;
                         case "WRITE":
                             writes.add(id + " " + text);
@@ -447,7 +500,8 @@
                             return "MALFORMED";
                     }
                     boolean old = term < newestTerm;
-                    runs.add(new Run(journal.seconds(), Member.this.id, number, id, text, state, term, old));
+                    runs.add(new Run(
+                            journal.seconds(), Member.this.id, number, transaction, id, text, state, term, old));
                     journal.line(
                             Member.this.id,
                             "conn " + number + " state " + state + " runs " + id + " " + text
@@ -460,6 +514,12 @@
                 return "";
             }
 
+            private void appendExtract(int rows, StringBuilder answer) {
+                for (int row = 0; row < rows; row++) {
+                    answer.append("DATAROW ").append(row).append(' ').append(EXTRACT_ROW).append("\r\n");
+                }
+            }
+
             private String read(String item) {
                 String wanted = "WRITE " + item + " ";
                 String data = "-";
--- a/review/standins/Link.java
+++ b/review/standins/Link.java
@@ -61,11 +61,12 @@
         return cut;
     }
 
-    /** Makes all present connections silent for good, without a reset; later ones work. Returns how many. */
-    int silencePresent() {
+    /** Makes a share of the present connections silent for good, without a reset; later ones work. Returns how many. */
+    int silencePresent(double share) {
         int count = 0;
+        long wanted = Math.round(share * pairs.stream().filter(pair -> !pair.ended).count());
         for (Pair pair : pairs) {
-            if (!pair.ended) {
+            if (!pair.ended && count < wanted) {
                 pair.silent = true;
                 start("drop", pair::dropFarEnd);
                 count++;
