--- a/review/standins/Fleet.java
+++ b/review/standins/Fleet.java
@@ -127,7 +127,8 @@
         for (String type : List.of("primary", "bounded_staleness", "read_your_writes")) {
             routes.append(routes.length() == 0 ? "" : ",")
                     .append("{\"name\":\"r-" + type + "\",\"host\":\"" + type + "\",\"prefix\":\"/\",\"route_type\":\""
-                            + type + "\",\"timeout_ms\":1000,\"target_latency_ms\":600,\"priority\":1,\"backend\":\""
+                            + type + "\",\"timeout_ms\":"
+                            + (type.equals("primary") ? 1_000 : 2_000) + ",\"target_latency_ms\":600,\"priority\":1,\"backend\":\""
                             + SERVICE + "\",\"attempts\":2,\"max_staleness_ms\":1500,\"public\":false,"
                             + "\"allowed_regions\":[]}");
         }
--- a/review/standins/Group.java
+++ b/review/standins/Group.java
@@ -17,6 +17,7 @@
 /** A service of members that speak the wire of PROTOCOL.md, replicate their log and report to the store. */
 final class Group implements AutoCloseable {
     private static final long WORK_MILLIS = 5;
+    private static final long EXTRACT_WORK_MILLIS = 300;
     private static final long HANDSHAKE_MILLIS = 12;
     private static final long REPLICATION_MILLIS = 30;
     private static final long PROMOTE_MILLIS = 300;
@@ -461,7 +462,8 @@
 
             private String runClientStatement(
                     String id, String word, String rest, String text, StringBuilder answer) {
-                sleep(WORK_MILLIS);
+                boolean extract = word.equals("READ") && rest.startsWith(EXTRACT);
+                sleep(extract ? EXTRACT_WORK_MILLIS : WORK_MILLIS);
                 String kind = word;
                 if (word.equals("EXECUTE")) {
                     String shape = prepared.get(rest.split(" ", 2)[0]);
@@ -478,7 +480,7 @@
                     }
                     switch (kind) {
                         case "READ":
-                            if (rest.startsWith(EXTRACT)) {
+                            if (extract) {
                                 appendExtract(Integer.parseInt(rest.substring(EXTRACT.length())), answer);
                             } else {
                                 answer.append("DATAROW " + read(rest) + "\r\n");
