--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/execution/ExecutionAction.java
@@ -0,0 +1,29 @@
+package org.banyanhook.core.execution;
+
+/** What an event leads to. */
+public enum ExecutionAction {
+    /** Use the connection: send BEGIN, or the statement if it needs no transaction. */
+    USE_CONNECTION,
+    /** Send the statement on the connection that has begun the transaction. */
+    SEND_STATEMENT,
+    /** Evaluate the answer to the statement: report it, or retry. */
+    EVALUATE_ANSWER,
+    /** Return the connection that refused to begin, and retry or report the refusal. */
+    EVALUATE_REFUSED_BEGIN,
+    /** Evaluate the loss of the connection while the statement was running: report it, or retry a read. */
+    EVALUATE_LOSS,
+    /** Request another connection; nothing has run. */
+    REQUEST_CONNECTION,
+    /** Report that no connection was available. */
+    REPORT_REFUSAL,
+    /** Withdraw the request for a connection and report that the statement was not run in time. */
+    WITHDRAW_AND_REPORT,
+    /** Close the connection, whose state is uncertain, and report the time-out. */
+    CLOSE_AND_REPORT,
+    /** End the execution without a report. */
+    END_SILENTLY,
+    /** Return a connection that the execution must not use any more; it is rolled back first if necessary. */
+    RETURN_CONNECTION,
+    /** Do nothing. */
+    IGNORE
+}
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/UnresolvedPromotions.java
@@ -0,0 +1,87 @@
+package org.banyanhook.core.primary;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The promotions whose outcome is not known: requests that were not answered, and recorded promotions whose member has
+ * not become primary since.
+ *
+ * <p>A request without an answer may still be carried out. If another member became primary meanwhile, the late request
+ * would replace it, and what it had acknowledged would be rolled back. Therefore no other member is promoted until the
+ * outcome of the earlier request is known. Not thread-safe.
+ */
+public final class UnresolvedPromotions {
+
+    /**
+     * How long a recorded promotion of another daemon is taken into account if its member does not become primary. The
+     * platform carries out a request that is held up within this time or not at all.
+     */
+    public static final long RECORD_RELEVANCE_NANOS = Duration.ofSeconds(10).toNanos();
+
+    private final Map<String, String> unansweredRequests = new HashMap<>();
+    private final Map<String, Long> completedRevisions = new HashMap<>();
+
+    /**
+     * A promotion recorded in the store.
+     *
+     * @param member the member to be promoted
+     * @param revision the revision of the record
+     * @param learnedNanos when this daemon learned of the record
+     */
+    public record RecordedPromotion(String member, long revision, long learnedNanos) {}
+
+    /** Records that this daemon sent a request to promote a member and received no answer. */
+    public void recordUnanswered(String group, String member) {
+        unansweredRequests.put(group, member);
+    }
+
+    /**
+     * Records that a request to promote a member was answered. The connection of an earlier request was reset before
+     * the later one was sent, so the answer is the outcome of both.
+     */
+    public void recordAnswer(String group) {
+        unansweredRequests.remove(group);
+    }
+
+    /**
+     * Records which member is the primary.
+     *
+     * @param group the database group
+     * @param primary the current primary
+     * @param recorded the last recorded promotion, or null if there is none
+     */
+    public void observePrimary(String group, String primary, @Nullable RecordedPromotion recorded) {
+        unansweredRequests.remove(group, primary);
+        if (recorded != null && recorded.member().equals(primary)) {
+            completedRevisions.put(group, recorded.revision());
+        }
+    }
+
+    /**
+     * Returns the member that has to be promoted before any other.
+     *
+     * @param group the database group
+     * @param recorded the last recorded promotion, or null if there is none
+     * @param candidates the members that can be promoted now
+     * @param nowNanos the time
+     * @return the member, or empty if the choice is free
+     */
+    public Optional<String> memberToPromoteFirst(
+            String group, @Nullable RecordedPromotion recorded, Set<String> candidates, long nowNanos) {
+        String unanswered = unansweredRequests.get(group);
+        if (unanswered != null) {
+            return Optional.of(unanswered);
+        }
+        if (recorded == null
+                || completedRevisions.getOrDefault(group, 0L) >= recorded.revision()
+                || nowNanos - recorded.learnedNanos() >= RECORD_RELEVANCE_NANOS) {
+            return Optional.empty();
+        }
+        return Optional.of(recorded.member()).filter(candidates::contains);
+    }
+}
--- /dev/null
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/primary/UnresolvedPromotionsTest.java
@@ -0,0 +1,67 @@
+package org.banyanhook.core.primary;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Optional;
+import java.util.Set;
+import org.banyanhook.core.primary.UnresolvedPromotions.RecordedPromotion;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+
+final class UnresolvedPromotionsTest {
+
+    private static final long LEARNED_NANOS = 1_000;
+    private static final RecordedPromotion RECORDED = new RecordedPromotion("b", 7, LEARNED_NANOS);
+
+    private final UnresolvedPromotions promotions = new UnresolvedPromotions();
+
+    /** The address of the platform is cut off while a primary is dark, and the primary is back before the end. */
+    @Test
+    void noOtherMemberIsPromotedWhileARequestIsUnanswered() {
+        promotions.recordUnanswered("group", "b");
+        assertThat(first(null, Set.of("a", "c"), Long.MAX_VALUE / 2)).hasValue("b");
+        promotions.recordAnswer("group");
+        assertThat(first(null, Set.of("a", "b"), LEARNED_NANOS)).isEmpty();
+    }
+
+    @Test
+    void unansweredRequestIsResolvedWhenItsMemberLeads() {
+        promotions.recordUnanswered("group", "b");
+        promotions.observePrimary("group", "a", null);
+        assertThat(first(null, Set.of("a"), LEARNED_NANOS)).hasValue("b");
+        promotions.observePrimary("group", "b", null);
+        assertThat(first(null, Set.of("a"), LEARNED_NANOS)).isEmpty();
+    }
+
+    /** A daemon takes over from one that has recorded a promotion and may have requested it. */
+    @Test
+    void recordedPromotionComesFirstUntilItsMemberHasLed() {
+        assertThat(first(RECORDED, Set.of("a", "b"), LEARNED_NANOS)).hasValue("b");
+        promotions.observePrimary("group", "b", RECORDED);
+        assertThat(first(RECORDED, Set.of("a", "b"), LEARNED_NANOS)).isEmpty();
+        RecordedPromotion later = new RecordedPromotion("b", 8, LEARNED_NANOS);
+        assertThat(first(later, Set.of("a", "b"), LEARNED_NANOS)).hasValue("b");
+    }
+
+    @Test
+    void recordedPromotionOfAMemberThatCannotBePromotedDoesNotBlockOthers() {
+        assertThat(first(RECORDED, Set.of("a"), LEARNED_NANOS)).isEmpty();
+    }
+
+    @Test
+    void recordedPromotionIsIrrelevantAfterAWhile() {
+        long last = LEARNED_NANOS + UnresolvedPromotions.RECORD_RELEVANCE_NANOS;
+        assertThat(first(RECORDED, Set.of("b"), last - 1)).hasValue("b");
+        assertThat(first(RECORDED, Set.of("b"), last)).isEmpty();
+    }
+
+    @Test
+    void groupsAreIndependent() {
+        promotions.recordUnanswered("other", "b");
+        assertThat(first(null, Set.of("a", "b"), LEARNED_NANOS)).isEmpty();
+    }
+
+    private Optional<String> first(@Nullable RecordedPromotion recorded, Set<String> candidates, long nowNanos) {
+        return promotions.memberToPromoteFirst("group", recorded, candidates, nowNanos);
+    }
+}
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import org.banyanhook.gateway.backend.ConnectionProbe;
 import org.banyanhook.gateway.backend.DatabaseGroups;
 import org.banyanhook.gateway.backend.GroupContext;
+import org.banyanhook.gateway.backend.NettyMemberConnector;
 import org.banyanhook.gateway.fleet.DaemonRegistration;
 import org.banyanhook.gateway.fleet.FleetDirectory;
 import org.banyanhook.gateway.fleet.StoreMirror;
@@ -131,7 +132,15 @@
         this.primaryAccess =
                 new StoreOrQuorumPolicy(registration::nanosSinceContact, voteExchange, clock, eventLoop, log);
         GroupContext groupContext = new GroupContext(
-                settings, directory, eventLoops, primaryAccess, ports.sessionCodec(), clock, log, metrics);
+                settings,
+                directory,
+                eventLoops,
+                primaryAccess,
+                ports.sessionCodec(),
+                new NettyMemberConnector(eventLoops, ports.sessionCodec()),
+                clock,
+                log,
+                metrics);
         this.databaseGroups = new DatabaseGroups(groupContext);
         directory.addListener(databaseGroups);
         registration.onContact(databaseGroups::tick);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionAllocator.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionAllocator.java
@@ -1,7 +1,10 @@
 package org.banyanhook.gateway.backend;
 
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
@@ -28,15 +31,21 @@
 
     private final GroupContext context;
     private final MemberConnection.Owner owner;
+    private final Set<MemberConnection> connections = new HashSet<>();
     private final Map<MemberConnection, PendingOpen> pendingOpens = new HashMap<>();
 
-    private record PendingOpen(ConnectionRequest request, Placement placement) {}
+    private record PendingOpen(ConnectionRequest request, Placement placement, ConnectionLease lease) {}
 
     ConnectionAllocator(GroupContext context, MemberConnection.Owner owner) {
         this.context = context;
         this.owner = owner;
     }
 
+    /** Returns all connections of the group, including those to members that are not listed any more. */
+    List<MemberConnection> connections() {
+        return List.copyOf(connections);
+    }
+
     /** Returns how many connections to a member this daemon may keep. */
     int connectionShare(MemberServer server, boolean primary, IntSupplier limit) {
         String domain = server.entry().failureDomain();
@@ -69,8 +78,7 @@
     void leaseOrOpen(MemberServer server, ConnectionRequest request, Placement placement) {
         MemberConnection idle = findIdle(server, request.account());
         if (idle != null) {
-            idle.lease();
-            request.listener().onConnectionLeased(idle, placement);
+            request.listener().onConnectionLeased(idle.lease(placement.primary()), placement);
             return;
         }
         if (placement.access() == Access.REPLACED_CONNECTION) {
@@ -96,14 +104,18 @@
             resubmit(pendingOpen, resubmit);
             return;
         }
-        if (pendingOpen == null || pendingOpen.request().isCancelled()) {
-            connection.endLease();
+        if (pendingOpen == null) {
+            return;
+        }
+        if (pendingOpen.request().isCancelled()) {
+            connection.endLease(pendingOpen.lease());
             return;
         }
-        pendingOpen.request().listener().onConnectionLeased(connection, pendingOpen.placement());
+        pendingOpen.request().listener().onConnectionLeased(pendingOpen.lease(), pendingOpen.placement());
     }
 
     void onClosed(MemberConnection connection, String reason, Consumer<ConnectionRequest> resubmit) {
+        connections.remove(connection);
         connection.server().connections().remove(connection);
         context.metrics().count("member.connections", "change", "closed");
         context.log()
@@ -130,10 +142,11 @@
 
     private void open(MemberServer server, ConnectionRequest request, Placement placement) {
         MemberConnection connection = new MemberConnection(server, request.account(), context.clock(), owner);
-        connection.lease();
+        ConnectionLease lease = connection.lease(placement.primary());
         connection.beyondShare(placement.access() == Access.BORROWED_CONNECTION);
+        connections.add(connection);
         server.connections().add(connection);
-        pendingOpens.put(connection, new PendingOpen(request, placement));
+        pendingOpens.put(connection, new PendingOpen(request, placement, lease));
         context.metrics().count("member.connections", "change", "opened");
         // A member may accept the connection and then not answer.
         var unused = context.eventLoops()
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionProbe.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionProbe.java
@@ -51,13 +51,13 @@
 
     private CompletableFuture<Optional<MemberReport>> sendOn(MemberConnection connection, MemberCommand command) {
         CompletableFuture<Optional<MemberReport>> result = new CompletableFuture<>();
-        connection.lease();
+        ConnectionLease lease = connection.lease(false);
         var timer = context.eventLoops()
                 .next()
                 .schedule(() -> connection.close("probe timed out"), PROBE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         connection.send(command, (answer, sentNanos) -> {
             timer.cancel(false);
-            connection.endLease();
+            connection.endLease(lease);
             result.complete(logReport(connection, command, answer));
         });
         connection.flush();
@@ -123,5 +123,10 @@
                 result.complete(Optional.empty());
             }
         }
+
+        @Override
+        public void onMisuse(MemberConnection connection, String operation) {
+            throw new IllegalStateException("the connection of a probe is not leased: " + operation);
+        }
     }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionRequestListener.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionRequestListener.java
@@ -5,12 +5,12 @@
 /** Receives the result of a connection request. Exactly one method is called, once. */
 public interface ConnectionRequestListener {
     /**
-     * Handles that a connection was leased for the request. The connection must be released.
+     * Handles that a connection was leased for the request. The lease must be ended.
      *
-     * @param connection the connection
+     * @param lease the lease of the connection
      * @param placement the member chosen and the state that the choice was based on
      */
-    void onConnectionLeased(MemberConnection connection, Placement placement);
+    void onConnectionLeased(ConnectionLease lease, Placement placement);
 
     /**
      * Handles that the request was refused; nothing was sent to a member.
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
@@ -9,9 +9,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.banyanhook.core.admission.AdmissionDecision;
 import org.banyanhook.core.admission.FairQueue;
 import org.banyanhook.core.configuration.GroupLimits;
+import org.banyanhook.core.primary.GroupTerms;
+import org.banyanhook.core.primary.PrimaryReliance;
 import org.banyanhook.core.primary.PrimaryReport;
 import org.banyanhook.core.replication.LogPosition;
 import org.banyanhook.core.replication.PositionHistory;
@@ -19,7 +22,11 @@
 import org.banyanhook.core.routing.StatementPlacement.Access;
 import org.banyanhook.gateway.fleet.FleetDirectory.MemberRecord;
 import org.banyanhook.gateway.message.MemberAnswer;
+import org.banyanhook.gateway.message.MemberCommand;
+import org.banyanhook.gateway.message.MemberReport;
 import org.banyanhook.gateway.message.SessionError;
+import org.banyanhook.gateway.message.SessionStatement;
+import org.banyanhook.gateway.message.TransactionState;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -42,6 +49,15 @@
     /** How long a member takes to accept a connection, and a round trip in addition. */
     private static final double NEW_CONNECTION_PENALTY_MILLIS = 20;
 
+    /**
+     * After a suspension, or a step of the wall clock, the store answers within this time whether this daemon is still
+     * in contact with it; until then nothing new is sent to the primary, but its connections are kept.
+     */
+    private static final long SUSPENSION_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    /** A member that takes longer to roll back is treated like one whose connection is broken. */
+    private static final long ROLLBACK_TIMEOUT_MILLIS = 2_000;
+
     private final String name;
     private final GroupContext context;
     private final ConnectionAllocator allocator;
@@ -51,8 +67,8 @@
     private final FairQueue<ConnectionRequest> readQueue =
             new FairQueue<>(QUEUE_CAPACITY_REQUESTS, QUEUE_CAPACITY_REQUESTS_PER_ACCOUNT);
     private final PositionHistory positionHistory = new PositionHistory();
+    private final GroupTerms terms = new GroupTerms();
     private @Nullable MemberServer primary;
-    private long highestTerm;
     private long primaryPausedUntilNanos;
     private boolean primaryPaused;
     private boolean primaryUsable = true;
@@ -90,9 +106,9 @@
         return primary();
     }
 
-    /** Returns the highest term that any member has reported. */
-    public long highestTerm() {
-        return highestTerm;
+    /** Returns what is known of the terms of the group. */
+    public GroupTerms terms() {
+        return terms;
     }
 
     /**
@@ -120,12 +136,15 @@
     }
 
     /**
-     * Releases a leased connection.
+     * Releases a leased connection. A lease that has ended already is not released again.
      *
-     * @param connection the connection, which must not be in a transaction or have unanswered commands
+     * @param lease the lease, whose connection must not be in a transaction or have unanswered commands
      */
-    public void release(MemberConnection connection) {
-        connection.endLease();
+    public void release(ConnectionLease lease) {
+        MemberConnection connection = lease.connection();
+        if (!connection.endLease(lease)) {
+            return;
+        }
         if (!isAvailable(connection.server())) {
             connection.close("the member accepts no new requests");
         } else {
@@ -135,6 +154,32 @@
         dispatch();
     }
 
+    /**
+     * Rolls back the transaction of a leased connection, and releases the connection when the member has confirmed it.
+     *
+     * @param lease the lease
+     */
+    public void rollBack(ConnectionLease lease) {
+        var timer = context.eventLoops()
+                .next()
+                .schedule(
+                        () -> lease.close("rollback was not answered in time"),
+                        ROLLBACK_TIMEOUT_MILLIS,
+                        TimeUnit.MILLISECONDS);
+        lease.send(new MemberCommand.Own(new SessionStatement.Rollback(), null), (answer, sentNanos) -> {
+            timer.cancel(false);
+            if (answer == null) {
+                return;
+            }
+            if (answer.error() == null && answer.state() == TransactionState.IDLE) {
+                release(lease);
+            } else {
+                lease.close("rollback failed");
+            }
+        });
+        lease.flush();
+    }
+
     private void enforceShare(MemberConnection connection) {
         int share =
                 allocator.connectionShare(connection.server(), isPrimary(connection.server()), this::connectionLimit);
@@ -175,14 +220,15 @@
         if (isPrimary(server)) {
             server.rejectPrimaryReport();
             reselectPrimary("the member reported that it is not the primary");
+            endWorkAtFormerPrimaries();
         }
     }
 
     /** Handles that a member did not answer in time; it may never answer the other commands of this daemon either. */
-    public void onTimeout(MemberConnection connection) {
-        connection
-                .server()
-                .recordFailure(connection.lastLeasedNanos(), context.clock().nowNanos());
+    public void onTimeout(ConnectionLease lease) {
+        lease.server()
+                .recordFailure(
+                        lease.connection().lastLeasedNanos(), context.clock().nowNanos());
     }
 
     /** Records how long a member took to run a statement. */
@@ -196,22 +242,65 @@
         primaryPausedUntilNanos = untilNanos;
     }
 
-    /** Closes all connections to the primary; the commands pending on them remain unanswered. */
-    public void closePrimaryConnections(String reason) {
-        MemberServer closing = primary;
-        if (closing != null) {
-            for (MemberConnection connection : List.copyOf(closing.connections())) {
+    /**
+     * Closes all connections to the primary, and those to former primaries on which work that relies on them is in
+     * progress. The commands pending on them remain unanswered.
+     */
+    public void stopUsingPrimary(String reason) {
+        for (MemberConnection connection : allocator.connections()) {
+            if (connection.reliesOnPrimary() || isPrimary(connection.server())) {
                 connection.close(reason);
             }
         }
     }
 
+    /** Ends the work at members that are not the primary any more, as far as this daemon knows. */
+    public void endWorkAtFormerPrimaries() {
+        for (MemberConnection connection : allocator.connections()) {
+            if (connection.reliesOnPrimary()) {
+                PrimaryReliance reliance = reliance(connection.server());
+                if (reliance != PrimaryReliance.CONTINUES) {
+                    connection.close(reliance.reason());
+                }
+            }
+        }
+    }
+
+    private PrimaryReliance reliance(MemberServer server) {
+        MemberServer listed = servers.get(server.name());
+        return PrimaryReliance.decide(
+                server.name(),
+                context.directory().recordedPrimary(name).orElse(null),
+                primary == null ? null : primary.name(),
+                server.isPrimaryReportRejected(),
+                listed != null && listed != server);
+    }
+
+    /**
+     * Handles the status that a member reported of itself.
+     *
+     * @param server the member
+     * @param report the report
+     * @param sentNanos when the report was requested; the member may have been promoted since
+     */
+    public void onReport(MemberServer server, MemberReport report, long sentNanos) {
+        terms.recordHeld(server.name(), report.term(), context.clock().nowNanos());
+        if (!report.primary() && sentNanos - server.primaryReportedNanos() >= 0) {
+            onNotPrimary(server);
+        }
+    }
+
     /** Ends a pause and dispatches queued requests. */
     public void resumePrimary() {
         primaryPaused = false;
         dispatch();
     }
 
+    /** Returns the newest known position of the primary, with the time up to which it covers all writes. */
+    Optional<PositionHistory.Entry> newestPosition() {
+        return positionHistory.newest();
+    }
+
     /** Clears the history of the primary's positions, because the clock does not count a suspension. */
     void clearPositionHistory() {
         positionHistory.clear();
@@ -240,6 +329,7 @@
         }
         closeUnavailableConnections();
         reselectPrimary("the entries of the members changed");
+        endWorkAtFormerPrimaries();
         dispatch();
     }
 
@@ -258,7 +348,8 @@
     /** Closes the connections to a primary that may have been replaced without this daemon learning of it. */
     private void checkPrimaryAccess() {
         boolean usable = context.primaryAccess().mayUsePrimary(name);
-        if (usable == primaryUsable) {
+        long now = context.clock().nowNanos();
+        if (usable == primaryUsable || (!usable && context.clock().jumpedSince(now - SUSPENSION_CHECK_NANOS))) {
             return;
         }
         primaryUsable = usable;
@@ -269,7 +360,7 @@
                 .with("change", usable ? "regained" : "lost")
                 .write();
         if (!usable) {
-            closePrimaryConnections("the primary may have been replaced without this daemon learning of it");
+            stopUsingPrimary("the primary may have been replaced without this daemon learning of it");
         }
     }
 
@@ -322,7 +413,7 @@
             }
         }
         MemberServer selected = PrimaryReport.selectCurrent(
-                        reports, highestTerm, context.directory().recordedPrimary(name))
+                        reports, terms.highestLoggedTerm(), context.directory().recordedPrimary(name))
                 .map(report -> servers.get(report.member()))
                 .orElse(null);
         if (selected == primary) {
@@ -333,7 +424,7 @@
                 .with("group", name)
                 .with("member", selected == null ? null : selected.name())
                 .with("before", primary == null ? null : primary.name())
-                .with("highestTerm", highestTerm)
+                .with("highestTerm", terms.newest().term())
                 .with("claims", reports.size())
                 .with("reason", reason)
                 .write();
@@ -478,11 +569,14 @@
             if (position == null) {
                 return;
             }
-            if (position.term() > highestTerm) {
-                highestTerm = position.term();
+            if (terms.recordLogged(
+                    server.name(), position.term(), context.clock().nowNanos())) {
                 reselectPrimary("a member reported a newer term");
+                endWorkAtFormerPrimaries();
             }
-            if (isPrimary(server) && position.term() >= highestTerm) {
+            boolean current = position.term() >= terms.highestLoggedTerm()
+                    && !context.clock().jumpedSince(sentNanos);
+            if (isPrimary(server) && current) {
                 positionHistory.recordAnswer(sentNanos, position);
             }
         }
@@ -492,5 +586,17 @@
             allocator.onClosed(connection, reason, DatabaseGroup.this::submit);
             dispatch();
         }
+
+        @Override
+        public void onMisuse(MemberConnection connection, String operation) {
+            context.metrics().count("faults", "kind", "lease-ended");
+            context.log()
+                    .line("fault")
+                    .with("group", name)
+                    .with("member", connection.server().name())
+                    .with("account", connection.account())
+                    .with("reason", "refused on a connection whose lease has ended: " + operation)
+                    .write();
+        }
     }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/GroupContext.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/GroupContext.java
@@ -16,7 +16,8 @@
  * @param directory the known state of the fleet
  * @param eventLoops the event loops of the connections
  * @param primaryAccess decides whether primaries may be used
- * @param codec encodes and decodes the messages to and from members
+ * @param codec decodes the reports of members
+ * @param connector establishes connections to members
  * @param clock the monotonic clock
  * @param log receives a line for each change of the known state
  * @param metrics counts connections
@@ -27,6 +28,7 @@
         EventLoopGroup eventLoops,
         PrimaryAccessPolicy primaryAccess,
         SessionCodec codec,
+        MemberConnector connector,
         MonotonicClock clock,
         DecisionLog log,
         GatewayMetrics metrics) {}
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberConnection.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberConnection.java
@@ -1,8 +1,8 @@
 package org.banyanhook.gateway.backend;
 
+import com.google.common.base.Preconditions;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -16,7 +16,6 @@
 import org.banyanhook.gateway.message.SessionStatement.PreparedShape;
 import org.banyanhook.gateway.message.TransactionState;
 import org.banyanhook.gateway.operation.MonotonicClock;
-import org.banyanhook.gateway.operation.NettyBootstraps;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -41,7 +40,7 @@
     private @Nullable Channel channel;
     private boolean open;
     private boolean closed;
-    private boolean leased;
+    private @Nullable ConnectionLease currentLease;
     private boolean beyondShare;
     private int consecutiveLeases;
     private long lastLeasedNanos;
@@ -70,6 +69,9 @@
 
         /** Handles that the connection was closed. */
         void onClosed(MemberConnection connection, String reason);
+
+        /** Handles that an operation was refused because its lease had ended. */
+        void onMisuse(MemberConnection connection, String operation);
     }
 
     MemberConnection(MemberServer server, String account, MonotonicClock clock, Owner owner) {
@@ -97,11 +99,11 @@
 
     /** Returns whether it is leased for a statement or transaction. */
     public boolean isLeased() {
-        return leased;
+        return currentLease != null;
     }
 
     boolean isIdle() {
-        return open && !closed && !leased && pendingCommands.isEmpty();
+        return open && !closed && currentLease == null && pendingCommands.isEmpty();
     }
 
     boolean isBeyondShare() {
@@ -112,10 +114,36 @@
         beyondShare = value;
     }
 
-    void lease() {
-        leased = true;
+    /**
+     * Leases the connection, which must not be leased already.
+     *
+     * @param reliesOnPrimary whether the work relies on the member being the primary
+     */
+    ConnectionLease lease(boolean reliesOnPrimary) {
+        Preconditions.checkState(currentLease == null, "the connection is leased already");
+        ConnectionLease lease = new ConnectionLease(this, reliesOnPrimary);
+        currentLease = lease;
         lastLeasedNanos = clock.nowNanos();
         consecutiveLeases++;
+        return lease;
+    }
+
+    boolean isLeasedBy(ConnectionLease lease) {
+        return currentLease == lease;
+    }
+
+    /** Returns whether work is in progress that relies on the member being the primary. */
+    boolean reliesOnPrimary() {
+        ConnectionLease lease = currentLease;
+        return lease != null && lease.reliesOnPrimary();
+    }
+
+    void reportMisuse(String operation) {
+        owner.onMisuse(this, operation);
+    }
+
+    long nowNanos() {
+        return clock.nowNanos();
     }
 
     /** Returns when it was last leased. */
@@ -132,8 +160,13 @@
         return may;
     }
 
-    void endLease() {
-        leased = false;
+    /** Ends a lease; returns false, and logs a fault, if it has ended before. */
+    boolean endLease(ConnectionLease lease) {
+        if (!lease.checkCurrent("end lease")) {
+            return false;
+        }
+        currentLease = null;
+        return true;
     }
 
     /**
@@ -260,19 +293,7 @@
 
     /** Connects to the member; the owner is notified when the connection is open or closed. */
     void connect(GroupContext context, int timeoutMillis) {
-        NettyBootstraps.clientBootstrap(context.eventLoops(), timeoutMillis)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel connected) {
-                        connected.pipeline().addLast(context.codec().newMemberCodec(), MemberConnection.this);
-                    }
-                })
-                .connect(server.entry().address())
-                .addListener(done -> {
-                    if (!done.isSuccess()) {
-                        handleClose("connection failed: " + done.cause().getMessage());
-                    }
-                });
+        context.connector().connect(server.entry().address(), timeoutMillis, this, this::handleClose);
     }
 
     private void onOpenAnswer(@Nullable MemberAnswer answer, long sentNanos) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
@@ -30,6 +30,7 @@
     private final WarmUpLimiter warmUp;
     private MemberEntry entry;
     private long primarySinceRevision;
+    private long primaryReportedNanos;
     private boolean listed = true;
     private LogPosition position = LogPosition.START;
     private int consecutiveFailures;
@@ -45,6 +46,7 @@
     MemberServer(MemberEntry entry, long primarySinceRevision, long nowNanos) {
         this.entry = entry;
         this.primarySinceRevision = primarySinceRevision;
+        this.primaryReportedNanos = nowNanos;
         this.latency = new LatencyEstimate(INITIAL_LATENCY_NANOS, nowNanos);
         this.warmUp = new WarmUpLimiter(nowNanos);
         this.warmUp.recordRemainingWarmUp(entry.warmUpMillis(), nowNanos);
@@ -113,6 +115,16 @@
         return nowNanos - lastAnswerNanos;
     }
 
+    /** Returns whether it has said itself that it is not the primary, although its entry reports that it is. */
+    boolean isPrimaryReportRejected() {
+        return primaryReportRejected;
+    }
+
+    /** Returns when this daemon learned that it reports to be the primary. */
+    long primaryReportedNanos() {
+        return primaryReportedNanos;
+    }
+
     boolean isRetryDue(long nowNanos) {
         return nowNanos - retryAtNanos >= 0;
     }
@@ -138,6 +150,9 @@
             warmUp.recordRemainingWarmUp(newEntry.warmUpMillis(), nowNanos);
         }
         boolean reportsAgain = revision > primarySinceRevision;
+        if (reportsAgain) {
+            primaryReportedNanos = nowNanos;
+        }
         if (reportsAgain || !newEntry.primary()) {
             primaryReportRejected = false;
             termSinceReport = 0;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DaemonRegistration.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DaemonRegistration.java
@@ -81,6 +81,7 @@
         this.clock = clock;
         this.log = log;
         this.metrics = metrics;
+        clock.addJumpListener(() -> eventLoop.execute(this::renewAfterSuspension));
     }
 
     /** Sets a listener that is called when contact is established, and when it is regained after a failed call. */
@@ -94,13 +95,13 @@
             return;
         }
         long sentNanos = clock.nowNanos();
-        store.openLease(LEASE_TIME_TO_LIVE)
-                .thenCompose(opened -> {
-                    lease = opened;
-                    return store.put(key, value, OptionalLong.empty(), opened);
-                })
+        openLease()
+                .thenCompose(opened -> store.put(key, value, OptionalLong.empty(), opened))
                 .whenComplete((revision, failure) -> {
                     if (failure != null) {
+                        if (StoreException.kind(failure) == StoreException.Kind.LEASE_ENDED) {
+                            lease = 0;
+                        }
                         retryAfterFailure(failure, this::start);
                         return;
                     }
@@ -113,6 +114,20 @@
                 });
     }
 
+    /**
+     * Opens a lease unless one is open from an earlier attempt. A write that got no answer may be executed later; if it
+     * named another lease, the entry would end with that lease while this daemon renews its own.
+     */
+    private CompletableFuture<Long> openLease() {
+        if (lease != 0) {
+            return CompletableFuture.completedFuture(lease);
+        }
+        return store.openLease(LEASE_TIME_TO_LIVE).thenApply(opened -> {
+            lease = opened;
+            return opened;
+        });
+    }
+
     /** Ends the lease, so that the entry disappears at once instead of expiring. */
     public CompletableFuture<Void> stop() {
         stopped = true;
@@ -121,7 +136,9 @@
 
     /** Returns the time since the last call that the store answered, in nanoseconds; very large if it never did. */
     public long nanosSinceContact() {
-        return contactEstablished ? clock.nowNanos() - lastContactNanos : Long.MAX_VALUE / 2;
+        // The clock does not count a suspension, in which a primary may have been replaced.
+        boolean known = contactEstablished && !clock.jumpedSince(lastContactNanos);
+        return known ? clock.nowNanos() - lastContactNanos : Long.MAX_VALUE / 2;
     }
 
     /** Returns when the last call was sent that the store answered; far in the past if it never did. */
@@ -143,6 +160,7 @@
                         .with("lease", lease)
                         .with("change", "lapsed")
                         .write();
+                lease = 0;
                 // The lease may have been revoked because a primary is being replaced, so read the records before
                 // registering.
                 lastCallFailed = false;
@@ -153,6 +171,20 @@
         });
     }
 
+    /** Renews the lease at once, since primaries are not used until the store has answered after the suspension. */
+    private void renewAfterSuspension() {
+        if (stopped || lease == 0) {
+            return;
+        }
+        long sentNanos = clock.nowNanos();
+        store.renewLease(lease).whenComplete((done, failure) -> {
+            if (failure == null) {
+                recordContact(sentNanos);
+                contactListener.run();
+            }
+        });
+    }
+
     private void recordContact(long sentNanos) {
         metrics.count("store.calls", "result", "lease-answered");
         boolean regained = lastCallFailed;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
@@ -19,6 +19,7 @@
 import org.banyanhook.core.configuration.SessionConfiguration;
 import org.banyanhook.core.error.RefusalException;
 import org.banyanhook.core.key.KeyRegistry;
+import org.banyanhook.core.primary.UnresolvedPromotions.RecordedPromotion;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.MonotonicClock;
 import org.banyanhook.gateway.port.DaemonEntry;
@@ -72,8 +73,6 @@
 
     private record EndedDaemon(long endedNanos, DaemonEntry entry) {}
 
-    private record RecordedPromotion(String member, long revision) {}
-
     private record HeldPromotionLease(String entryVm, long lease) {}
 
     /**
@@ -171,6 +170,11 @@
         return Optional.ofNullable(promotions.get(group)).map(RecordedPromotion::member);
     }
 
+    /** Returns the last recorded promotion of a group, or empty if none is recorded. */
+    public Optional<RecordedPromotion> recordedPromotion(String group) {
+        return Optional.ofNullable(promotions.get(group));
+    }
+
     /** Returns the revision of the newest recorded promotion, or 0 if there is none. */
     public long newestPromotionRevision() {
         return promotions.values().stream()
@@ -370,7 +374,7 @@
             daemonLeases.put(found.entry().entryVm(), change.lease());
             endedDaemons.remove(found.entry().entryVm());
         } else if (record instanceof FleetRecord.Promotion found) {
-            promotions.put(found.group(), new RecordedPromotion(found.member(), change.revision()));
+            promotions.put(found.group(), new RecordedPromotion(found.member(), change.revision(), clock.nowNanos()));
             log.line("promotion-record")
                     .with("group", found.group())
                     .with("member", found.member())
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/operation/MonotonicClock.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/operation/MonotonicClock.java
@@ -22,6 +22,8 @@
     private final LongSupplier wallClockMillis;
     private final List<Runnable> jumpListeners = new ArrayList<>();
     private long offsetMillis;
+    private boolean hasJumped;
+    private long lastJumpNanos;
 
     /**
      * Creates a clock.
@@ -51,11 +53,24 @@
         long offset = computeOffsetMillis(now);
         if (Math.abs(offset - offsetMillis) > JUMP_THRESHOLD_MILLIS) {
             offsetMillis = offset;
+            hasJumped = true;
+            lastJumpNanos = now;
             jumpListeners.forEach(Runnable::run);
         }
         return now;
     }
 
+    /**
+     * Returns whether the machine may have been suspended since a time, so that the time that has passed since then is
+     * not known. Reads the clock first, so that a suspension that ended just now is noticed.
+     *
+     * @param nanos an earlier reading of this clock
+     */
+    public boolean jumpedSince(long nanos) {
+        nowNanos();
+        return hasJumped && nanos - lastJumpNanos < 0;
+    }
+
     private long computeOffsetMillis(long nowNanos) {
         return wallClockMillis.getAsLong() - TimeUnit.NANOSECONDS.toMillis(nowNanos);
     }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/PromotionAuthority.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/PromotionAuthority.java
@@ -12,7 +12,9 @@
         ACCEPTED,
         /** The member is not running, or the request was refused. */
         REJECTED,
-        /** No answer was received, or the platform was overloaded; the same request may be sent again. */
+        /** The platform was overloaded or unavailable and did nothing; the same request may be sent again. */
+        REFUSED,
+        /** No answer was received; the member may become primary, now or later. */
         NO_ANSWER
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/RecordStore.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/RecordStore.java
@@ -43,15 +43,18 @@
     CompletableFuture<Long> put(String key, byte[] value, OptionalLong expectedRevision, long lease);
 
     /**
-     * Writes a record without a lease, if another record still has a given revision.
+     * Writes a record without a lease, if it and another record still have given revisions. A write whose answer was
+     * lost therefore has no effect once a later one has been made.
      *
      * @param key the key of the record
      * @param value the bytes of the record
+     * @param expectedRevision the required revision of the record, 0 if it must not exist
      * @param guardKey the key of the other record
      * @param guardRevision the required revision of the other record
      * @return the revision of the change
      */
-    CompletableFuture<Long> putGuarded(String key, byte[] value, String guardKey, long guardRevision);
+    CompletableFuture<Long> putGuarded(
+            String key, byte[] value, long expectedRevision, String guardKey, long guardRevision);
 
     /**
      * Opens a lease.
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
@@ -108,6 +108,7 @@
     }
 
     private void evaluate(DatabaseGroup group, GroupState state, long now) {
+        workflow.observePrimary(group);
         Optional<Reason> reason = findReason(group, now);
         if (!reason.equals(state.reason)) {
             state.reason = reason;
@@ -151,14 +152,14 @@
     private CompletableFuture<Boolean> confirmReason(DatabaseGroup group, Reason reason) {
         MemberServer primary = group.primary().orElse(null);
         if (reason == Reason.UNREACHABLE && primary != null) {
-            return voter.isResponding(primary).thenApply(answered -> !answered);
+            return voter.isResponding(group, primary).thenApply(answered -> !answered);
         }
         if (reason != Reason.ABSENT) {
             return CompletableFuture.completedFuture(true);
         }
         List<CompletableFuture<Boolean>> answers = group.servers().stream()
                 .filter(server -> server.primarySinceRevision() > 0)
-                .map(voter::isResponding)
+                .map(server -> voter.isResponding(group, server))
                 .toList();
         return CompletableFuture.allOf(answers.toArray(new CompletableFuture<?>[0]))
                 .thenApply(done -> group.refreshPrimary().isEmpty());
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionLease.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionLease.java
@@ -81,10 +81,11 @@
         return endFormerLease()
                 .thenCompose(done -> store.openLease(TIME_TO_LIVE))
                 .thenCompose(opened -> store.put(key, value, OptionalLong.of(0), opened)
+                        .exceptionallyCompose(failure -> endUnconfirmedLease(opened, failure))
                         .thenApply(revision -> {
                             leaseId = opened;
                             fencingToken = revision;
-                            held = true;
+                            held = !clock.jumpedSince(sentNanos);
                             expiresAtNanos = sentNanos + TIME_TO_LIVE.toNanos() - EXPIRY_MARGIN_NANOS;
                             log.line("promotion-duty")
                                     .with("group", group)
@@ -106,6 +107,14 @@
                 : store.endLease(former.getAsLong()).exceptionallyCompose(PromotionLease::ignoreEndedLease);
     }
 
+    /** Ends a lease whose record may still be written although no answer came, so that a late write has no effect. */
+    private CompletableFuture<Long> endUnconfirmedLease(long opened, Throwable failure) {
+        if (StoreException.kind(failure) == StoreException.Kind.NO_ANSWER) {
+            var unused = store.endLease(opened).exceptionallyCompose(PromotionLease::ignoreEndedLease);
+        }
+        return CompletableFuture.failedFuture(failure);
+    }
+
     /** Returns success if the failure says that the lease has ended already, else the failure. */
     static CompletableFuture<Void> ignoreEndedLease(Throwable failure) {
         return StoreException.kind(failure) == StoreException.Kind.LEASE_ENDED
@@ -115,6 +124,8 @@
 
     /** Returns whether this daemon holds the lease and it cannot have expired yet. */
     public boolean isHeld() {
-        return held && clock.nowNanos() - expiresAtNanos < 0;
+        // Reading the clock may reveal a suspension, which ends the lease.
+        long now = clock.nowNanos();
+        return held && now - expiresAtNanos < 0;
     }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionVoter.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionVoter.java
@@ -77,25 +77,30 @@
         if (primary.nanosSinceLastAnswer(now) < RECENT_CONTACT_NANOS) {
             return CompletableFuture.completedFuture(-1L);
         }
-        return isResponding(primary).thenApply(answered -> answered ? -1L : stopUsingPrimary(group, 0));
+        return isResponding(group, primary).thenApply(answered -> answered ? -1L : stopUsingPrimary(group, 0));
     }
 
     @Override
     public void learnPromotion(FleetRecord.Promotion promotion, long revision) {
         directory.applyPromotion(promotion, revision);
+        // The answer states that this daemon has stopped using the old primary, whether or not the update succeeded.
+        groups.group(promotion.group()).endWorkAtFormerPrimaries();
     }
 
     /**
      * Checks with a probe whether a member responds now, because the recorded state may be outdated.
      *
+     * @param group the group of the member
      * @param member the member
      * @return whether it responds; never fails
      */
-    CompletableFuture<Boolean> isResponding(MemberServer member) {
+    CompletableFuture<Boolean> isResponding(DatabaseGroup group, MemberServer member) {
+        long sentNanos = clock.nowNanos();
         // An answer that refuses the connection counts as a response as well.
-        return probe.send(member, new MemberCommand.Status())
-                .thenApply(report ->
-                        report.isPresent() || member.nanosSinceLastAnswer(clock.nowNanos()) < RECENT_CONTACT_NANOS);
+        return probe.send(member, new MemberCommand.Status()).thenApply(report -> {
+            report.ifPresent(found -> group.onReport(member, found, sentNanos));
+            return report.isPresent() || member.nanosSinceLastAnswer(clock.nowNanos()) < RECENT_CONTACT_NANOS;
+        });
     }
 
     @Override
@@ -127,7 +132,7 @@
     private long stopUsingPrimary(DatabaseGroup group, long unreachableNanos) {
         grantVote(group.name());
         group.pausePrimary(clock.nowNanos() + PromotionWorkflow.PROMOTION_TIMEOUT_NANOS);
-        group.closePrimaryConnections("voted for the replacement of the primary");
+        group.stopUsingPrimary("voted for the replacement of the primary");
         return unreachableNanos;
     }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
@@ -1,5 +1,6 @@
 package org.banyanhook.gateway.primary;
 
+import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
@@ -15,6 +16,8 @@
 import org.banyanhook.core.primary.PromotionPermission;
 import org.banyanhook.core.primary.PromotionPermission.VoteTally;
 import org.banyanhook.core.primary.SilentDaemon;
+import org.banyanhook.core.primary.UnresolvedPromotions;
+import org.banyanhook.core.primary.UnresolvedPromotions.RecordedPromotion;
 import org.banyanhook.core.replication.LogPosition;
 import org.banyanhook.gateway.backend.DatabaseGroup;
 import org.banyanhook.gateway.backend.MemberProbe;
@@ -42,6 +45,7 @@
     private static final long CATCH_UP_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
     private static final long POLL_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
     private static final int MAXIMUM_PROMOTION_REQUESTS = 4;
+    private static final int MAXIMUM_STEP_DOWN_COMMANDS = 2;
     private static final long PROMOTION_RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
     private static final Comparator<Candidate> LONGEST_LOG = Comparator.comparing(
@@ -60,6 +64,7 @@
     private final EventLoop eventLoop;
     private final MonotonicClock clock;
     private final DecisionLog log;
+    private final UnresolvedPromotions unresolvedPromotions = new UnresolvedPromotions();
 
     private record Candidate(MemberServer server, MemberReport report) {}
 
@@ -91,6 +96,9 @@
      */
     private record Recording(FleetRecord.Promotion promotion, long revision) {}
 
+    /** The state before a step-down: the members that can take over, and the status of the old primary. */
+    private record StepDownStart(List<Candidate> candidates, Optional<MemberReport> status) {}
+
     private record VoteOutcome(
             long requestedNanos,
             PromotionPermission permission,
@@ -139,6 +147,17 @@
         this.log = log;
     }
 
+    /** Observes the primary of a group, so that a promotion counts as complete once its member leads. */
+    void observePrimary(DatabaseGroup group) {
+        group.primary()
+                .ifPresent(primary ->
+                        unresolvedPromotions.observePrimary(group.name(), primary.name(), recordedPromotion(group)));
+    }
+
+    private @Nullable RecordedPromotion recordedPromotion(DatabaseGroup group) {
+        return directory.recordedPromotion(group.name()).orElse(null);
+    }
+
     /**
      * Replaces the primary of a group.
      *
@@ -154,7 +173,8 @@
                 return CompletableFuture.completedFuture(outcome.permission().reason());
             }
             if (!reason.planned()) {
-                group.closePrimaryConnections("the primary is being replaced");
+                group.pausePrimary(clock.nowNanos() + PROMOTION_TIMEOUT_NANOS);
+                group.stopUsingPrimary("the primary is being replaced");
                 return promotionLeases
                         .lease(group.name())
                         .acquire()
@@ -226,23 +246,36 @@
             if (oldPrimary == null) {
                 return CompletableFuture.completedFuture("the group has no primary any more");
             }
-            return candidates(group, rejected).thenCompose(found -> {
-                if (found.isEmpty()) {
-                    return CompletableFuture.completedFuture("no member is eligible for promotion");
-                }
-                return stepDown(group, oldPrimary, token, rejected, approval);
-            });
+            CompletableFuture<Optional<MemberReport>> status = probe.send(oldPrimary, new MemberCommand.Status());
+            return candidates(group, rejected)
+                    .thenCombine(status, StepDownStart::new)
+                    .thenCompose(start -> {
+                        if (start.candidates().isEmpty()) {
+                            return CompletableFuture.completedFuture("no member is eligible for promotion");
+                        }
+                        return stepDownAndPromote(
+                                group, oldPrimary, start.status().orElse(null), token, rejected, approval);
+                    });
         });
     }
 
-    private CompletableFuture<String> stepDown(
-            DatabaseGroup group, MemberServer oldPrimary, long token, Set<String> rejected, QuorumApproval approval) {
+    private CompletableFuture<String> stepDownAndPromote(
+            DatabaseGroup group,
+            MemberServer oldPrimary,
+            @Nullable MemberReport status,
+            long token,
+            Set<String> rejected,
+            QuorumApproval approval) {
         group.pausePrimary(clock.nowNanos() + PROMOTION_TIMEOUT_NANOS);
-        long term = group.highestTerm() + 1;
-        return probe.send(oldPrimary, new MemberCommand.StepDown(term)).thenCompose(report -> {
+        return stepDown(group, oldPrimary, status, 1).thenCompose(report -> {
             if (report.isEmpty()) {
                 return CompletableFuture.completedFuture("the old primary did not confirm its step-down");
             }
+            if (report.get().primary()) {
+                group.resumePrimary();
+                return CompletableFuture.completedFuture(
+                        "the old primary leads term " + report.get().term() + " and did not step down");
+            }
             LogPosition finalPosition = report.get().position();
             long until = clock.nowNanos() + CATCH_UP_TIMEOUT_NANOS;
             return awaitCatchUp(group, rejected, finalPosition, until)
@@ -251,6 +284,28 @@
         });
     }
 
+    /**
+     * Makes a primary step down.
+     *
+     * @param status the last status of the primary, or null if it did not answer
+     * @param attempt the number of this command
+     * @return its status afterwards, which is that of a primary if it did not step down; empty if it did not answer
+     */
+    private CompletableFuture<Optional<MemberReport>> stepDown(
+            DatabaseGroup group, MemberServer oldPrimary, @Nullable MemberReport status, int attempt) {
+        if (status != null && !status.primary()) {
+            return CompletableFuture.completedFuture(Optional.of(status));
+        }
+        long term = group.terms().termAbove(status == null ? 0 : status.term());
+        return probe.send(oldPrimary, new MemberCommand.StepDown(term)).thenCompose(report -> {
+            report.ifPresent(found -> group.terms().recordHeld(oldPrimary.name(), found.term(), clock.nowNanos()));
+            boolean leadsStill = report.isPresent() && report.get().primary();
+            return leadsStill && attempt < MAXIMUM_STEP_DOWN_COMMANDS
+                    ? stepDown(group, oldPrimary, report.get(), attempt + 1)
+                    : CompletableFuture.completedFuture(report);
+        });
+    }
+
     private CompletableFuture<Void> awaitCatchUp(
             DatabaseGroup group, Set<String> rejected, LogPosition finalPosition, long untilNanos) {
         return candidates(group, rejected).thenCompose(found -> {
@@ -267,32 +322,56 @@
     private CompletableFuture<String> promoteBest(
             DatabaseGroup group, long token, Set<String> rejected, QuorumApproval approval) {
         return candidates(group, rejected).thenCompose(found -> {
-            Optional<Candidate> best = found.stream().max(LONGEST_LOG);
-            if (best.isEmpty()) {
+            Optional<String> unresolved = unresolvedPromotions.memberToPromoteFirst(
+                    group.name(),
+                    recordedPromotion(group),
+                    found.stream().map(candidate -> candidate.server().name()).collect(ImmutableSet.toImmutableSet()),
+                    clock.nowNanos());
+            Optional<String> longest = found.stream()
+                    .max(LONGEST_LOG)
+                    .map(candidate -> candidate.server().name());
+            Optional<String> chosen = unresolved.or(() -> longest);
+            if (chosen.isEmpty()) {
                 rejected.clear();
                 return CompletableFuture.completedFuture("no member is eligible for promotion");
             }
-            Candidate chosen = best.get();
-            log.line("promotion-choice")
-                    .with("group", group.name())
-                    .with("member", chosen.server().name())
-                    .with("position", chosen.report().position().toString())
-                    .with("wanted", approval.targetPosition().toString())
-                    .with("candidates", found.size())
-                    .with("token", token)
-                    .write();
-            return recordPromotion(group, chosen.server(), token, approval)
+            logChoice(group, chosen.get(), unresolved.isPresent(), found, token, approval);
+            return recordPromotion(group, chosen.get(), token, approval)
                     .thenCompose(recording -> recording.revision() == 0
                             ? CompletableFuture.completedFuture(
                                     "not recorded: the votes of the other daemons are too old")
-                            : promoteRecorded(group, chosen.server(), recording, token, rejected, approval));
+                            : promoteRecorded(group, chosen.get(), recording, token, rejected, approval));
         });
     }
 
+    private void logChoice(
+            DatabaseGroup group,
+            String member,
+            boolean unresolved,
+            List<Candidate> found,
+            long token,
+            QuorumApproval approval) {
+        log.line("promotion-choice")
+                .with("group", group.name())
+                .with("member", member)
+                .with("earlierRequest", unresolved)
+                .with(
+                        "position",
+                        found.stream()
+                                .filter(candidate -> candidate.server().name().equals(member))
+                                .map(candidate -> candidate.report().position().toString())
+                                .findFirst()
+                                .orElse(null))
+                .with("wanted", approval.targetPosition().toString())
+                .with("candidates", found.size())
+                .with("token", token)
+                .write();
+    }
+
     /** Records the promotion in the store, unless the votes are too old. */
     private CompletableFuture<Recording> recordPromotion(
-            DatabaseGroup group, MemberServer server, long token, QuorumApproval approval) {
-        FleetRecord.Promotion promotion = new FleetRecord.Promotion(group.name(), server.name());
+            DatabaseGroup group, String member, long token, QuorumApproval approval) {
+        FleetRecord.Promotion promotion = new FleetRecord.Promotion(group.name(), member);
         if (clock.nowNanos() - approval.requestedNanos() > GrantedVotes.RECORDING_TIMEOUT_NANOS) {
             return CompletableFuture.completedFuture(new Recording(promotion, 0));
         }
@@ -301,6 +380,7 @@
         return store.putGuarded(
                         recordCodec.promotionKey(group.name()),
                         recordCodec.encode(promotion),
+                        directory.promotionRevision(group.name()),
                         recordCodec.promotionLeaseKey(group.name()),
                         token)
                 .thenApply(revision -> new Recording(promotion, revision));
@@ -334,7 +414,7 @@
      */
     private CompletableFuture<String> promoteRecorded(
             DatabaseGroup group,
-            MemberServer server,
+            String member,
             Recording recording,
             long token,
             Set<String> rejected,
@@ -352,7 +432,7 @@
                                 .thenCompose(done ->
                                         promotionLeases.lease(group.name()).acquire())
                                 .thenCompose(renewed -> renewed == token
-                                        ? requestPromotion(group, server, token, rejected, 1)
+                                        ? requestPromotion(group, member, token, rejected, 1)
                                         : CompletableFuture.completedFuture(
                                                 "the promotion lease was lost before the request")));
     }
@@ -385,34 +465,45 @@
     }
 
     private CompletableFuture<String> requestPromotion(
-            DatabaseGroup group, MemberServer server, long token, Set<String> rejected, int attempt) {
+            DatabaseGroup group, String member, long token, Set<String> rejected, int attempt) {
         if (!promotionLeases.lease(group.name()).isHeld()) {
             return CompletableFuture.completedFuture("the promotion lease expired before the request");
         }
-        return authority.promote(group.name(), server.name(), entryVm, token).thenCompose(result -> switch (result) {
-            case ACCEPTED -> awaitPrimary(group, server, clock.nowNanos() + PROMOTION_TIMEOUT_NANOS);
+        return authority.promote(group.name(), member, entryVm, token).thenCompose(result -> switch (result) {
+            case ACCEPTED -> {
+                unresolvedPromotions.recordAnswer(group.name());
+                yield awaitPrimary(group, member, clock.nowNanos() + PROMOTION_TIMEOUT_NANOS);
+            }
             case REJECTED -> {
-                rejected.add(server.name());
-                yield CompletableFuture.completedFuture("rejected: " + server.name());
+                unresolvedPromotions.recordAnswer(group.name());
+                rejected.add(member);
+                yield CompletableFuture.completedFuture("rejected: " + member);
+            }
+            case REFUSED -> retryPromotion(group, member, token, rejected, attempt);
+            case NO_ANSWER -> {
+                unresolvedPromotions.recordUnanswered(group.name(), member);
+                yield retryPromotion(group, member, token, rejected, attempt);
             }
-            case NO_ANSWER ->
-                attempt >= MAXIMUM_PROMOTION_REQUESTS
-                        ? CompletableFuture.completedFuture("the platform did not answer the promotion request")
-                        : delay(PROMOTION_RETRY_DELAY_NANOS)
-                                .thenCompose(done -> requestPromotion(group, server, token, rejected, attempt + 1));
         });
     }
 
-    private CompletableFuture<String> awaitPrimary(DatabaseGroup group, MemberServer server, long untilNanos) {
-        if (group.primary().filter(primary -> primary == server).isPresent()) {
+    private CompletableFuture<String> retryPromotion(
+            DatabaseGroup group, String member, long token, Set<String> rejected, int attempt) {
+        return attempt >= MAXIMUM_PROMOTION_REQUESTS
+                ? CompletableFuture.completedFuture("the platform did not answer the promotion request")
+                : delay(PROMOTION_RETRY_DELAY_NANOS)
+                        .thenCompose(done -> requestPromotion(group, member, token, rejected, attempt + 1));
+    }
+
+    private CompletableFuture<String> awaitPrimary(DatabaseGroup group, String member, long untilNanos) {
+        if (group.primary().filter(primary -> primary.name().equals(member)).isPresent()) {
             group.resumePrimary();
-            return CompletableFuture.completedFuture("promoted " + server.name());
+            return CompletableFuture.completedFuture("promoted " + member);
         }
         if (clock.nowNanos() - untilNanos >= 0) {
-            return CompletableFuture.completedFuture(
-                    "accepted, but " + server.name() + " does not report to be primary");
+            return CompletableFuture.completedFuture("accepted, but " + member + " does not report to be primary");
         }
-        return delay(POLL_INTERVAL_NANOS).thenCompose(done -> awaitPrimary(group, server, untilNanos));
+        return delay(POLL_INTERVAL_NANOS).thenCompose(done -> awaitPrimary(group, member, untilNanos));
     }
 
     private CompletableFuture<List<Candidate>> candidates(DatabaseGroup group, Set<String> rejected) {
@@ -423,8 +514,12 @@
                     && !rejected.contains(server.name())
                     && group.primary().filter(primary -> primary == server).isEmpty();
             if (eligible) {
+                long sentNanos = clock.nowNanos();
                 reports.add(probe.send(server, new MemberCommand.Status())
-                        .thenApply(report -> report.map(found -> new Candidate(server, found))));
+                        .thenApply(report -> report.map(found -> {
+                            group.onReport(server, found, sentNanos);
+                            return new Candidate(server, found);
+                        })));
             }
         }
         return CompletableFuture.allOf(reports.toArray(new CompletableFuture<?>[0]))
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/StoreOrQuorumPolicy.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/StoreOrQuorumPolicy.java
@@ -94,6 +94,9 @@
     }
 
     private void recordRound(long sentNanos, PeerVoteExchange.RoundResult round) {
+        if (clock.jumpedSince(sentNanos)) {
+            return;
+        }
         peerContact.recordRound(sentNanos, round.votes(), round.groupsInDoubt());
         log.line("peer-contact")
                 .with("asked", round.votes().asked())
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/OpenTransaction.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/OpenTransaction.java
@@ -2,7 +2,7 @@
 
 import org.banyanhook.core.configuration.ClientAccount;
 import org.banyanhook.core.configuration.DatabaseRoute;
-import org.banyanhook.gateway.backend.MemberConnection;
+import org.banyanhook.gateway.backend.ConnectionLease;
 import org.banyanhook.gateway.message.SessionError;
 import org.jspecify.annotations.Nullable;
 
@@ -13,7 +13,8 @@
     private final DatabaseRoute route;
     private final String account;
     private final int weight;
-    private @Nullable MemberConnection connection;
+    private @Nullable ConnectionLease lease;
+    private boolean begun;
     private boolean hasWritten;
     private @Nullable SessionError failure;
     private String failureDetail = "";
@@ -44,12 +45,21 @@
     }
 
     @Nullable
-    MemberConnection connection() {
-        return connection;
+    ConnectionLease lease() {
+        return lease;
     }
 
-    void connection(@Nullable MemberConnection value) {
-        connection = value;
+    void lease(@Nullable ConnectionLease value) {
+        lease = value;
+    }
+
+    /** Returns whether a statement has run in it, so that it cannot be begun again on another connection. */
+    boolean hasBegun() {
+        return begun;
+    }
+
+    void recordBegun() {
+        begun = true;
     }
 
     boolean hasWritten() {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
@@ -1,9 +1,11 @@
 package org.banyanhook.gateway.session;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -19,7 +21,7 @@
 import org.banyanhook.core.configuration.SessionConfiguration;
 import org.banyanhook.core.key.KeyHashes;
 import org.banyanhook.core.replication.LogPosition;
-import org.banyanhook.gateway.backend.MemberConnection;
+import org.banyanhook.gateway.backend.ConnectionLease;
 import org.banyanhook.gateway.message.ClientAnswer;
 import org.banyanhook.gateway.message.ClientRequest;
 import org.banyanhook.gateway.message.MemberAnswer;
@@ -43,6 +45,12 @@
 
     private static final long CONFIGURATION_POLL_INTERVAL_MILLIS = 40;
 
+    /**
+     * How long a session stays open after its last byte was sent, for the caller to close it first. Closing it earlier
+     * would reset the connection if the caller has sent anything since, and what it has not received yet would be lost.
+     */
+    private static final long CLOSE_TIMEOUT_MILLIS = 1_000;
+
     /** The account of callers without a granted key on routes that are open to all. */
     private static final ClientAccount PUBLIC_ACCOUNT = new ClientAccount("public", List.of(), 0, 0, 1);
 
@@ -51,7 +59,7 @@
     private final Map<String, String> sessionValues = new LinkedHashMap<>();
     private final Map<String, PreparedShape> preparedStatements = new HashMap<>();
     private final Map<String, LogPosition> minimumPositions = new HashMap<>();
-    private final Deque<ClientRequest.Run> queuedRequests = new ArrayDeque<>();
+    private final Deque<ClientRequest> queuedRequests = new ArrayDeque<>();
     private @Nullable Channel channel;
     private String databaseName = "";
     private String key = "";
@@ -59,11 +67,20 @@
     private long configurationWaitStartNanos;
     private boolean requestInProgress;
     private boolean draining;
+    private ClosePhase closePhase = ClosePhase.OPEN;
     private @Nullable OpenTransaction transaction;
     private @Nullable StatementExecution currentExecution;
     private @Nullable SessionConfiguration authorizationConfiguration;
     private Optional<Authorization> authorization = Optional.empty();
 
+    private enum ClosePhase {
+        OPEN,
+        /** The answers sent so far are being written to the network. */
+        FLUSHING,
+        /** Everything has been written; the caller has not closed the connection yet. */
+        OUTPUT_CLOSED
+    }
+
     private record Authorization(DatabaseRoute route, ClientAccount account) {}
 
     /**
@@ -111,14 +128,22 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext handlerContext, ClientRequest request) {
+        if (closePhase == ClosePhase.OUTPUT_CLOSED) {
+            // Sent after the session was closed; nothing of it runs and no answer can reach the caller.
+            return;
+        }
         if (request instanceof ClientRequest.Open open) {
             open(open);
         } else if (request instanceof ClientRequest.Run run) {
             receiveRequest(run);
         } else if (request instanceof ClientRequest.Misunderstood misunderstood) {
-            sendAnswer(new ClientAnswer.Failed(SessionError.MALFORMED, misunderstood.reason(), transactionState()));
+            if (opened) {
+                receiveRequest(misunderstood);
+            } else {
+                sendAnswer(new ClientAnswer.Failed(SessionError.MALFORMED, misunderstood.reason(), transactionState()));
+            }
         } else {
-            handlerContext.close();
+            handlerContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
         }
     }
 
@@ -128,9 +153,14 @@
         closeIfIdle();
     }
 
-    /** Returns whether a transaction or statement is in progress. */
+    /** Returns whether a transaction or statement is in progress, or an answer has not been sent completely. */
     public boolean isActive() {
-        return requestInProgress || transaction != null;
+        return isBusy() || closePhase != ClosePhase.OPEN;
+    }
+
+    private boolean isBusy() {
+        boolean opening = configurationWaitStartNanos != 0 && !opened;
+        return requestInProgress || transaction != null || opening || !queuedRequests.isEmpty();
     }
 
     /** Rolls back the transaction if it has been idle for at least the timeout. */
@@ -173,6 +203,7 @@
         } else {
             opened = true;
             sendAnswer(new ClientAnswer.Opened());
+            closeIfIdle();
         }
     }
 
@@ -222,20 +253,28 @@
                 : null;
     }
 
-    private void receiveRequest(ClientRequest.Run run) {
+    private void receiveRequest(ClientRequest request) {
         if (!opened) {
             refuseSession(SessionError.MALFORMED, "the session is not open; open it first");
         } else if (!requestInProgress) {
-            handleRequest(run);
+            handleRequest(request);
         } else if (queuedRequests.size() < MAXIMUM_QUEUED_REQUESTS) {
-            queuedRequests.add(run);
+            queuedRequests.add(request);
         } else {
             refuseSession(SessionError.MALFORMED, "too many unanswered requests in the session");
         }
     }
 
-    private void handleRequest(ClientRequest.Run run) {
+    private void handleRequest(ClientRequest request) {
         requestInProgress = true;
+        if (request instanceof ClientRequest.Run run) {
+            handleStatement(run);
+        } else if (request instanceof ClientRequest.Misunderstood misunderstood) {
+            answerFailed(SessionError.MALFORMED, misunderstood.reason(), transactionState());
+        }
+    }
+
+    private void handleStatement(ClientRequest.Run run) {
         OpenTransaction openTransaction = transaction;
         if (openTransaction != null) {
             openTransaction.recordActivity(context.clock().nowNanos());
@@ -414,11 +453,10 @@
     }
 
     private void releaseConnection(OpenTransaction openTransaction) {
-        MemberConnection connection = openTransaction.connection();
-        openTransaction.connection(null);
-        if (connection != null && connection.isUsable()) {
-            TransactionConnections.rollBack(
-                    connection, context.groups().group(openTransaction.route().group()));
+        ConnectionLease lease = openTransaction.lease();
+        openTransaction.lease(null);
+        if (lease != null && lease.isUsable()) {
+            context.groups().group(openTransaction.route().group()).rollBack(lease);
         }
     }
 
@@ -442,7 +480,7 @@
             endTransaction();
             return;
         }
-        ClientRequest.Run nextRequest = queuedRequests.poll();
+        ClientRequest nextRequest = queuedRequests.poll();
         if (nextRequest != null) {
             handleRequest(nextRequest);
         } else {
@@ -452,7 +490,24 @@
 
     private void closeIfIdle() {
         Channel clientChannel = channel;
-        if (draining && !isActive() && queuedRequests.isEmpty() && clientChannel != null) {
+        if (draining && !isActive() && clientChannel != null) {
+            closePhase = ClosePhase.FLUSHING;
+            clientChannel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> closeFlushed(clientChannel));
+        }
+    }
+
+    /** Closes the output once all answers have been written; a request that has arrived since is answered first. */
+    private void closeFlushed(Channel clientChannel) {
+        if (isBusy() || !clientChannel.isActive()) {
+            closePhase = ClosePhase.OPEN;
+            return;
+        }
+        closePhase = ClosePhase.OUTPUT_CLOSED;
+        if (clientChannel instanceof DuplexChannel duplex) {
+            duplex.shutdownOutput();
+            var unused = context.eventLoop()
+                    .schedule(() -> clientChannel.close(), CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
             clientChannel.close();
         }
     }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
@@ -8,11 +8,15 @@
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.core.configuration.DatabaseRoute;
 import org.banyanhook.core.configuration.ReadFreshness;
+import org.banyanhook.core.execution.ExecutionAction;
+import org.banyanhook.core.execution.ExecutionEvent;
+import org.banyanhook.core.execution.ExecutionPhase;
+import org.banyanhook.core.execution.ExecutionTransitions;
 import org.banyanhook.core.replication.LogPosition;
+import org.banyanhook.gateway.backend.ConnectionLease;
 import org.banyanhook.gateway.backend.ConnectionRequest;
 import org.banyanhook.gateway.backend.ConnectionRequestListener;
 import org.banyanhook.gateway.backend.DatabaseGroup;
-import org.banyanhook.gateway.backend.MemberConnection;
 import org.banyanhook.gateway.backend.Placement;
 import org.banyanhook.gateway.message.ClientRequest;
 import org.banyanhook.gateway.message.MemberAnswer;
@@ -51,15 +55,14 @@
     private final Listener listener;
     private final long arrivedNanos;
     private final long deadlineNanos;
+    private final Set<String> laggingMembers = new HashSet<>();
+    private ExecutionPhase phase = ExecutionPhase.WAITING_FOR_CONNECTION;
     private @Nullable ConnectionRequest pendingConnectionRequest;
-    private @Nullable MemberConnection connection;
+    private @Nullable ConnectionLease lease;
     private @Nullable Placement placement;
     private @Nullable ScheduledFuture<?> deadlineTimer;
     private int attempts;
-    private boolean statementSent;
-    private boolean finished;
     private String failedMember = "";
-    private final Set<String> laggingMembers = new HashSet<>();
 
     /** Receives the outcome of the execution. Exactly one method is called, exactly once. */
     interface Listener {
@@ -120,18 +123,28 @@
     void start() {
         long remainingNanos = deadlineNanos - context.clock().nowNanos();
         deadlineTimer = context.eventLoop().schedule(this::onDeadline, remainingNanos, TimeUnit.NANOSECONDS);
-        MemberConnection transactionConnection = transaction == null ? null : transaction.connection();
-        if (transactionConnection == null) {
+        if (transaction == null || (transaction.lease() == null && !transaction.hasBegun())) {
             requestConnection();
+        } else {
+            continueTransaction(transaction, transaction.lease());
+        }
+    }
+
+    private void continueTransaction(OpenTransaction open, @Nullable ConnectionLease transactionLease) {
+        if (transactionLease == null || !transactionLease.isUsable()) {
+            open.lease(null);
+            fail(
+                    SessionError.TRANSACTION_ABORTED,
+                    "the connection to the member closed before this statement; begin a new transaction");
         } else if (requiresPrimary() && !context.primaryAccess().mayUsePrimary(group.name())) {
-            transactionConnection.close("a replacement of the primary might not be detected");
-            Objects.requireNonNull(transaction).connection(null);
+            open.lease(null);
+            transactionLease.close("a replacement of the primary might not be detected");
             fail(
                     SessionError.TRANSACTION_ABORTED,
                     "a replacement of the primary might not be detected here; begin a new transaction");
         } else {
-            connection = transactionConnection;
-            sendStatement(transactionConnection, null);
+            lease = transactionLease;
+            sendStatement(transactionLease, null);
         }
     }
 
@@ -140,52 +153,60 @@
      * its answer is not delivered.
      */
     void abandon() {
-        if (statementSent) {
-            return;
-        }
-        finish("abandoned", null, null);
-        cancelConnectionRequest();
-        if (transaction != null && connection != null) {
-            // The answer to BEGIN is still outstanding; the connection is released when it arrives.
-            transaction.connection(null);
+        if (ExecutionTransitions.decide(phase, ExecutionEvent.CALLER_LEFT) == ExecutionAction.END_SILENTLY) {
+            ConnectionLease currentLease = lease;
+            finish("abandoned", null, null);
+            if (transaction != null && currentLease != null) {
+                // The answer to BEGIN is still outstanding; the connection is returned when it arrives.
+                transaction.lease(null);
+            }
         }
     }
 
     boolean isFinished() {
-        return finished;
+        return phase == ExecutionPhase.FINISHED;
     }
 
     @Override
-    public void onConnectionLeased(MemberConnection memberConnection, Placement newPlacement) {
-        connection = memberConnection;
+    public void onConnectionLeased(ConnectionLease newLease, Placement newPlacement) {
+        if (ExecutionTransitions.decide(phase, ExecutionEvent.CONNECTION_LEASED) == ExecutionAction.USE_CONNECTION) {
+            useConnection(newLease, newPlacement);
+        } else {
+            group.release(newLease);
+        }
+    }
+
+    private void useConnection(ConnectionLease newLease, Placement newPlacement) {
+        lease = newLease;
         placement = newPlacement;
         attempts++;
         LogPosition minimumPosition = newPlacement.minimumPosition() == null
                 ? null
                 : newPlacement.minimumPosition().position();
+        newLease.discardExcessStatements();
         if (transaction == null) {
-            memberConnection.discardExcessStatements();
-            sendStatement(memberConnection, minimumPosition);
+            sendStatement(newLease, minimumPosition);
             return;
         }
-        memberConnection.discardExcessStatements();
-        transaction.connection(memberConnection);
-        memberConnection.applySessionVariables(sessionValues);
-        memberConnection.send(
+        transaction.lease(newLease);
+        newLease.applySessionVariables(sessionValues);
+        phase = ExecutionPhase.BEGINNING;
+        newLease.send(
                 new MemberCommand.Own(new SessionStatement.Begin(transaction.readOnly()), minimumPosition),
-                (answer, sentNanos) -> onBeginAnswer(memberConnection, answer));
-        memberConnection.flush();
+                (answer, sentNanos) -> onBeginAnswer(newLease, transaction, answer));
+        newLease.flush();
     }
 
     @Override
     public void onRefused(SessionError error, String detail) {
-        fail(error, detail);
+        if (ExecutionTransitions.decide(phase, ExecutionEvent.CONNECTION_REFUSED) == ExecutionAction.REPORT_REFUSAL) {
+            fail(error, detail);
+        }
     }
 
     private void requestConnection() {
-        if (finished) {
-            return;
-        }
+        phase = ExecutionPhase.WAITING_FOR_CONNECTION;
+        lease = null;
         boolean requiresPrimary = requiresPrimary();
         if (requiresPrimary && !context.primaryAccess().mayUsePrimary(group.name())) {
             fail(
@@ -207,8 +228,6 @@
             newRequest.exclude(failedMember);
         }
         pendingConnectionRequest = newRequest;
-        connection = null;
-        statementSent = false;
         group.submit(newRequest);
     }
 
@@ -228,218 +247,253 @@
         return request.statement() instanceof SessionStatement.Commit;
     }
 
-    private void onBeginAnswer(MemberConnection memberConnection, @Nullable MemberAnswer answer) {
-        if (finished) {
-            rollBackIfUsable(memberConnection);
-        } else if (answer == null) {
-            Objects.requireNonNull(transaction).connection(null);
-            retryOnAnotherMember(memberConnection, "the connection closed before BEGIN was answered");
-        } else if (answer.error() != null) {
-            Objects.requireNonNull(transaction).connection(null);
-            releaseConnection(memberConnection, answer);
-            retryOrFail(memberConnection, answer.error(), answer.detail());
-        } else {
-            sendStatement(memberConnection, null);
+    /** Decides on an event of a connection, which may be one that the execution does not use any more. */
+    private ExecutionAction decide(ConnectionLease source, ExecutionEvent event) {
+        return ExecutionTransitions.decide(source == lease ? phase : ExecutionPhase.FINISHED, event);
+    }
+
+    private void onBeginAnswer(ConnectionLease source, OpenTransaction beginning, @Nullable MemberAnswer answer) {
+        switch (decide(source, toBeginEvent(source, answer))) {
+            case SEND_STATEMENT -> sendStatement(source, null);
+            case EVALUATE_REFUSED_BEGIN -> {
+                MemberAnswer refusal = Objects.requireNonNull(answer);
+                beginning.lease(null);
+                settle(source, refusal);
+                retryOrFail(source, Objects.requireNonNull(refusal.error()), refusal.detail());
+            }
+            case REQUEST_CONNECTION -> {
+                beginning.lease(null);
+                retryOnAnotherMember(source, "the connection closed before BEGIN was answered");
+            }
+            case RETURN_CONNECTION -> settle(source, Objects.requireNonNull(answer));
+            default -> {}
         }
     }
 
-    private void sendStatement(MemberConnection memberConnection, @Nullable LogPosition minimumPosition) {
-        memberConnection.applySessionVariables(sessionValues);
+    private static ExecutionEvent toBeginEvent(ConnectionLease source, @Nullable MemberAnswer answer) {
+        if (answer == null) {
+            return ExecutionEvent.CONNECTION_LOST;
+        }
+        if (answer.error() != null) {
+            return ExecutionEvent.BEGIN_REFUSED;
+        }
+        if (answer.state() != TransactionState.OPEN) {
+            // A statement on this connection would run outside of a transaction.
+            source.close("member answered BEGIN without opening a transaction");
+            return ExecutionEvent.CONNECTION_LOST;
+        }
+        return ExecutionEvent.BEGIN_SUCCEEDED;
+    }
+
+    private void sendStatement(ConnectionLease currentLease, @Nullable LogPosition minimumPosition) {
+        currentLease.applySessionVariables(sessionValues);
         SessionStatement statement = request.statement();
         if (statement instanceof SessionStatement.Execute execute && preparedStatement != null) {
-            statement = new SessionStatement.Execute(memberConnection.prepare(preparedStatement), execute.arguments());
+            statement = new SessionStatement.Execute(currentLease.prepare(preparedStatement), execute.arguments());
         }
         if (transaction != null && isWrite()) {
             transaction.recordWrite();
         }
-        statementSent = true;
-        memberConnection.send(
+        phase = ExecutionPhase.RUNNING;
+        currentLease.send(
                 new MemberCommand.PassOn(request.requestId(), statement, minimumPosition),
-                (answer, sentNanos) -> onAnswer(memberConnection, answer, sentNanos));
-        memberConnection.flush();
+                (answer, sentNanos) -> onAnswer(currentLease, answer, sentNanos));
+        currentLease.flush();
     }
 
-    private void onAnswer(MemberConnection memberConnection, @Nullable MemberAnswer answer, long sentNanos) {
-        if (answer != null) {
-            group.recordLatency(memberConnection.server(), context.clock().nowNanos() - sentNanos);
-        }
-        if (finished) {
-            if (answer != null && transaction == null) {
-                releaseConnection(memberConnection, answer);
+    private void onAnswer(ConnectionLease source, @Nullable MemberAnswer answer, long sentNanos) {
+        if (answer == null) {
+            if (decide(source, ExecutionEvent.CONNECTION_LOST) == ExecutionAction.EVALUATE_LOSS) {
+                onConnectionLost(source);
             }
-        } else if (answer == null) {
-            onConnectionLost(memberConnection);
+            return;
+        }
+        group.recordLatency(source.server(), context.clock().nowNanos() - sentNanos);
+        if (decide(source, ExecutionEvent.STATEMENT_ANSWERED) != ExecutionAction.EVALUATE_ANSWER) {
+            settle(source, answer);
         } else if (answer.error() != null) {
-            onError(memberConnection, answer, answer.error());
+            onError(source, answer, answer.error());
         } else if (answer.signature() == null) {
-            memberConnection.close("member reported success without a signature");
-            onConnectionLost(memberConnection);
+            // Closing reports the loss of the connection to nobody, as its answer has been taken already.
+            source.close("member reported success without a signature");
+            onConnectionLost(source);
         } else {
-            succeed(memberConnection, answer);
+            succeed(source, answer);
         }
     }
 
-    private void succeed(MemberConnection memberConnection, MemberAnswer answer) {
-        boolean transactionEnded = transaction == null || isCommit();
-        if (transactionEnded) {
-            releaseConnection(memberConnection, answer);
-        } else if (answer.state() != TransactionState.OPEN) {
-            memberConnection.close("member ended the transaction");
+    private void succeed(ConnectionLease source, MemberAnswer answer) {
+        finish("success", null, source);
+        if (transaction == null) {
+            settle(source, answer);
+        } else if (isCommit()) {
+            transaction.lease(null);
+            settle(source, answer);
+        } else {
+            transaction.recordBegun();
+            if (answer.state() != TransactionState.OPEN) {
+                transaction.lease(null);
+                source.close("member ended the transaction");
+            }
         }
-        finish("success", null, memberConnection);
         listener.onSuccess(answer);
     }
 
-    private void onError(MemberConnection memberConnection, MemberAnswer answer, SessionError error) {
+    private void onError(ConnectionLease source, MemberAnswer answer, SessionError error) {
+        if (error == SessionError.NOT_PRIMARY) {
+            group.onNotPrimary(source.server());
+        }
         if (transaction == null) {
-            if (error == SessionError.PREPARED_UNKNOWN) {
-                memberConnection.close("member does not have the prepared statement");
+            if (error == SessionError.PREPARED_UNKNOWN && source.isUsable()) {
+                source.close("member does not have the prepared statement");
             } else {
-                releaseConnection(memberConnection, answer);
+                settle(source, answer);
             }
-            retryOrFail(memberConnection, error, answer.detail());
+            retryOrFail(source, error, answer.detail());
             return;
         }
         boolean firstStatement = placement != null && !isCommit();
-        transaction.connection(null);
+        transaction.lease(null);
         if (isCommit()) {
-            releaseConnection(memberConnection, answer);
-        } else {
-            rollBack(memberConnection);
+            settle(source, answer);
+        } else if (source.isUsable()) {
+            group.rollBack(source);
         }
         if (firstStatement && error.guaranteesNoEffect()) {
-            retryOrFail(memberConnection, error, answer.detail());
+            retryOrFail(source, error, answer.detail());
         } else {
             fail(error, answer.detail());
         }
     }
 
     /** Retries the statement if the error guarantees that it had no effect and attempts are left; otherwise fails. */
-    private void retryOrFail(MemberConnection memberConnection, SessionError error, String detail) {
+    private void retryOrFail(ConnectionLease source, SessionError error, String detail) {
         if (attempts >= MAXIMUM_ATTEMPTS || !error.guaranteesNoEffect()) {
             fail(error, detail);
             return;
         }
-        connection = null;
-        statementSent = false;
         switch (error) {
             case REPLICA_BEHIND -> {
-                group.onReplicaLagging(memberConnection.server());
-                laggingMembers.add(memberConnection.server().name());
-                retryOnAnotherMember(memberConnection, detail);
-            }
-            case NOT_PRIMARY -> {
-                group.onNotPrimary(memberConnection.server());
-                requestConnection();
+                group.onReplicaLagging(source.server());
+                laggingMembers.add(source.server().name());
+                retryOnAnotherMember(source, detail);
             }
+            case NOT_PRIMARY, PREPARED_UNKNOWN -> requestConnection();
             case OVERLOADED -> {
                 if (requiresPrimary()) {
-                    var unused = context.eventLoop()
-                            .schedule(
-                                    this::requestConnection,
-                                    PRIMARY_OVERLOAD_RETRY_DELAY_MILLIS,
-                                    TimeUnit.MILLISECONDS);
+                    retryLater();
                 } else {
-                    retryOnAnotherMember(memberConnection, detail);
+                    retryOnAnotherMember(source, detail);
                 }
             }
-            case PREPARED_UNKNOWN -> requestConnection();
             default -> fail(error, detail);
         }
     }
 
-    private void onConnectionLost(MemberConnection memberConnection) {
+    private void retryLater() {
+        phase = ExecutionPhase.WAITING_FOR_RETRY;
+        lease = null;
+        var unused = context.eventLoop()
+                .schedule(
+                        () -> {
+                            if (ExecutionTransitions.decide(phase, ExecutionEvent.RETRY_DUE)
+                                    == ExecutionAction.REQUEST_CONNECTION) {
+                                requestConnection();
+                            }
+                        },
+                        PRIMARY_OVERLOAD_RETRY_DELAY_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private void onConnectionLost(ConnectionLease source) {
         if (transaction != null) {
             fail(abandonTransaction(transaction), "the connection to the member closed");
         } else if (isWrite()) {
             fail(SessionError.OUTCOME_UNKNOWN, "the connection to the member closed before it answered");
         } else {
-            retryOnAnotherMember(memberConnection, "the connection to the member closed");
+            retryOnAnotherMember(source, "the connection to the member closed");
         }
     }
 
-    private void retryOnAnotherMember(MemberConnection memberConnection, String reason) {
+    private void retryOnAnotherMember(ConnectionLease source, String reason) {
         if (attempts >= MAXIMUM_ATTEMPTS) {
             fail(SessionError.OVERLOADED, "no member could run the statement: " + reason);
             return;
         }
         if (!requiresPrimary()) {
-            failedMember = memberConnection.server().name();
+            failedMember = source.server().name();
         }
         requestConnection();
     }
 
     private void onDeadline() {
-        if (finished) {
-            return;
+        switch (ExecutionTransitions.decide(phase, ExecutionEvent.DEADLINE_PASSED)) {
+            case WITHDRAW_AND_REPORT ->
+                fail(
+                        SessionError.OVERLOADED,
+                        "the statement was not run within " + route.statementTimeoutMillis() + " ms; retry");
+            case CLOSE_AND_REPORT -> closeAndReport(Objects.requireNonNull(lease), phase == ExecutionPhase.BEGINNING);
+            default -> {}
         }
-        MemberConnection memberConnection = connection;
-        if (memberConnection == null || !statementSent) {
-            cancelConnectionRequest();
-            if (memberConnection != null) {
-                memberConnection.close("BEGIN was not answered in time");
-                if (transaction != null) {
-                    transaction.connection(null);
-                }
-            }
-            fail(
-                    SessionError.OVERLOADED,
-                    "the statement was not run within " + route.statementTimeoutMillis() + " ms; retry");
-            return;
+    }
+
+    /**
+     * Closes a connection that did not answer in time; the execution is finished before, so that it ignores the loss.
+     */
+    private void closeAndReport(ConnectionLease silent, boolean beginning) {
+        SessionError error;
+        String detail;
+        if (beginning) {
+            Objects.requireNonNull(transaction).lease(null);
+            error = SessionError.OVERLOADED;
+            detail = "BEGIN was not answered within " + route.statementTimeoutMillis() + " ms; retry";
+        } else {
+            error = transaction == null ? SessionError.TIMED_OUT : abandonTransaction(transaction);
+            detail = "the member did not answer within " + route.statementTimeoutMillis() + " ms";
+        }
+        finish(error.name(), detail, silent);
+        if (silent.isUsable()) {
+            silent.close(beginning ? "BEGIN was not answered in time" : "statement timed out");
         }
-        SessionError error = transaction == null ? SessionError.TIMED_OUT : abandonTransaction(transaction);
-        fail(error, "the member did not answer within " + route.statementTimeoutMillis() + " ms");
-        memberConnection.close("statement timed out");
-        if (memberConnection.server().nanosSinceLastAnswer(context.clock().nowNanos()) >= UNRESPONSIVE_MEMBER_NANOS) {
-            group.onTimeout(memberConnection);
+        if (silent.server().nanosSinceLastAnswer(context.clock().nowNanos()) >= UNRESPONSIVE_MEMBER_NANOS) {
+            group.onTimeout(silent);
         }
+        listener.onFailure(error, detail);
     }
 
     /** Detaches the connection of a transaction that got no answer; returns the error to report to the caller. */
     private SessionError abandonTransaction(OpenTransaction abandoned) {
-        abandoned.connection(null);
+        abandoned.lease(null);
         boolean outcomeUnknown = isCommit() && abandoned.hasWritten();
         return outcomeUnknown ? SessionError.OUTCOME_UNKNOWN : SessionError.TRANSACTION_ABORTED;
     }
 
     private void fail(SessionError error, String detail) {
-        if (finished) {
+        if (phase == ExecutionPhase.FINISHED) {
             return;
         }
-        finish(error.name(), detail, connection);
+        finish(error.name(), detail, lease);
         listener.onFailure(error, detail);
     }
 
-    private void cancelConnectionRequest() {
-        ConnectionRequest pendingRequest = pendingConnectionRequest;
-        if (pendingRequest != null) {
-            pendingRequest.cancel();
-        }
-    }
-
-    private void releaseConnection(MemberConnection memberConnection, MemberAnswer answer) {
-        if (!memberConnection.isUsable()) {
+    /** Returns a connection after an answer; a transaction that is open on it is rolled back first. */
+    private void settle(ConnectionLease source, MemberAnswer answer) {
+        if (!source.isUsable()) {
             return;
         }
         if (answer.state() == TransactionState.IDLE) {
-            group.release(memberConnection);
+            group.release(source);
         } else {
-            rollBack(memberConnection);
+            group.rollBack(source);
         }
     }
 
-    private void rollBackIfUsable(MemberConnection memberConnection) {
-        if (memberConnection.isUsable()) {
-            rollBack(memberConnection);
+    private void finish(String outcome, @Nullable String detail, @Nullable ConnectionLease usedLease) {
+        phase = ExecutionPhase.FINISHED;
+        ConnectionRequest pendingRequest = pendingConnectionRequest;
+        if (pendingRequest != null) {
+            pendingRequest.cancel();
         }
-    }
-
-    private void rollBack(MemberConnection memberConnection) {
-        TransactionConnections.rollBack(memberConnection, group);
-    }
-
-    private void finish(String outcome, @Nullable String detail, @Nullable MemberConnection memberConnection) {
-        finished = true;
         ScheduledFuture<?> scheduledDeadline = deadlineTimer;
         if (scheduledDeadline != null) {
             scheduledDeadline.cancel(false);
@@ -456,12 +510,8 @@
                 .with("group", group.name())
                 .with("statement", request.statement().getClass().getSimpleName())
                 .with("version", context.directory().configuration().version())
-                .with(
-                        "member",
-                        memberConnection == null
-                                ? null
-                                : memberConnection.server().name())
-                .with("term", group.highestTerm())
+                .with("member", usedLease == null ? null : usedLease.server().name())
+                .with("term", group.terms().newest().term())
                 .with("attempts", attempts)
                 .with("outcome", outcome)
                 .with("detail", detail)
--- /dev/null
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
@@ -0,0 +1,267 @@
+package org.banyanhook.gateway;
+
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.banyanhook.core.configuration.ClientAccount;
+import org.banyanhook.core.configuration.DatabaseRoute;
+import org.banyanhook.core.configuration.GroupLimits;
+import org.banyanhook.core.configuration.ReadFreshness;
+import org.banyanhook.core.configuration.SessionConfiguration;
+import org.banyanhook.core.replication.LogPosition;
+import org.banyanhook.gateway.backend.DatabaseGroup;
+import org.banyanhook.gateway.backend.DatabaseGroups;
+import org.banyanhook.gateway.backend.GroupContext;
+import org.banyanhook.gateway.fleet.FleetDirectory;
+import org.banyanhook.gateway.fleet.TextRecordCodec;
+import org.banyanhook.gateway.message.ClientRequest;
+import org.banyanhook.gateway.message.MemberAnswer;
+import org.banyanhook.gateway.message.MemberReport;
+import org.banyanhook.gateway.message.SessionStatement;
+import org.banyanhook.gateway.operation.DecisionLog;
+import org.banyanhook.gateway.operation.GatewayMetrics;
+import org.banyanhook.gateway.operation.MonotonicClock;
+import org.banyanhook.gateway.port.FleetRecord;
+import org.banyanhook.gateway.port.MemberEntry;
+import org.banyanhook.gateway.port.SessionCodec;
+import org.banyanhook.gateway.port.StoreRecord;
+import org.banyanhook.gateway.rate.AccountRateLimiter;
+import org.banyanhook.gateway.session.Session;
+import org.banyanhook.gateway.session.SessionContext;
+import org.banyanhook.gateway.session.SessionRegistry;
+
+/** A gateway without sockets: sessions and members are embedded channels, and time is set by the test. */
+public final class GatewayFixture implements AutoCloseable {
+
+    /** The database group. */
+    public static final String GROUP = "orders";
+
+    /** A database whose reads have to be current. */
+    public static final String DATABASE = "orders-current";
+
+    public static final long STATEMENT_TIMEOUT_MILLIS = 1_000;
+
+    private static final int CONNECTION_LIMIT = 6;
+    private static final InetSocketAddress UNUSED = InetSocketAddress.createUnresolved("unused", 1);
+
+    private final EmbeddedChannel timers = new EmbeddedChannel();
+    private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+    private final Map<String, ScriptedMember> members = new HashMap<>();
+    private final DecisionLog log;
+    private final MonotonicClock clock;
+    private final FleetDirectory directory;
+    private final GroupContext groupContext;
+    private final DatabaseGroups groups;
+    private final SessionContext sessionContext;
+    private final SessionRegistry registry = new SessionRegistry();
+    private final TextRecordCodec recordCodec = new TextRecordCodec();
+    private long nowNanos = TimeUnit.SECONDS.toNanos(100);
+    private long suspendedMillis;
+    private long revision = 10;
+    private boolean inContact = true;
+
+    /** Creates a gateway that knows a configuration and no members. */
+    public GatewayFixture() {
+        log = new DecisionLog("vm", logged, () -> nowNanos);
+        clock = new MonotonicClock(() -> nowNanos, () -> TimeUnit.NANOSECONDS.toMillis(nowNanos) + suspendedMillis);
+        directory = new FleetDirectory(recordCodec, log, clock);
+        GatewayMetrics metrics = new GatewayMetrics();
+        GatewaySettings settings =
+                new GatewaySettings("vm", "east", Map.of(), UNUSED, UNUSED, UNUSED, UNUSED, UNUSED, UNUSED, 1_000);
+        groupContext = new GroupContext(
+                settings,
+                directory,
+                eventLoop(),
+                group -> inContact,
+                new ReportCodec(),
+                (address, timeoutMillis, handler, onFailure) ->
+                        member(address.getHostString()).connect(handler, onFailure),
+                clock,
+                log,
+                metrics);
+        groups = new DatabaseGroups(groupContext);
+        directory.addListener(groups);
+        AccountRateLimiter rateLimiter = new AccountRateLimiter(
+                "vm",
+                "east",
+                directory,
+                (request, timeout, listener) -> listener.onTransfer(0, 0),
+                clock,
+                log,
+                metrics);
+        sessionContext = new SessionContext(
+                settings, directory, groups, rateLimiter, group -> inContact, eventLoop(), clock, log, metrics);
+        apply("config", new FleetRecord.Configuration(configuration()));
+    }
+
+    private static SessionConfiguration configuration() {
+        DatabaseRoute route = new DatabaseRoute(
+                DATABASE, GROUP, ReadFreshness.CURRENT, 0, STATEMENT_TIMEOUT_MILLIS, 100, 0, true, Set.of());
+        return new SessionConfiguration(
+                1,
+                List.of(new ClientAccount("account", List.of(), 100, 100, 1)),
+                Map.of(),
+                Map.of(DATABASE, route),
+                Map.of(GROUP, new GroupLimits(GROUP, CONNECTION_LIMIT, 0)),
+                TimeUnit.SECONDS.toMillis(10));
+    }
+
+    public EventLoop eventLoop() {
+        return timers.eventLoop();
+    }
+
+    public MonotonicClock clock() {
+        return clock;
+    }
+
+    public DecisionLog log() {
+        return log;
+    }
+
+    public FleetDirectory directory() {
+        return directory;
+    }
+
+    public GroupContext groupContext() {
+        return groupContext;
+    }
+
+    public DatabaseGroups groups() {
+        return groups;
+    }
+
+    public DatabaseGroup group() {
+        return groups.group(GROUP);
+    }
+
+    public TextRecordCodec recordCodec() {
+        return recordCodec;
+    }
+
+    public SessionRegistry registry() {
+        return registry;
+    }
+
+    public long nowNanos() {
+        return nowNanos;
+    }
+
+    /** Sets whether this daemon would learn of the replacement of a primary. */
+    public void inContact(boolean value) {
+        inContact = value;
+    }
+
+    /** Returns the stand-in of a member. */
+    public ScriptedMember member(String name) {
+        return members.computeIfAbsent(name, ScriptedMember::new);
+    }
+
+    /** Lists a member in the store. */
+    public ScriptedMember list(String name, boolean primary) {
+        apply("members/" + name, new FleetRecord.Member(entry(name, primary, false)));
+        return member(name);
+    }
+
+    /** Lists a member as leaving. */
+    public void listLeaving(String name, boolean primary) {
+        apply("members/" + name, new FleetRecord.Member(entry(name, primary, true)));
+    }
+
+    private static MemberEntry entry(String name, boolean primary, boolean leaving) {
+        return new MemberEntry(
+                name, GROUP, InetSocketAddress.createUnresolved(name, 1), "east", 2, leaving, primary, 0, 1);
+    }
+
+    /** Removes the entry of a member from the store. */
+    public void listGone(String name) {
+        directory.apply(new StoreRecord("members/" + name, ++revision, null, 0));
+    }
+
+    /** Records the promotion of a member in the store. */
+    public void recordPromotion(String member) {
+        directory.applyPromotion(new FleetRecord.Promotion(GROUP, member), ++revision);
+    }
+
+    private void apply(String key, FleetRecord record) {
+        recordCodec.prepare(key, record);
+        directory.apply(new StoreRecord(key, ++revision, new byte[0], 0));
+    }
+
+    /** Opens a session to the database. */
+    public EmbeddedChannel openSession() {
+        EmbeddedChannel session = new EmbeddedChannel(new Session(sessionContext, registry));
+        session.writeInbound(new ClientRequest.Open(DATABASE, ""));
+        session.readOutbound();
+        return session;
+    }
+
+    /** Creates a session that the caller has not opened yet, behind a handler of the test. */
+    public EmbeddedChannel connectSession(ChannelHandler first) {
+        return new EmbeddedChannel(first, new Session(sessionContext, registry));
+    }
+
+    /** Sends a statement in a session. */
+    public static void send(EmbeddedChannel session, String id, SessionStatement statement) {
+        session.writeInbound(new ClientRequest.Run(id, statement));
+    }
+
+    /** Lets time pass, and runs what is due. */
+    public void advanceMillis(long millis) {
+        nowNanos += TimeUnit.MILLISECONDS.toNanos(millis);
+        timers.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+        timers.runPendingTasks();
+    }
+
+    /** Suspends the machine, whose monotonic clock does not count the time. */
+    public void suspendMillis(long millis) {
+        suspendedMillis += millis;
+    }
+
+    /** Returns what has been logged. */
+    public String logged() {
+        log.flush();
+        log.close();
+        return logged.toString(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void close() {
+        log.close();
+    }
+
+    /** Reads "primary TERM POSITION" or "replica TERM POSITION" from the only row. */
+    private static final class ReportCodec implements SessionCodec {
+
+        @Override
+        public ChannelHandler newClientCodec() {
+            throw new UnsupportedOperationException("sessions are embedded");
+        }
+
+        @Override
+        public ChannelHandler newMemberCodec() {
+            throw new UnsupportedOperationException("members are embedded");
+        }
+
+        @Override
+        public Optional<MemberReport> report(MemberAnswer answer) {
+            if (answer.error() != null) {
+                return Optional.empty();
+            }
+            List<String> fields = new ArrayList<>(List.of(answer.rows().get(0).split(" ")));
+            return Optional.of(new MemberReport(
+                    fields.get(0).equals("primary"),
+                    Long.parseLong(fields.get(1)),
+                    new LogPosition(Long.parseLong(fields.get(2)), Long.parseLong(fields.get(3)))));
+        }
+    }
+}
--- /dev/null
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/DaemonRegistrationTest.java
@@ -0,0 +1,101 @@
+package org.banyanhook.gateway.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.banyanhook.gateway.GatewayFixture;
+import org.banyanhook.gateway.operation.GatewayMetrics;
+import org.banyanhook.gateway.port.StoreException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+final class DaemonRegistrationTest {
+
+    private static final long LEASE = 8;
+
+    private final GatewayFixture gateway = new GatewayFixture();
+    private final ScriptedRecordStore store = new ScriptedRecordStore();
+    private final DaemonRegistration registration = new DaemonRegistration(
+            store,
+            "daemons/vm",
+            new byte[0],
+            new NoRecords(),
+            gateway.eventLoop(),
+            gateway.clock(),
+            gateway.log(),
+            new GatewayMetrics());
+
+    @AfterEach
+    void close() {
+        gateway.close();
+    }
+
+    /** The first write may be executed after the second one; the entry must not end with a lease that nobody renews. */
+    @Test
+    void entryWhoseAnswerWasLostIsWrittenAgainUnderTheSameLease() {
+        registration.start();
+        store.openedLeases().get(0).complete(LEASE);
+        store.writes().get(0).completeExceptionally(failure(StoreException.Kind.NO_ANSWER));
+        gateway.advanceMillis(500);
+        assertThat(store.writes()).hasSize(2);
+        assertThat(store.openedLeases()).hasSize(1);
+    }
+
+    @Test
+    void anotherLeaseIsOpenedIfTheFirstOneHasEnded() {
+        registration.start();
+        store.openedLeases().get(0).complete(LEASE);
+        store.writes().get(0).completeExceptionally(failure(StoreException.Kind.LEASE_ENDED));
+        gateway.advanceMillis(500);
+        assertThat(store.openedLeases()).hasSize(2);
+    }
+
+    /** The clock does not count a suspension, in which the lease may have been revoked. */
+    @Test
+    void contactFromBeforeASuspensionDoesNotCount() {
+        register();
+        gateway.suspendMillis(5_000);
+        assertThat(registration.nanosSinceContact()).isGreaterThan(TimeUnit.HOURS.toNanos(1));
+        gateway.advanceMillis(1);
+        assertThat(store.renewals()).hasSize(1);
+        store.renewals().get(0).complete(null);
+        assertThat(registration.nanosSinceContact()).isLessThan(TimeUnit.SECONDS.toNanos(1));
+    }
+
+    @Test
+    void renewalThatWasSentBeforeASuspensionIsNoContact() {
+        register();
+        gateway.advanceMillis(1_000);
+        assertThat(store.renewals()).hasSize(1);
+        gateway.advanceMillis(1);
+        gateway.suspendMillis(5_000);
+        store.renewals().get(0).complete(null);
+        assertThat(registration.nanosSinceContact()).isGreaterThan(TimeUnit.HOURS.toNanos(1));
+    }
+
+    private void register() {
+        registration.start();
+        store.openedLeases().get(0).complete(LEASE);
+        store.writes().get(0).complete(3L);
+        gateway.advanceMillis(1);
+        assertThat(registration.nanosSinceContact()).isLessThan(TimeUnit.SECONDS.toNanos(1));
+    }
+
+    private static StoreException failure(StoreException.Kind kind) {
+        return new StoreException(kind, "expected by the test");
+    }
+
+    private static final class NoRecords implements DaemonRegistration.RecordReader {
+
+        @Override
+        public CompletableFuture<Void> reloadAll() {
+            return CompletableFuture.completedFuture(null);
+        }
+
+        @Override
+        public void restartWatch() {
+            // There is no watch.
+        }
+    }
+}
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/ScriptedRecordStore.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/ScriptedRecordStore.java
@@ -18,10 +18,23 @@
     private final List<CompletableFuture<Long>> writes = new ArrayList<>();
     private final List<CompletableFuture<Void>> renewals = new ArrayList<>();
     private final List<Long> endedLeases = new ArrayList<>();
+    private final List<Long> expectedRevisions = new ArrayList<>();
+    private boolean answersAtOnce;
+    private long lastNumber = 1_000;
 
     /** A watch that was requested. */
     public record Watch(long afterRevision, CompletableFuture<StorePage> answer) {}
 
+    /** Executes writes, renewals and new leases at once from now on. */
+    public void answerAtOnce() {
+        answersAtOnce = true;
+    }
+
+    /** Returns the revisions that guarded writes required of their records. */
+    public List<Long> expectedRevisions() {
+        return expectedRevisions;
+    }
+
     /** Returns the listings that were requested. */
     public List<CompletableFuture<StorePage>> lists() {
         return lists;
@@ -66,22 +79,28 @@
 
     @Override
     public CompletableFuture<Long> put(String key, byte[] value, OptionalLong expectedRevision, long lease) {
-        return add(writes);
+        return number(writes);
     }
 
     @Override
-    public CompletableFuture<Long> putGuarded(String key, byte[] value, String guardKey, long guardRevision) {
-        return add(writes);
+    public CompletableFuture<Long> putGuarded(
+            String key, byte[] value, long expectedRevision, String guardKey, long guardRevision) {
+        expectedRevisions.add(expectedRevision);
+        return number(writes);
     }
 
     @Override
     public CompletableFuture<Long> openLease(Duration timeToLive) {
-        return add(openedLeases);
+        return number(openedLeases);
     }
 
     @Override
     public CompletableFuture<Void> renewLease(long lease) {
-        return add(renewals);
+        CompletableFuture<Void> renewal = add(renewals);
+        if (answersAtOnce) {
+            renewal.complete(null);
+        }
+        return renewal;
     }
 
     @Override
@@ -90,6 +109,14 @@
         return CompletableFuture.completedFuture(null);
     }
 
+    private CompletableFuture<Long> number(List<CompletableFuture<Long>> calls) {
+        CompletableFuture<Long> call = add(calls);
+        if (answersAtOnce) {
+            call.complete(++lastNumber);
+        }
+        return call;
+    }
+
     private static <T> CompletableFuture<T> add(List<CompletableFuture<T>> calls) {
         CompletableFuture<T> call = new CompletableFuture<>();
         calls.add(call);
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/TextRecordCodec.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/TextRecordCodec.java
@@ -1,6 +1,8 @@
 package org.banyanhook.gateway.fleet;
 
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
 import org.banyanhook.gateway.port.DaemonEntry;
 import org.banyanhook.gateway.port.FleetRecord;
 import org.banyanhook.gateway.port.FleetRecordCodec;
@@ -13,6 +15,13 @@
     public static final String PROMOTION_PREFIX = "promotions/";
     public static final String PROMOTION_LEASE_PREFIX = "duties/promotion/";
 
+    private final Map<String, FleetRecord> prepared = new HashMap<>();
+
+    /** Sets what the next records with a key decode to, whatever their value is. */
+    public void prepare(String key, FleetRecord record) {
+        prepared.put(key, record);
+    }
+
     @Override
     public String keyPrefix() {
         return "";
@@ -34,7 +43,7 @@
         if (key.startsWith(PROMOTION_LEASE_PREFIX)) {
             return new FleetRecord.PromotionLeaseHolder(key.substring(PROMOTION_LEASE_PREFIX.length()), text);
         }
-        return new FleetRecord.Other();
+        return prepared.getOrDefault(key, new FleetRecord.Other());
     }
 
     @Override
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionLeasesTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionLeasesTest.java
@@ -19,7 +19,9 @@
 final class PromotionLeasesTest {
 
     private final DecisionLog log = new DecisionLog("vm-1", OutputStream.nullOutputStream(), System::nanoTime);
-    private final MonotonicClock clock = MonotonicClock.ofSystem();
+    private long suspendedMillis;
+    private final MonotonicClock clock =
+            new MonotonicClock(System::nanoTime, () -> System.nanoTime() / 1_000_000 + suspendedMillis);
     private final ScriptedRecordStore store = new ScriptedRecordStore();
     private final TextRecordCodec recordCodec = new TextRecordCodec();
     private final FleetDirectory directory = new FleetDirectory(recordCodec, log, clock);
@@ -49,7 +51,7 @@
         assertThat(first.isCompletedExceptionally()).isTrue();
         directory.apply(holder("orders", "vm-1", 3, 70));
         CompletableFuture<Long> second = leases.lease("orders").acquire();
-        assertThat(store.endedLeases()).containsExactly(70L);
+        assertThat(store.endedLeases()).containsExactly(70L, 70L);
         store.openedLeases().get(1).complete(71L);
         store.writes().get(1).complete(9L);
         assertThat(second.get(1, TimeUnit.SECONDS)).isEqualTo(9);
@@ -75,6 +77,40 @@
         assertThat(store.endedLeases()).isEmpty();
     }
 
+    /** The lease may have expired in the store while the machine was suspended. */
+    @Test
+    void leaseIsNotHeldAfterASuspension() {
+        acquireOrders();
+        assertThat(leases.lease("orders").isHeld()).isTrue();
+        suspendedMillis += 6_000;
+        assertThat(leases.lease("orders").isHeld()).isFalse();
+    }
+
+    @Test
+    void leaseThatWasRequestedBeforeASuspensionIsNotHeld() {
+        var unused = leases.lease("orders").acquire();
+        store.openedLeases().get(0).complete(70L);
+        suspendedMillis += 6_000;
+        store.writes().get(0).complete(9L);
+        assertThat(leases.lease("orders").isHeld()).isFalse();
+    }
+
+    @Test
+    void leaseWhoseRecordGotNoAnswerIsEndedSoThatALateWriteHasNoEffect() {
+        var unused = leases.lease("orders").acquire();
+        store.openedLeases().get(0).complete(70L);
+        store.writes()
+                .get(0)
+                .completeExceptionally(new StoreException(StoreException.Kind.NO_ANSWER, "expected by the test"));
+        assertThat(store.endedLeases()).containsExactly(70L);
+    }
+
+    private void acquireOrders() {
+        var unused = leases.lease("orders").acquire();
+        store.openedLeases().get(0).complete(70L);
+        store.writes().get(0).complete(9L);
+    }
+
     @Test
     void groupsHaveLeasesOfTheirOwn() {
         var unused = leases.lease("orders").acquire();
