--- a/banyanhook-core/src/main/java/org/banyanhook/core/execution/ExecutionAction.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/execution/ExecutionAction.java
@@ -8,6 +8,14 @@
     SEND_STATEMENT,
     /** Evaluate the answer to the statement: report it, or retry. */
     EVALUATE_ANSWER,
+    /** Pass the rows on to the caller, after which the statement cannot be retried any more. */
+    PASS_ROWS,
+    /** Report the time-out if no rows have arrived for as long as a statement may take; otherwise wait for more. */
+    CHECK_PROGRESS,
+    /** Report that the answer ended before it was complete. */
+    REPORT_INCOMPLETE,
+    /** Close the connection on which the rest of the rows would arrive, and end the execution without a report. */
+    CLOSE_SILENTLY,
     /** Return the connection that refused to begin, and retry or report the refusal. */
     EVALUATE_REFUSED_BEGIN,
     /** Evaluate the loss of the connection while the statement was running: report it, or retry a read. */
--- a/banyanhook-core/src/main/java/org/banyanhook/core/execution/ExecutionEvent.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/execution/ExecutionEvent.java
@@ -12,6 +12,8 @@
     BEGIN_REFUSED,
     /** The member has answered the statement. */
     STATEMENT_ANSWERED,
+    /** The member has sent more rows than are held back; the answer is not complete yet. */
+    ROWS_EXCEED_BOUND,
     /** The connection closed before the member answered the command sent last. */
     CONNECTION_LOST,
     /** The delay before a retry has passed. */
--- a/banyanhook-core/src/main/java/org/banyanhook/core/execution/ExecutionTransitions.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/execution/ExecutionTransitions.java
@@ -24,6 +24,7 @@
             case WAITING_FOR_CONNECTION -> whileWaitingForConnection(event);
             case BEGINNING -> whileBeginning(event);
             case RUNNING -> whileRunning(event);
+            case PASSING_ROWS -> whilePassingRows(event);
             case WAITING_FOR_RETRY -> whileWaitingForRetry(event);
             case FINISHED -> unexpected(event);
         };
@@ -53,6 +54,7 @@
     private static ExecutionAction whileRunning(ExecutionEvent event) {
         return switch (event) {
             case STATEMENT_ANSWERED -> ExecutionAction.EVALUATE_ANSWER;
+            case ROWS_EXCEED_BOUND -> ExecutionAction.PASS_ROWS;
             case CONNECTION_LOST -> ExecutionAction.EVALUATE_LOSS;
             case DEADLINE_PASSED -> ExecutionAction.CLOSE_AND_REPORT;
             // A statement that was sent runs to completion, so that its transaction ends in a known state.
@@ -61,6 +63,17 @@
         };
     }
 
+    private static ExecutionAction whilePassingRows(ExecutionEvent event) {
+        return switch (event) {
+            case STATEMENT_ANSWERED -> ExecutionAction.EVALUATE_ANSWER;
+            case ROWS_EXCEED_BOUND -> ExecutionAction.PASS_ROWS;
+            case CONNECTION_LOST -> ExecutionAction.REPORT_INCOMPLETE;
+            case DEADLINE_PASSED -> ExecutionAction.CHECK_PROGRESS;
+            case CALLER_LEFT -> ExecutionAction.CLOSE_SILENTLY;
+            default -> unexpected(event);
+        };
+    }
+
     private static ExecutionAction whileWaitingForRetry(ExecutionEvent event) {
         return switch (event) {
             case RETRY_DUE -> ExecutionAction.REQUEST_CONNECTION;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionLease.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionLease.java
@@ -90,6 +90,17 @@
         }
     }
 
+    /**
+     * Sets whether more of the member's answer is read now. Reading is resumed when the lease ends.
+     *
+     * @param value false while the caller cannot take any more rows
+     */
+    public void reading(boolean value) {
+        if (isCurrent()) {
+            connection.reading(value);
+        }
+    }
+
     /**
      * Closes the connection; the listeners of pending commands receive null.
      *
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberConnection.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberConnection.java
@@ -8,10 +8,12 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import org.banyanhook.gateway.message.MemberAnswer;
 import org.banyanhook.gateway.message.MemberCommand;
+import org.banyanhook.gateway.message.MemberRows;
 import org.banyanhook.gateway.message.SessionStatement;
 import org.banyanhook.gateway.message.SessionStatement.PreparedShape;
 import org.banyanhook.gateway.message.TransactionState;
@@ -22,7 +24,7 @@
  * One connection to a member, opened for one client account. Commands are answered in order, so several may be pending.
  * A connection whose state is uncertain is closed and never reused. Used on the event loop only.
  */
-public final class MemberConnection extends SimpleChannelInboundHandler<MemberAnswer> {
+public final class MemberConnection extends SimpleChannelInboundHandler<Object> {
 
     /** At this many prepared statements on one connection, all of them are discarded and prepared again when needed. */
     private static final int MAXIMUM_PREPARED_STATEMENTS = 200;
@@ -57,6 +59,16 @@
          * @param sentNanos when the command was sent
          */
         void onAnswer(@Nullable MemberAnswer answer, long sentNanos);
+
+        /**
+         * Handles rows of an answer that is not complete yet.
+         *
+         * @param rows the rows
+         * @return whether the listener takes them; otherwise the connection is closed
+         */
+        default boolean onRows(List<String> rows) {
+            return false;
+        }
     }
 
     /** The owner of a connection, notified of its events. */
@@ -75,7 +87,7 @@
     }
 
     MemberConnection(MemberServer server, String account, MonotonicClock clock, Owner owner) {
-        super(MemberAnswer.class);
+        super(Object.class);
         this.server = server;
         this.account = account;
         this.clock = clock;
@@ -128,6 +140,14 @@
         return lease;
     }
 
+    /** Sets whether more of the member's answer is read now; the member is not asked to send it otherwise. */
+    void reading(boolean value) {
+        Channel activeChannel = channel;
+        if (activeChannel != null && activeChannel.config().isAutoRead() != value) {
+            activeChannel.config().setAutoRead(value);
+        }
+    }
+
     boolean isLeasedBy(ConnectionLease lease) {
         return currentLease == lease;
     }
@@ -166,6 +186,7 @@
             return false;
         }
         currentLease = null;
+        reading(true);
         return true;
     }
 
@@ -270,12 +291,21 @@
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext context, MemberAnswer answer) {
-        PendingCommand oldest = pendingCommands.poll();
+    protected void channelRead0(ChannelHandlerContext context, Object message) {
+        PendingCommand oldest = pendingCommands.peek();
         if (oldest == null) {
             close("the member sent an answer without a pending command");
-            return;
+        } else if (message instanceof MemberRows part) {
+            if (!oldest.listener().onRows(part.rows())) {
+                close("the member sent more rows than expected");
+            }
+        } else if (message instanceof MemberAnswer answer) {
+            pendingCommands.remove();
+            complete(oldest, answer);
         }
+    }
+
+    private void complete(PendingCommand oldest, MemberAnswer answer) {
         owner.onAnswer(this, answer, oldest.sentNanos());
         oldest.listener().onAnswer(answer, oldest.sentNanos());
     }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/message/ClientAnswer.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/message/ClientAnswer.java
@@ -17,6 +17,13 @@
      */
     record OpenRefused(SessionError error, String detail) implements ClientAnswer {}
 
+    /**
+     * Some rows of a result that is not complete yet.
+     *
+     * @param rows the rows, which precede those of the answer that completes the statement
+     */
+    record Rows(List<String> rows) implements ClientAnswer {}
+
     /**
      * A statement succeeded.
      *
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
@@ -115,6 +115,16 @@
         channel = null;
     }
 
+    /** Resumes reading the rows of an answer when the caller has taken those sent before. */
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext handlerContext) {
+        StatementExecution execution = currentExecution;
+        if (execution != null && handlerContext.channel().isWritable()) {
+            execution.resume();
+        }
+        handlerContext.fireChannelWritabilityChanged();
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
         context.log()
@@ -556,6 +566,13 @@
             answerFailed(error, detail, transactionState());
         }
 
+        @Override
+        public boolean onRows(List<String> rows) {
+            sendAnswer(new ClientAnswer.Rows(rows));
+            Channel clientChannel = channel;
+            return clientChannel == null || clientChannel.isWritable();
+        }
+
         private boolean mayHaveWritten() {
             if (enclosingTransaction != null) {
                 return enclosingTransaction.hasWritten();
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
@@ -2,6 +2,7 @@
 
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -17,6 +18,7 @@
 import org.banyanhook.gateway.backend.ConnectionRequest;
 import org.banyanhook.gateway.backend.ConnectionRequestListener;
 import org.banyanhook.gateway.backend.DatabaseGroup;
+import org.banyanhook.gateway.backend.MemberConnection;
 import org.banyanhook.gateway.backend.Placement;
 import org.banyanhook.gateway.message.ClientRequest;
 import org.banyanhook.gateway.message.MemberAnswer;
@@ -63,8 +65,10 @@
     private @Nullable ScheduledFuture<?> deadlineTimer;
     private int attempts;
     private String failedMember = "";
+    private final HeldRows heldRows = new HeldRows();
+    private long lastProgressNanos;
 
-    /** Receives the outcome of the execution. Exactly one method is called, exactly once. */
+    /** Receives the outcome of the execution: success or failure, exactly once. */
     interface Listener {
         /**
          * Handles success.
@@ -80,6 +84,14 @@
          * @param detail the explanation, with the remedy where there is one
          */
         void onFailure(SessionError error, String detail);
+
+        /**
+         * Handles rows that precede those of the final answer. May be called several times before another method.
+         *
+         * @param rows the rows
+         * @return whether the caller can take more now; otherwise {@link StatementExecution#resume()} has to be called
+         */
+        boolean onRows(List<String> rows);
     }
 
     /**
@@ -153,16 +165,44 @@
      * its answer is not delivered.
      */
     void abandon() {
-        if (ExecutionTransitions.decide(phase, ExecutionEvent.CALLER_LEFT) == ExecutionAction.END_SILENTLY) {
-            ConnectionLease currentLease = lease;
-            finish("abandoned", null, null);
-            if (transaction != null && currentLease != null) {
-                // The answer to BEGIN is still outstanding; the connection is returned when it arrives.
-                transaction.lease(null);
-            }
+        ConnectionLease currentLease = lease;
+        ExecutionAction action = ExecutionTransitions.decide(phase, ExecutionEvent.CALLER_LEFT);
+        if (action == ExecutionAction.IGNORE) {
+            return;
+        }
+        finish("abandoned", null, currentLease);
+        if (transaction != null && currentLease != null) {
+            // If the answer to BEGIN is still outstanding, the connection is returned when it arrives.
+            transaction.lease(null);
+        }
+        if (action == ExecutionAction.CLOSE_SILENTLY && currentLease != null && currentLease.isUsable()) {
+            currentLease.close("the caller left before it had received all rows");
+        }
+    }
+
+    /** Resumes reading rows after the caller could not take any more. */
+    void resume() {
+        ConnectionLease currentLease = lease;
+        if (phase == ExecutionPhase.PASSING_ROWS && currentLease != null) {
+            lastProgressNanos = context.clock().nowNanos();
+            currentLease.reading(true);
         }
     }
 
+    private boolean onRows(ConnectionLease source, List<String> rows) {
+        if (decide(source, ExecutionEvent.ROWS_EXCEED_BOUND) != ExecutionAction.PASS_ROWS) {
+            return false;
+        }
+        boolean exceedsBound = heldRows.add(rows);
+        if (!exceedsBound && phase != ExecutionPhase.PASSING_ROWS) {
+            return true;
+        }
+        phase = ExecutionPhase.PASSING_ROWS;
+        lastProgressNanos = context.clock().nowNanos();
+        source.reading(listener.onRows(heldRows.take()));
+        return true;
+    }
+
     boolean isFinished() {
         return phase == ExecutionPhase.FINISHED;
     }
@@ -207,6 +247,7 @@
     private void requestConnection() {
         phase = ExecutionPhase.WAITING_FOR_CONNECTION;
         lease = null;
+        heldRows.take();
         boolean requiresPrimary = requiresPrimary();
         if (requiresPrimary && !context.primaryAccess().mayUsePrimary(group.name())) {
             fail(
@@ -297,14 +338,26 @@
         phase = ExecutionPhase.RUNNING;
         currentLease.send(
                 new MemberCommand.PassOn(request.requestId(), statement, minimumPosition),
-                (answer, sentNanos) -> onAnswer(currentLease, answer, sentNanos));
+                new MemberConnection.AnswerListener() {
+                    @Override
+                    public void onAnswer(@Nullable MemberAnswer answer, long sentNanos) {
+                        StatementExecution.this.onAnswer(currentLease, answer, sentNanos);
+                    }
+
+                    @Override
+                    public boolean onRows(List<String> rows) {
+                        return StatementExecution.this.onRows(currentLease, rows);
+                    }
+                });
         currentLease.flush();
     }
 
     private void onAnswer(ConnectionLease source, @Nullable MemberAnswer answer, long sentNanos) {
         if (answer == null) {
-            if (decide(source, ExecutionEvent.CONNECTION_LOST) == ExecutionAction.EVALUATE_LOSS) {
-                onConnectionLost(source);
+            switch (decide(source, ExecutionEvent.CONNECTION_LOST)) {
+                case EVALUATE_LOSS -> onConnectionLost(source);
+                case REPORT_INCOMPLETE -> reportIncomplete();
+                default -> {}
             }
             return;
         }
@@ -315,14 +368,20 @@
             onError(source, answer, answer.error());
         } else if (answer.signature() == null) {
             // Closing reports the loss of the connection to nobody, as its answer has been taken already.
+            boolean rowsPassed = phase == ExecutionPhase.PASSING_ROWS;
             source.close("member reported success without a signature");
-            onConnectionLost(source);
+            if (rowsPassed) {
+                reportIncomplete();
+            } else {
+                onConnectionLost(source);
+            }
         } else {
             succeed(source, answer);
         }
     }
 
-    private void succeed(ConnectionLease source, MemberAnswer answer) {
+    private void succeed(ConnectionLease source, MemberAnswer finalAnswer) {
+        MemberAnswer answer = withHeldRows(finalAnswer);
         finish("success", null, source);
         if (transaction == null) {
             settle(source, answer);
@@ -339,6 +398,22 @@
         listener.onSuccess(answer);
     }
 
+    private MemberAnswer withHeldRows(MemberAnswer answer) {
+        List<String> rows = heldRows.take();
+        if (rows.isEmpty()) {
+            return answer;
+        }
+        rows.addAll(answer.rows());
+        return new MemberAnswer(
+                rows, answer.signature(), answer.error(), answer.detail(), answer.state(), answer.position());
+    }
+
+    /** Reports that an answer of which the caller has received rows already will not be completed. */
+    private void reportIncomplete() {
+        SessionError error = transaction == null ? SessionError.STATEMENT_FAILED : abandonTransaction(transaction);
+        fail(error, "the connection to the member closed before the answer was complete; run the statement again");
+    }
+
     private void onError(ConnectionLease source, MemberAnswer answer, SessionError error) {
         if (error == SessionError.NOT_PRIMARY) {
             group.onNotPrimary(source.server());
@@ -368,7 +443,8 @@
 
     /** Retries the statement if the error guarantees that it had no effect and attempts are left; otherwise fails. */
     private void retryOrFail(ConnectionLease source, SessionError error, String detail) {
-        if (attempts >= MAXIMUM_ATTEMPTS || !error.guaranteesNoEffect()) {
+        boolean rowsPassed = phase == ExecutionPhase.PASSING_ROWS;
+        if (rowsPassed || attempts >= MAXIMUM_ATTEMPTS || !error.guaranteesNoEffect()) {
             fail(error, detail);
             return;
         }
@@ -433,10 +509,23 @@
                         SessionError.OVERLOADED,
                         "the statement was not run within " + route.statementTimeoutMillis() + " ms; retry");
             case CLOSE_AND_REPORT -> closeAndReport(Objects.requireNonNull(lease), phase == ExecutionPhase.BEGINNING);
+            case CHECK_PROGRESS -> checkProgress(Objects.requireNonNull(lease));
             default -> {}
         }
     }
 
+    /** Closes the connection if neither the member nor the caller has made progress for the time of a statement. */
+    private void checkProgress(ConnectionLease passing) {
+        long remainingNanos = lastProgressNanos
+                + TimeUnit.MILLISECONDS.toNanos(route.statementTimeoutMillis())
+                - context.clock().nowNanos();
+        if (remainingNanos > 0) {
+            deadlineTimer = context.eventLoop().schedule(this::onDeadline, remainingNanos, TimeUnit.NANOSECONDS);
+        } else {
+            closeAndReport(passing, false);
+        }
+    }
+
     /**
      * Closes a connection that did not answer in time; the execution is finished before, so that it ignores the loss.
      */
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/ScriptedMember.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/ScriptedMember.java
@@ -10,6 +10,7 @@
 import org.banyanhook.core.replication.LogPosition;
 import org.banyanhook.gateway.message.MemberAnswer;
 import org.banyanhook.gateway.message.MemberCommand;
+import org.banyanhook.gateway.message.MemberRows;
 import org.banyanhook.gateway.message.SessionError;
 import org.banyanhook.gateway.message.SessionStatement;
 import org.banyanhook.gateway.message.TransactionState;
@@ -145,6 +146,16 @@
             return true;
         }
 
+        /** Sends rows of the answer to the oldest command, which is not complete yet. */
+        public void sendRows(List<String> rows) {
+            channel.writeInbound(new MemberRows(rows));
+        }
+
+        /** Returns whether the gateway reads from the connection. */
+        public boolean isRead() {
+            return channel.config().isAutoRead();
+        }
+
         /** Answers the oldest command with an error instead of running it; returns whether there was one. */
         public boolean refuse(SessionError error) {
             if (silent || !channel.isActive() || !answers.isEmpty()) {
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/LineCaller.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/LineCaller.java
@@ -44,6 +44,22 @@
         return readAnswer();
     }
 
+    /** Runs a statement, and returns the number of its rows, or -1 if the answer is not complete. */
+    public int countRows(String statement) throws IOException {
+        lastRequestNumber++;
+        sendLine("QUERY " + lastRequestId() + " " + statement);
+        int rows = 0;
+        boolean completed = false;
+        for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+            rows += line.startsWith("DATAROW ") ? 1 : 0;
+            completed |= line.startsWith("COMPLETE ");
+            if (line.startsWith("READY")) {
+                return completed ? rows : -1;
+            }
+        }
+        return -1;
+    }
+
     /** Returns the request id of the last statement. */
     public String lastRequestId() {
         return Integer.toHexString(System.identityHashCode(this)) + "-" + lastRequestNumber;
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/LineSession.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/LineSession.java
@@ -12,6 +12,11 @@
  */
 final class LineSession {
 
+    /** A read of an item with this prefix and a number returns so many rows of a kilobyte. */
+    static final String EXTRACT_PREFIX = "extract-";
+
+    private static final String EXTRACT_ROW = "DATAROW " + "x".repeat(1_015);
+
     private final LineMember member;
     private final LineGroup group;
     private final Map<String, String> preparedStatements = new HashMap<>();
@@ -47,6 +52,16 @@
         return true;
     }
 
+    /** Adds as many rows of a kilobyte as the name of the item says, if it is that of an extract. */
+    private static void addExtract(String item, List<String> answer) {
+        if (item.startsWith(EXTRACT_PREFIX)) {
+            int rows = Integer.parseInt(item.substring(EXTRACT_PREFIX.length()));
+            for (int row = 0; row < rows; row++) {
+                answer.add(EXTRACT_ROW);
+            }
+        }
+    }
+
     void discardUncommittedWrites() {
         uncommittedWrites.clear();
     }
@@ -105,6 +120,7 @@
             case "EXECUTE":
                 return executePrepared(requestId, arguments, answer);
             case "READ":
+                addExtract(arguments, answer);
                 answer.add("DATAROW " + group.read(member, arguments) + "|" + variablesText() + "|" + account);
                 break;
             case "WRITE":
--- a/banyanhook-testbed/src/test/java/org/banyanhook/testbed/line/GatewayIT.java
+++ b/banyanhook-testbed/src/test/java/org/banyanhook/testbed/line/GatewayIT.java
@@ -92,6 +92,19 @@
         }
     }
 
+    /**
+     * Guards against answers that are gathered in memory: the heap of a gateway is smaller than the largest extract.
+     */
+    @Test
+    void extractsLargerThanTheHeapAreReadAsAWhole() throws IOException {
+        for (int megabytes : List.of(1, 40, 200)) {
+            try (LineCaller caller = openSession(0, "current", 0)) {
+                int rows = megabytes << 10;
+                assertThat(caller.countRows("READ extract-" + rows)).isEqualTo(rows + 1);
+            }
+        }
+    }
+
     /** Guards against session variables and prepared statements that leak from one session into another. */
     @Test
     void sessionVariablesAndPreparedStatementsAreIsolatedBetweenSessions() throws IOException {
