Move the choice of a member to core.scheduling, and split the classes that grew

Change: MemberChoice (was StatementPlacement) computes the cost of each candidate from values; MemberSelection collects the candidates. TransactionRollback, StatementRecord, GracefulClose, PrimaryStepDown, ExecutionListener and StatementTask are classes of their own. No decision changes.

Result: the tests of core, gateway and platform pass.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionAllocator.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionAllocator.java
@@ -9,7 +9,7 @@
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import org.banyanhook.core.routing.ConnectionShare;
-import org.banyanhook.core.routing.StatementPlacement.Access;
+import org.banyanhook.core.scheduling.MemberChoice.Access;
 import org.banyanhook.gateway.message.MemberAnswer;
 import org.banyanhook.gateway.message.SessionError;
 import org.jspecify.annotations.Nullable;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
@@ -1,14 +1,11 @@
 package org.banyanhook.gateway.backend;
 
-import static java.util.Objects.requireNonNull;
-
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.core.admission.AdmissionDecision;
 import org.banyanhook.core.admission.FairQueue;
@@ -18,15 +15,10 @@
 import org.banyanhook.core.primary.PrimaryReport;
 import org.banyanhook.core.replication.LogPosition;
 import org.banyanhook.core.replication.PositionHistory;
-import org.banyanhook.core.routing.StatementPlacement;
-import org.banyanhook.core.routing.StatementPlacement.Access;
 import org.banyanhook.gateway.fleet.FleetDirectory.MemberRecord;
 import org.banyanhook.gateway.message.MemberAnswer;
-import org.banyanhook.gateway.message.MemberCommand;
 import org.banyanhook.gateway.message.MemberReport;
 import org.banyanhook.gateway.message.SessionError;
-import org.banyanhook.gateway.message.SessionStatement;
-import org.banyanhook.gateway.message.TransactionState;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -40,24 +32,12 @@
 
     private static final int QUEUE_CAPACITY_REQUESTS_PER_ACCOUNT = 96;
 
-    /**
-     * How much faster a member in another region must be to be preferred, because traffic between regions is charged
-     * for.
-     */
-    private static final double OTHER_REGION_PENALTY_MILLIS = 25;
-
-    /** How long a member takes to accept a connection, and a round trip in addition. */
-    private static final double NEW_CONNECTION_PENALTY_MILLIS = 20;
-
     /**
      * After a suspension, or a step of the wall clock, the store answers within this time whether this daemon is still
      * in contact with it; until then nothing new is sent to the primary, but its connections are kept.
      */
     private static final long SUSPENSION_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
-    /** A member that takes longer to roll back is treated like one whose connection is broken. */
-    private static final long ROLLBACK_TIMEOUT_MILLIS = 2_000;
-
     private final String name;
     private final GroupContext context;
     private final ConnectionAllocator allocator;
@@ -68,6 +48,7 @@
             new FairQueue<>(QUEUE_CAPACITY_REQUESTS, QUEUE_CAPACITY_REQUESTS_PER_ACCOUNT);
     private final PositionHistory positionHistory = new PositionHistory();
     private final GroupTerms terms = new GroupTerms();
+    private final MemberSelection memberSelection;
     private @Nullable MemberServer primary;
     private long primaryPausedUntilNanos;
     private boolean primaryPaused;
@@ -78,6 +59,7 @@
         this.name = name;
         this.context = context;
         this.allocator = new ConnectionAllocator(context, new ConnectionEvents());
+        this.memberSelection = new MemberSelection(context, allocator, positionHistory, this::connectionLimit);
     }
 
     /** Returns the name of the group. */
@@ -160,24 +142,7 @@
      * @param lease the lease
      */
     public void rollBack(ConnectionLease lease) {
-        var timer = context.eventLoops()
-                .next()
-                .schedule(
-                        () -> lease.close("rollback was not answered in time"),
-                        ROLLBACK_TIMEOUT_MILLIS,
-                        TimeUnit.MILLISECONDS);
-        lease.send(new MemberCommand.Own(new SessionStatement.Rollback(), null), (answer, sentNanos) -> {
-            timer.cancel(false);
-            if (answer == null) {
-                return;
-            }
-            if (answer.error() == null && answer.state() == TransactionState.IDLE) {
-                release(lease);
-            } else {
-                lease.close("rollback failed");
-            }
-        });
-        lease.flush();
+        TransactionRollback.start(lease, context.eventLoops().next(), () -> release(lease));
     }
 
     private void enforceShare(MemberConnection connection) {
@@ -471,86 +436,26 @@
     }
 
     private boolean place(ConnectionRequest request) {
-        long now = context.clock().nowNanos();
-        Optional<PositionHistory.Entry> minimumPosition = request.requirements().primaryOnly()
-                ? Optional.empty()
-                : minimumPosition(request.requirements(), request.arrivedNanos());
-        Map<String, MemberServer> serversByName = new HashMap<>();
-        List<StatementPlacement.Candidate> candidates = new ArrayList<>();
-        for (MemberServer server : servers.values()) {
-            boolean eligible =
-                    isPrimary(server) ? mayUsePrimary() : minimumPosition.isPresent() && !server.isLagging(now);
-            if (eligible && isAvailable(server) && server.isRetryDue(now) && !request.excludes(server.name())) {
-                candidate(server, request, now).ifPresent(candidate -> {
-                    candidates.add(candidate);
-                    serversByName.put(server.name(), server);
-                });
-            }
-        }
-        StatementPlacement.Candidate choice =
-                StatementPlacement.choose(candidates).orElse(null);
-        if (choice == null) {
-            return false;
-        }
-        MemberServer server = requireNonNull(serversByName.get(choice.member()), choice.member());
-        boolean atPrimary = isPrimary(server);
-        Placement placement = new Placement(
-                atPrimary,
-                choice.access(),
-                candidates.size(),
-                atPrimary ? null : minimumPosition.orElse(null),
-                now - request.arrivedNanos());
+        List<MemberServer> available =
+                servers.values().stream().filter(this::isAvailable).toList();
+        Optional<MemberSelection.Selection> selection =
+                memberSelection.select(request, new MemberSelection.GroupState(available, primary, mayUsePrimary()));
+        selection.ifPresent(selected -> {
+            recordWarmUpRequest(selected.server());
+            allocator.leaseOrOpen(selected.server(), request, selected.placement());
+        });
+        return selection.isPresent();
+    }
+
+    private void recordWarmUpRequest(MemberServer server) {
         GroupLimits limits = context.directory().configuration().groups().get(name);
         if (limits != null) {
             server.warmUp()
                     .recordRequest(
                             limits.warmUpRequestsPerSecond(),
                             context.directory().daemonsSharingLimits(),
-                            now);
-        }
-        allocator.leaseOrOpen(server, request, placement);
-        return true;
-    }
-
-    private Optional<StatementPlacement.Candidate> candidate(MemberServer server, ConnectionRequest request, long now) {
-        Set<String> regions = request.requirements().regions();
-        String region = context.settings().regionOf(server.entry().failureDomain());
-        boolean primaryOnly = request.requirements().primaryOnly();
-        boolean regionAllowed = regions.isEmpty() || regions.contains(region);
-        if (!regionAllowed
-                || (primaryOnly && !isPrimary(server))
-                || !server.warmUp().allowsRequest(now)) {
-            return Optional.empty();
-        }
-        Access access = allocator.access(server, request.account(), isPrimary(server), this::connectionLimit, now);
-        if (access == null) {
-            return Optional.empty();
-        }
-        double expectedMillis = server.latency().expectedMillis(now) * (1 + server.inFlight());
-        if (access != Access.IDLE_CONNECTION) {
-            expectedMillis += NEW_CONNECTION_PENALTY_MILLIS;
-        }
-        if (!region.equals(context.settings().regionOf(context.settings().failureDomain()))) {
-            expectedMillis += OTHER_REGION_PENALTY_MILLIS;
-        }
-        return Optional.of(new StatementPlacement.Candidate(server.name(), access, expectedMillis));
-    }
-
-    /** Returns the position that a replica's log must have reached, or empty if only the primary qualifies. */
-    private Optional<PositionHistory.Entry> minimumPosition(
-            ConnectionRequest.Requirements requirements, long arrivedNanos) {
-        Optional<PositionHistory.Entry> entry =
-                positionHistory.minimumPosition(arrivedNanos - requirements.maximumAgeNanos());
-        LogPosition sessionPosition = requirements.sessionMinimumPosition();
-        if (sessionPosition == null) {
-            return entry;
+                            context.clock().nowNanos());
         }
-        // A position of an older term may have been rolled back; what was kept precedes the positions of the newer
-        // term.
-        return entry.map(found -> sessionPosition.term() < found.position().term()
-                ? found
-                : new PositionHistory.Entry(
-                        found.coveredUntilNanos(), LogPosition.latest(found.position(), sessionPosition)));
     }
 
     private final class ConnectionEvents implements MemberConnection.Owner {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/Placement.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/Placement.java
@@ -1,7 +1,7 @@
 package org.banyanhook.gateway.backend;
 
 import org.banyanhook.core.replication.PositionHistory;
-import org.banyanhook.core.routing.StatementPlacement;
+import org.banyanhook.core.scheduling.MemberChoice;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -16,7 +16,7 @@
  */
 public record Placement(
         boolean primary,
-        StatementPlacement.Access access,
+        MemberChoice.Access access,
         int candidates,
         PositionHistory.@Nullable Entry minimumPosition,
         long queuedNanos) {}
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
@@ -45,7 +45,6 @@
     private static final long CATCH_UP_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
     private static final long POLL_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
     private static final int MAXIMUM_PROMOTION_REQUESTS = 4;
-    private static final int MAXIMUM_STEP_DOWN_COMMANDS = 2;
     private static final long PROMOTION_RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
     private static final Comparator<Candidate> LONGEST_LOG = Comparator.comparing(
@@ -64,6 +63,7 @@
     private final EventLoop eventLoop;
     private final MonotonicClock clock;
     private final DecisionLog log;
+    private final PrimaryStepDown stepDown;
     private final UnresolvedPromotions unresolvedPromotions = new UnresolvedPromotions();
 
     private record Candidate(MemberServer server, MemberReport report) {}
@@ -145,6 +145,7 @@
         this.eventLoop = eventLoop;
         this.clock = clock;
         this.log = log;
+        this.stepDown = new PrimaryStepDown(probe, clock);
     }
 
     /** Observes the primary of a group, so that a promotion counts as complete once its member leads. */
@@ -267,7 +268,7 @@
             Set<String> rejected,
             QuorumApproval approval) {
         group.pausePrimary(clock.nowNanos() + PROMOTION_TIMEOUT_NANOS);
-        return stepDown(group, oldPrimary, status, 1).thenCompose(report -> {
+        return stepDown.perform(group, oldPrimary, status).thenCompose(report -> {
             if (report.isEmpty()) {
                 return CompletableFuture.completedFuture("the old primary did not confirm its step-down");
             }
@@ -284,28 +285,6 @@
         });
     }
 
-    /**
-     * Makes a primary step down.
-     *
-     * @param status the last status of the primary, or null if it did not answer
-     * @param attempt the number of this command
-     * @return its status afterwards, which is that of a primary if it did not step down; empty if it did not answer
-     */
-    private CompletableFuture<Optional<MemberReport>> stepDown(
-            DatabaseGroup group, MemberServer oldPrimary, @Nullable MemberReport status, int attempt) {
-        if (status != null && !status.primary()) {
-            return CompletableFuture.completedFuture(Optional.of(status));
-        }
-        long term = group.terms().termAbove(status == null ? 0 : status.term());
-        return probe.send(oldPrimary, new MemberCommand.StepDown(term)).thenCompose(report -> {
-            report.ifPresent(found -> group.terms().recordHeld(oldPrimary.name(), found.term(), clock.nowNanos()));
-            boolean leadsStill = report.isPresent() && report.get().primary();
-            return leadsStill && attempt < MAXIMUM_STEP_DOWN_COMMANDS
-                    ? stepDown(group, oldPrimary, report.get(), attempt + 1)
-                    : CompletableFuture.completedFuture(report);
-        });
-    }
-
     private CompletableFuture<Void> awaitCatchUp(
             DatabaseGroup group, Set<String> rejected, LogPosition finalPosition, long untilNanos) {
         return candidates(group, rejected).thenCompose(found -> {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.DuplexChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -45,12 +44,6 @@
 
     private static final long CONFIGURATION_POLL_INTERVAL_MILLIS = 40;
 
-    /**
-     * How long a session stays open after its last byte was sent, for the caller to close it first. Closing it earlier
-     * would reset the connection if the caller has sent anything since, and what it has not received yet would be lost.
-     */
-    private static final long CLOSE_TIMEOUT_MILLIS = 1_000;
-
     /** The account of callers without a granted key on routes that are open to all. */
     private static final ClientAccount PUBLIC_ACCOUNT = new ClientAccount("public", List.of(), 0, 0, 1);
 
@@ -60,6 +53,7 @@
     private final Map<String, PreparedShape> preparedStatements = new HashMap<>();
     private final Map<String, LogPosition> minimumPositions = new HashMap<>();
     private final Deque<ClientRequest> queuedRequests = new ArrayDeque<>();
+    private final GracefulClose closing = new GracefulClose();
     private @Nullable Channel channel;
     private String databaseName = "";
     private String key = "";
@@ -67,20 +61,11 @@
     private long configurationWaitStartNanos;
     private boolean requestInProgress;
     private boolean draining;
-    private ClosePhase closePhase = ClosePhase.OPEN;
     private @Nullable OpenTransaction transaction;
     private @Nullable StatementExecution currentExecution;
     private @Nullable SessionConfiguration authorizationConfiguration;
     private Optional<Authorization> authorization = Optional.empty();
 
-    private enum ClosePhase {
-        OPEN,
-        /** The answers sent so far are being written to the network. */
-        FLUSHING,
-        /** Everything has been written; the caller has not closed the connection yet. */
-        OUTPUT_CLOSED
-    }
-
     private record Authorization(DatabaseRoute route, ClientAccount account) {}
 
     /**
@@ -138,7 +123,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext handlerContext, ClientRequest request) {
-        if (closePhase == ClosePhase.OUTPUT_CLOSED) {
+        if (closing.isOutputClosed()) {
             // Sent after the session was closed; nothing of it runs and no answer can reach the caller.
             return;
         }
@@ -165,7 +150,7 @@
 
     /** Returns whether a transaction or statement is in progress, or an answer has not been sent completely. */
     public boolean isActive() {
-        return isBusy() || closePhase != ClosePhase.OPEN;
+        return isBusy() || closing.isInProgress();
     }
 
     private boolean isBusy() {
@@ -408,7 +393,7 @@
 
     private void runOutsideTransaction(ClientRequest.Run run, Authorization authorized, long arrivedNanos) {
         DatabaseRoute route = authorized.route();
-        StatementExecution.Task task = new StatementExecution.Task(
+        StatementTask task = new StatementTask(
                 run,
                 route,
                 authorized.account().name(),
@@ -417,11 +402,11 @@
                 Map.copyOf(sessionValues),
                 preparedStatement(run),
                 minimumPositions.get(route.group()));
-        start(new StatementExecution(context, task, arrivedNanos, new ExecutionListener(null, run, route)));
+        start(new StatementExecution(context, task, arrivedNanos, new OutcomeListener(null, run, route)));
     }
 
     private void runInTransaction(ClientRequest.Run run, OpenTransaction openTransaction) {
-        StatementExecution.Task task = new StatementExecution.Task(
+        StatementTask task = new StatementTask(
                 run,
                 openTransaction.route(),
                 openTransaction.account(),
@@ -432,7 +417,7 @@
                 minimumPositions.get(openTransaction.route().group()));
         long now = context.clock().nowNanos();
         start(new StatementExecution(
-                context, task, now, new ExecutionListener(openTransaction, run, openTransaction.route())));
+                context, task, now, new OutcomeListener(openTransaction, run, openTransaction.route())));
     }
 
     private void start(StatementExecution execution) {
@@ -501,24 +486,7 @@
     private void closeIfIdle() {
         Channel clientChannel = channel;
         if (draining && !isActive() && clientChannel != null) {
-            closePhase = ClosePhase.FLUSHING;
-            clientChannel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> closeFlushed(clientChannel));
-        }
-    }
-
-    /** Closes the output once all answers have been written; a request that has arrived since is answered first. */
-    private void closeFlushed(Channel clientChannel) {
-        if (isBusy() || !clientChannel.isActive()) {
-            closePhase = ClosePhase.OPEN;
-            return;
-        }
-        closePhase = ClosePhase.OUTPUT_CLOSED;
-        if (clientChannel instanceof DuplexChannel duplex) {
-            duplex.shutdownOutput();
-            var unused = context.eventLoop()
-                    .schedule(() -> clientChannel.close(), CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-        } else {
-            clientChannel.close();
+            closing.start(clientChannel, this::isBusy);
         }
     }
 
@@ -530,12 +498,12 @@
     }
 
     /** Updates the session with the outcome of an execution and answers the caller. */
-    private final class ExecutionListener implements StatementExecution.Listener {
+    private final class OutcomeListener implements ExecutionListener {
         private final @Nullable OpenTransaction enclosingTransaction;
         private final ClientRequest.Run run;
         private final DatabaseRoute route;
 
-        private ExecutionListener(
+        private OutcomeListener(
                 @Nullable OpenTransaction enclosingTransaction, ClientRequest.Run run, DatabaseRoute route) {
             this.enclosingTransaction = enclosingTransaction;
             this.run = run;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
@@ -54,7 +54,7 @@
     private final Map<String, String> sessionValues;
     private final @Nullable PreparedShape preparedStatement;
     private final @Nullable LogPosition sessionPosition;
-    private final Listener listener;
+    private final ExecutionListener listener;
     private final long arrivedNanos;
     private final long deadlineNanos;
     private final Set<String> laggingMembers = new HashSet<>();
@@ -68,55 +68,7 @@
     private final HeldRows heldRows = new HeldRows();
     private long lastProgressNanos;
 
-    /** Receives the outcome of the execution: success or failure, exactly once. */
-    interface Listener {
-        /**
-         * Handles success.
-         *
-         * @param answer the answer of the member
-         */
-        void onSuccess(MemberAnswer answer);
-
-        /**
-         * Handles failure.
-         *
-         * @param error the error to report to the caller
-         * @param detail the explanation, with the remedy where there is one
-         */
-        void onFailure(SessionError error, String detail);
-
-        /**
-         * Handles rows that precede those of the final answer. May be called several times before another method.
-         *
-         * @param rows the rows
-         * @return whether the caller can take more now; otherwise {@link StatementExecution#resume()} has to be called
-         */
-        boolean onRows(List<String> rows);
-    }
-
-    /**
-     * The statement to run and the session state that it depends on.
-     *
-     * @param request the request of the caller
-     * @param route the route of the database
-     * @param account the client account
-     * @param weight the weight of the account in the queues
-     * @param transaction the transaction that the statement belongs to, or null
-     * @param sessionValues the values that the caller has set in the session
-     * @param preparedStatement the prepared statement that is executed, or null
-     * @param sessionPosition the log position that reads of the session must include, or null
-     */
-    record Task(
-            ClientRequest.Run request,
-            DatabaseRoute route,
-            String account,
-            int weight,
-            @Nullable OpenTransaction transaction,
-            Map<String, String> sessionValues,
-            @Nullable PreparedShape preparedStatement,
-            @Nullable LogPosition sessionPosition) {}
-
-    StatementExecution(SessionContext context, Task task, long arrivedNanos, Listener listener) {
+    StatementExecution(SessionContext context, StatementTask task, long arrivedNanos, ExecutionListener listener) {
         this.context = context;
         this.request = task.request();
         this.route = task.route();
@@ -587,37 +539,11 @@
         if (scheduledDeadline != null) {
             scheduledDeadline.cancel(false);
         }
-        context.metrics().count("statements", "outcome", outcome);
-        long now = context.clock().nowNanos();
-        context.metrics().recordLatency("statement.latency", now - arrivedNanos);
-        Placement currentPlacement = placement;
-        var line = context.log()
-                .line("statement")
-                .with("request", request.requestId())
-                .with("account", account)
-                .with("database", route.databaseName())
-                .with("group", group.name())
-                .with("statement", request.statement().getClass().getSimpleName())
-                .with("version", context.directory().configuration().version())
-                .with("member", usedLease == null ? null : usedLease.server().name())
-                .with("term", group.terms().newest().term())
-                .with("attempts", attempts)
-                .with("outcome", outcome)
-                .with("detail", detail)
-                .with("ms", TimeUnit.NANOSECONDS.toMillis(now - arrivedNanos));
-        if (currentPlacement != null) {
-            line.with("primary", currentPlacement.primary())
-                    .with("access", currentPlacement.access().name())
-                    .with("candidates", currentPlacement.candidates())
-                    .with("queuedMs", TimeUnit.NANOSECONDS.toMillis(currentPlacement.queuedNanos()));
-            if (currentPlacement.minimumPosition() != null) {
-                line.with("floor", currentPlacement.minimumPosition().position().toString())
-                        .with(
-                                "floorAgeMs",
-                                TimeUnit.NANOSECONDS.toMillis(
-                                        now - currentPlacement.minimumPosition().coveredUntilNanos()));
-            }
-        }
-        line.write();
+        StatementRecord.write(
+                context,
+                new StatementRecord.Outcome(
+                        request, account, route, outcome, detail, attempts, placement, arrivedNanos),
+                usedLease == null ? null : usedLease.server().name(),
+                group.terms().newest().term());
     }
 }
