Move the queues of a group to a class of their own

Change: ConnectionRequestQueue does this for each queue. A rollback on a connection that cannot be used again closes it, which rolls back as well and sends nothing to a member that is leaving or taken out.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
@@ -7,8 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.banyanhook.core.admission.AdmissionDecision;
-import org.banyanhook.core.admission.FairQueue;
 import org.banyanhook.core.configuration.GroupLimits;
 import org.banyanhook.core.primary.GroupTerms;
 import org.banyanhook.core.primary.PrimaryReliance;
@@ -18,7 +16,6 @@
 import org.banyanhook.gateway.fleet.FleetDirectory.MemberRecord;
 import org.banyanhook.gateway.message.MemberAnswer;
 import org.banyanhook.gateway.message.MemberReport;
-import org.banyanhook.gateway.message.SessionError;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -27,11 +24,6 @@
  */
 public final class DatabaseGroup {
 
-    /** The capacity of each queue of a group; more than its members can process in a second. */
-    private static final int QUEUE_CAPACITY_REQUESTS = 256;
-
-    private static final int QUEUE_CAPACITY_REQUESTS_PER_ACCOUNT = 96;
-
     /**
      * After a suspension, or a step of the wall clock, the store answers within this time whether this daemon is still
      * in contact with it; until then nothing new is sent to the primary, but its connections are kept.
@@ -42,10 +34,8 @@
     private final GroupContext context;
     private final ConnectionAllocator allocator;
     private final Map<String, MemberServer> servers = new HashMap<>();
-    private final FairQueue<ConnectionRequest> primaryQueue =
-            new FairQueue<>(QUEUE_CAPACITY_REQUESTS, QUEUE_CAPACITY_REQUESTS_PER_ACCOUNT);
-    private final FairQueue<ConnectionRequest> readQueue =
-            new FairQueue<>(QUEUE_CAPACITY_REQUESTS, QUEUE_CAPACITY_REQUESTS_PER_ACCOUNT);
+    private final ConnectionRequestQueue primaryQueue = new ConnectionRequestQueue("the primary");
+    private final ConnectionRequestQueue readQueue = new ConnectionRequestQueue("a member");
     private final PositionHistory positionHistory = new PositionHistory();
     private final GroupTerms terms = new GroupTerms();
     private final MemberSelection memberSelection;
@@ -99,21 +89,9 @@
      * @param request the request
      */
     public void submit(ConnectionRequest request) {
-        FairQueue<ConnectionRequest> queue = request.requirements().primaryOnly() ? primaryQueue : readQueue;
-        if (queue.size() == 0 && place(request)) {
-            return;
-        }
-        AdmissionDecision<ConnectionRequest> decision = queue.offer(
-                request.account(),
-                request.weight(),
-                request,
-                request.deadlineNanos(),
-                context.clock().nowNanos());
-        decision.displaced()
-                .ifPresent(
-                        displaced -> refuse(displaced, "displaced from the queue by an account with a shorter queue"));
-        if (!decision.isQueued()) {
-            refuse(request, "queue: " + decision.reason());
+        ConnectionRequestQueue queue = request.requirements().primaryOnly() ? primaryQueue : readQueue;
+        if (!queue.isEmpty() || !place(request)) {
+            queue.add(request, context.clock().nowNanos());
         }
     }
 
@@ -138,10 +116,15 @@
 
     /**
      * Rolls back the transaction of a leased connection, and releases the connection when the member has confirmed it.
+     * A connection that cannot be used again is closed instead, which has the same effect.
      *
      * @param lease the lease
      */
     public void rollBack(ConnectionLease lease) {
+        if (!isAvailable(lease.server())) {
+            lease.close("the member accepts no new requests");
+            return;
+        }
         TransactionRollback.start(lease, context.eventLoops().next(), () -> release(lease));
     }
 
@@ -168,7 +151,7 @@
         if (next.isEmpty()) {
             next = readQueue.poll(connection.account(), now);
         }
-        next.filter(request -> !request.isCancelled()).ifPresent(request -> {
+        next.ifPresent(request -> {
             if (!place(request)) {
                 submit(request);
             }
@@ -305,8 +288,8 @@
             primaryPaused = false;
         }
         checkPrimaryAccess();
-        primaryQueue.removeExpired(now).forEach(request -> refuse(request, "timed out in the queue for the primary"));
-        readQueue.removeExpired(now).forEach(request -> refuse(request, "timed out in the queue for a member"));
+        primaryQueue.refuseExpired(now);
+        readQueue.refuseExpired(now);
         dispatch();
     }
 
@@ -399,13 +382,6 @@
         }
     }
 
-    private void refuse(ConnectionRequest request, String detail) {
-        if (!request.isCancelled()) {
-            request.cancel();
-            request.listener().onRefused(SessionError.OVERLOADED, detail);
-        }
-    }
-
     /** Serves queued requests as long as connections are available. */
     private void dispatch() {
         if (dispatching) {
@@ -413,28 +389,14 @@
         }
         dispatching = true;
         try {
-            dispatch(primaryQueue);
-            dispatch(readQueue);
+            long now = context.clock().nowNanos();
+            primaryQueue.dispatch(this::place, now);
+            readQueue.dispatch(this::place, now);
         } finally {
             dispatching = false;
         }
     }
 
-    private void dispatch(FairQueue<ConnectionRequest> queue) {
-        long now = context.clock().nowNanos();
-        int attempts = queue.size();
-        while (attempts-- > 0) {
-            ConnectionRequest next = queue.poll(now).orElse(null);
-            if (next == null) {
-                return;
-            }
-            if (!next.isCancelled() && !place(next)) {
-                queue.offer(next.account(), next.weight(), next, next.deadlineNanos(), now);
-                return;
-            }
-        }
-    }
-
     private boolean place(ConnectionRequest request) {
         List<MemberServer> available =
                 servers.values().stream().filter(this::isAvailable).toList();
