End open transactions when their key, domain or entry VM is withdrawn

What callers saw: a caller with an open transaction went on after its key was withdrawn, and at a member whose failure domain operators had taken out, for as long as it sent statements; during a planned stop a statement that was passed on shortly before the process ended was cut off. Cause: only new work was checked; nothing looked at what an open transaction relies on. The stop had one deadline for sessions and none for what is passed on before it. Change: TransactionContinuation decides before each statement of a transaction (key, time left, domain); the transaction is rolled back and its caller told that nothing is kept. ShutdownSchedule, out of Gateway, tells whether a statement can be answered in time; in the first half of the grace period every statement runs. A second STARTUP no longer changes the key of an open session. Session lost its authorization, its log lines and the guard to classes of their own.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.banyanhook.core.execution.ShutdownSchedule;
 import org.banyanhook.daemon.peer.NettyPeerMessenger;
 import org.banyanhook.gateway.backend.ConnectionProbe;
 import org.banyanhook.gateway.backend.DatabaseGroups;
@@ -52,19 +53,17 @@
     /** The interval at which queued requests, idle transactions and primaries are checked. */
     private static final long TICK_INTERVAL_MILLIS = 200;
 
-    /** Readiness is withdrawn this long before sessions are closed, so that the load balancer has checked it twice. */
-    private static final long READINESS_WITHDRAWAL_MILLIS = 2_200;
-
-    /** The part of the grace period that is reserved for the end of the process. */
-    private static final long SHUTDOWN_MARGIN_MILLIS = 700;
-
     private static final long DRAIN_POLL_INTERVAL_MILLIS = 50;
 
+    /** How long the end of the process waits for the store to remove the entry of this daemon. */
+    private static final long REGISTRATION_END_TIMEOUT_MILLIS = 350;
+
     private final GatewaySettings settings;
     private final Ports ports;
     private final EventLoopGroup eventLoops;
     private final EventLoop eventLoop;
     private final DecisionLog log;
+    private final MonotonicClock clock = MonotonicClock.ofSystem();
     private final GatewayMetrics metrics = new GatewayMetrics();
     private final FleetDirectory directory;
     private final StoreMirror storeMirror;
@@ -107,7 +106,6 @@
         this.ports = requireNonNull(ports, "ports");
         this.eventLoops = requireNonNull(eventLoops, "eventLoops");
         this.eventLoop = eventLoops.next();
-        MonotonicClock clock = MonotonicClock.ofSystem();
         this.log = new DecisionLog(settings.entryVm(), output, clock::nowNanos);
         this.directory = new FleetDirectory(ports.recordCodec(), log, clock);
         this.storeMirror =
@@ -156,7 +154,7 @@
         PromotionLeases promotionLeases =
                 new PromotionLeases(settings.entryVm(), ports.store(), ports.recordCodec(), directory, clock, log);
         storeMirror.onFirstReading(promotionLeases::endFormerLeases);
-        this.promotionController = newPromotionController(promotionLeases, voteExchange, promotionVoter, probe, clock);
+        this.promotionController = newPromotionController(promotionLeases, voteExchange, promotionVoter, probe);
         this.sessionContext = new SessionContext(
                 settings, directory, databaseGroups, rateLimiter, primaryAccess, eventLoop, clock, log, metrics);
     }
@@ -165,8 +163,7 @@
             PromotionLeases promotionLeases,
             PeerVoteExchange voteExchange,
             PromotionVoter promotionVoter,
-            ConnectionProbe probe,
-            MonotonicClock clock) {
+            ConnectionProbe probe) {
         PromotionWorkflow workflow = new PromotionWorkflow(
                 settings.entryVm(),
                 ports.store(),
@@ -230,15 +227,13 @@
             }
             draining = true;
             log.line("stop").with("sessions", sessions.size()).write();
-            long startNanos = System.nanoTime();
-            long timeoutMillis = Math.max(0, settings.shutdownGraceMillis() - SHUTDOWN_MARGIN_MILLIS);
-            long readinessWithdrawalMillis = Math.min(READINESS_WITHDRAWAL_MILLIS, timeoutMillis / 2);
+            ShutdownSchedule schedule = ShutdownSchedule.startingAt(clock.nowNanos(), settings.shutdownGraceMillis());
             var unused = eventLoop.schedule(
                     () -> {
-                        sessions.drain();
-                        stopWhenIdle(startNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMillis), drained);
+                        sessions.drain(schedule);
+                        stopWhenIdle(schedule.endNanos(), drained);
                     },
-                    readinessWithdrawalMillis,
+                    schedule.closeSessionsAfterMillis(),
                     TimeUnit.MILLISECONDS);
         });
         return drained;
@@ -250,7 +245,7 @@
     }
 
     private void stopWhenIdle(long deadlineNanos, CompletableFuture<Void> drained) {
-        if (sessions.isActive() && System.nanoTime() - deadlineNanos < 0) {
+        if (sessions.isActive() && clock.nowNanos() - deadlineNanos < 0) {
             var unused = eventLoop.schedule(
                     () -> stopWhenIdle(deadlineNanos, drained), DRAIN_POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
             return;
@@ -258,7 +253,7 @@
         storeMirror.stop();
         registration
                 .stop()
-                .orTimeout(SHUTDOWN_MARGIN_MILLIS / 2, TimeUnit.MILLISECONDS)
+                .orTimeout(REGISTRATION_END_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                 .whenComplete((done, failure) -> {
                     log.line("stopped")
                             .with("reason", failure == null ? "drained" : "store did not answer")
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/GatewaySettings.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/GatewaySettings.java
@@ -17,6 +17,8 @@
  * @param storeAddress the address of the record store
  * @param authorityAddress the address of the service that carries out promotions
  * @param shutdownGraceMillis the grace period of a graceful shutdown, in milliseconds
+ * @param evacuationLimitMillis how long members of a failure domain may receive statements after operators have taken
+ *     it out, in milliseconds
  */
 public record GatewaySettings(
         String entryVm,
@@ -28,7 +30,8 @@
         InetSocketAddress peerAddress,
         InetSocketAddress storeAddress,
         InetSocketAddress authorityAddress,
-        long shutdownGraceMillis) {
+        long shutdownGraceMillis,
+        long evacuationLimitMillis) {
     public GatewaySettings {
         regions = ImmutableMap.copyOf(regions);
     }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
@@ -60,7 +60,7 @@
     private final Map<String, EndedDaemon> endedDaemons = new HashMap<>();
     private final Map<String, RecordedPromotion> promotions = new HashMap<>();
     private final Map<String, HeldPromotionLease> promotionLeases = new HashMap<>();
-    private final Set<String> evacuatedDomains = new HashSet<>();
+    private final Map<String, Long> takenOutSinceNanos = new HashMap<>();
     private final Deque<DaemonCount> daemonCounts = new ArrayDeque<>();
     private final Map<String, Integer> daemonCountsByDomain = new HashMap<>();
     private Map<String, DaemonEntry> daemonsByEntryVm = Map.of();
@@ -120,7 +120,15 @@
 
     /** Returns whether operators have taken a failure domain out. */
     public boolean isEvacuated(String failureDomain) {
-        return evacuatedDomains.contains(failureDomain);
+        return takenOutSinceNanos.containsKey(failureDomain);
+    }
+
+    /**
+     * Returns for how long this daemon has known that a failure domain is taken out, in nanoseconds; 0 if it is not.
+     */
+    public long nanosSinceTakenOut(String failureDomain) {
+        Long since = takenOutSinceNanos.get(failureDomain);
+        return since == null ? 0 : clock.nowNanos() - since;
     }
 
     /** Returns the daemons that have an entry, by entry VM. */
@@ -363,7 +371,7 @@
         } else if (record instanceof FleetRecord.Member found) {
             addMember(found.entry(), change.revision());
         } else if (record instanceof FleetRecord.Evacuation found) {
-            evacuatedDomains.add(found.failureDomain());
+            takenOutSinceNanos.putIfAbsent(found.failureDomain(), clock.nowNanos());
             log.line("evacuation")
                     .with("failureDomain", found.failureDomain())
                     .with("change", "taken-out")
@@ -395,7 +403,7 @@
         if (record instanceof FleetRecord.Member found) {
             removeMember(found.entry(), change.revision());
         } else if (record instanceof FleetRecord.Evacuation found) {
-            evacuatedDomains.remove(found.failureDomain());
+            takenOutSinceNanos.remove(found.failureDomain());
             log.line("evacuation")
                     .with("failureDomain", found.failureDomain())
                     .with("change", "back")
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/OpenTransaction.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/OpenTransaction.java
@@ -11,8 +11,7 @@
 
     private final boolean readOnly;
     private final DatabaseRoute route;
-    private final String account;
-    private final int weight;
+    private final ClientAccount account;
     private @Nullable ConnectionLease lease;
     private boolean begun;
     private boolean hasWritten;
@@ -23,8 +22,7 @@
     OpenTransaction(boolean readOnly, DatabaseRoute route, ClientAccount account, long nowNanos) {
         this.readOnly = readOnly;
         this.route = route;
-        this.account = account.name();
-        this.weight = account.weight();
+        this.account = account;
         this.lastActivityNanos = nowNanos;
     }
 
@@ -36,12 +34,16 @@
         return route;
     }
 
-    String account() {
+    ClientAccount clientAccount() {
         return account;
     }
 
+    String account() {
+        return account.name();
+    }
+
     int weight() {
-        return weight;
+        return account.weight();
     }
 
     @Nullable
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -15,10 +14,10 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
-import org.banyanhook.core.configuration.ClientAccount;
 import org.banyanhook.core.configuration.DatabaseRoute;
 import org.banyanhook.core.configuration.SessionConfiguration;
-import org.banyanhook.core.key.KeyHashes;
+import org.banyanhook.core.execution.ShutdownSchedule;
+import org.banyanhook.core.execution.TransactionContinuation;
 import org.banyanhook.core.replication.LogPosition;
 import org.banyanhook.gateway.backend.ConnectionLease;
 import org.banyanhook.gateway.message.ClientAnswer;
@@ -44,9 +43,6 @@
 
     private static final long CONFIGURATION_POLL_INTERVAL_MILLIS = 40;
 
-    /** The account of callers without a granted key on routes that are open to all. */
-    private static final ClientAccount PUBLIC_ACCOUNT = new ClientAccount("public", List.of(), 0, 0, 1);
-
     private final SessionContext context;
     private final SessionRegistry registry;
     private final Map<String, String> sessionValues = new LinkedHashMap<>();
@@ -54,6 +50,8 @@
     private final Map<String, LogPosition> minimumPositions = new HashMap<>();
     private final Deque<ClientRequest> queuedRequests = new ArrayDeque<>();
     private final GracefulClose closing = new GracefulClose();
+    private final SessionLog sessionLog;
+    private final StatementGuard guard;
     private @Nullable Channel channel;
     private String databaseName = "";
     private String key = "";
@@ -63,10 +61,7 @@
     private boolean draining;
     private @Nullable OpenTransaction transaction;
     private @Nullable StatementExecution currentExecution;
-    private @Nullable SessionConfiguration authorizationConfiguration;
-    private Optional<Authorization> authorization = Optional.empty();
-
-    private record Authorization(DatabaseRoute route, ClientAccount account) {}
+    private SessionAuthorization authorization;
 
     /**
      * Creates a session. The caller has to open it with {@link ClientRequest.Open}.
@@ -78,6 +73,9 @@
         super(ClientRequest.class);
         this.context = context;
         this.registry = registry;
+        this.sessionLog = new SessionLog(context);
+        this.guard = new StatementGuard(context);
+        this.authorization = new SessionAuthorization(context.directory(), databaseName, key);
     }
 
     @Override
@@ -112,12 +110,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
-        context.log()
-                .line("session")
-                .with("database", databaseName)
-                .with("change", "broken")
-                .with("reason", cause.toString())
-                .write();
+        sessionLog.broken(databaseName, cause);
         handlerContext.close();
     }
 
@@ -142,8 +135,13 @@
         }
     }
 
-    /** Closes the session as soon as no transaction or statement is in progress. */
-    public void drain() {
+    /**
+     * Closes the session as soon as no transaction or statement is in progress.
+     *
+     * @param schedule decides which statements still run
+     */
+    void drain(ShutdownSchedule schedule) {
+        guard.beginShutdown(schedule);
         draining = true;
         closeIfIdle();
     }
@@ -170,28 +168,25 @@
         releaseConnection(openTransaction);
         openTransaction.recordFailure(
                 SessionError.TRANSACTION_ABORTED, "the transaction exceeded the idle timeout; begin a new transaction");
-        context.log()
-                .line("transaction")
-                .with("account", openTransaction.account())
-                .with("database", databaseName)
-                .with("change", "rolled-back")
-                .with("reason", "idle")
-                .write();
+        sessionLog.transactionRolledBack(openTransaction, databaseName, "idle");
     }
 
     private void open(ClientRequest.Open open) {
+        if (opened) {
+            refuseSession(SessionError.MALFORMED, "the session is already open");
+            return;
+        }
         databaseName = open.databaseName();
         key = open.key();
+        authorization = new SessionAuthorization(context.directory(), databaseName, key);
         SessionConfiguration configuration = context.directory().configuration();
-        if (opened) {
-            refuseSession(SessionError.MALFORMED, "the session is already open");
-        } else if (configuration.version() == 0) {
+        if (configuration.version() == 0) {
             awaitConfiguration();
         } else if (configuration.route(databaseName).isEmpty()) {
             refuseSession(
                     SessionError.DATABASE_UNKNOWN,
                     "the database is not configured; use a database that the operators configured");
-        } else if (authorize().isEmpty()) {
+        } else if (authorization.current().isEmpty()) {
             refuseSession(
                     SessionError.KEY_UNKNOWN,
                     "the key is not granted to a client account; ask an operator for a granted key");
@@ -224,17 +219,8 @@
     }
 
     private void refuseSession(SessionError error, String detail) {
-        context.metrics().count("sessions.refused", "reason", error.name());
         Channel clientChannel = channel;
-        context.log()
-                .line("session-refusal")
-                .with("database", databaseName)
-                .with("caller", callerAddress(clientChannel))
-                .with("key", key.isEmpty() ? null : KeyHashes.fingerprint(key))
-                .with("outcome", error.name())
-                .with("version", context.directory().configuration().version())
-                .with("versionAgeMs", context.directory().configurationAgeMillis())
-                .write();
+        sessionLog.sessionRefused(clientChannel, databaseName, key, error);
         if (clientChannel != null) {
             clientChannel
                     .writeAndFlush(new ClientAnswer.OpenRefused(error, detail))
@@ -242,12 +228,6 @@
         }
     }
 
-    private static @Nullable String callerAddress(@Nullable Channel clientChannel) {
-        return clientChannel != null && clientChannel.remoteAddress() instanceof InetSocketAddress address
-                ? address.getAddress().getHostAddress() + ":" + address.getPort()
-                : null;
-    }
-
     private void receiveRequest(ClientRequest request) {
         if (!opened) {
             refuseSession(SessionError.MALFORMED, "the session is not open; open it first");
@@ -308,10 +288,27 @@
         } else if (statement instanceof SessionStatement.Begin) {
             answerFailed(SessionError.MALFORMED, "a transaction is already open", TransactionState.OPEN);
         } else if (!handleLocally(statement)) {
-            runInTransaction(run, openTransaction);
+            TransactionContinuation continuation = guard.decide(openTransaction, authorization);
+            if (continuation == TransactionContinuation.CONTINUES) {
+                runInTransaction(run, openTransaction);
+            } else {
+                abortTransaction(run, openTransaction, continuation);
+            }
         }
     }
 
+    private void abortTransaction(
+            ClientRequest.Run run, OpenTransaction openTransaction, TransactionContinuation reason) {
+        sessionLog.transactionRolledBack(openTransaction, databaseName, reason.name());
+        if (run.statement() instanceof SessionStatement.Commit) {
+            endTransaction();
+        } else {
+            releaseConnection(openTransaction);
+            openTransaction.recordFailure(SessionError.TRANSACTION_ABORTED, "");
+        }
+        answerFailed(SessionError.TRANSACTION_ABORTED, reason.detail(), transactionState());
+    }
+
     /** Processes a statement that needs no member; returns whether it was one. */
     private boolean handleLocally(SessionStatement statement) {
         if (statement instanceof SessionStatement.SetValue set) {
@@ -332,21 +329,29 @@
     }
 
     /** Checks the key, the route and the rate limit of the caller before a statement runs. */
-    private void admit(ClientRequest.Run run, BiConsumer<Authorization, Long> onAdmitted) {
+    private void admit(ClientRequest.Run run, BiConsumer<SessionAuthorization.Grant, Long> onAdmitted) {
         long now = context.clock().nowNanos();
-        Optional<Authorization> optionalAuthorization = authorize();
-        if (optionalAuthorization.isEmpty()) {
+        Optional<SessionAuthorization.Grant> granted = authorization.current();
+        if (granted.isEmpty()) {
             boolean routeKnown =
                     context.directory().configuration().route(databaseName).isPresent();
             SessionError error = routeKnown ? SessionError.KEY_UNKNOWN : SessionError.DATABASE_UNKNOWN;
-            logRefusal(run, error, "not in the current configuration");
+            sessionLog.statementRefused(run, databaseName, error, "not in the current configuration");
             draining = true;
             answerFailed(
                     error, "the current configuration does not permit the key or the database", TransactionState.IDLE);
             return;
         }
-        Authorization authorized = optionalAuthorization.get();
-        if (authorized.account() == PUBLIC_ACCOUNT) {
+        SessionAuthorization.Grant authorized = granted.get();
+        if (!guard.leavesTimeFor(authorized.route())) {
+            sessionLog.statementRefused(run, databaseName, SessionError.OVERLOADED, "the entry VM is being stopped");
+            answerFailed(
+                    SessionError.OVERLOADED,
+                    "this entry VM is being stopped; retry on a new connection",
+                    TransactionState.IDLE);
+            return;
+        }
+        if (!authorized.isRateLimited()) {
             onAdmitted.accept(authorized, now);
             return;
         }
@@ -365,33 +370,8 @@
         });
     }
 
-    private void logRefusal(ClientRequest.Run run, SessionError error, String reason) {
-        context.metrics().count("statements", "outcome", error.name());
-        context.log()
-                .line("refusal")
-                .with("request", run.requestId())
-                .with("database", databaseName)
-                .with("outcome", error.name())
-                .with("reason", reason)
-                .with("version", context.directory().configuration().version())
-                .write();
-    }
-
-    private Optional<Authorization> authorize() {
-        SessionConfiguration configuration = context.directory().configuration();
-        if (authorizationConfiguration != configuration) {
-            authorizationConfiguration = configuration;
-            authorization = configuration
-                    .route(databaseName)
-                    .flatMap(route -> context.directory()
-                            .accountOf(key)
-                            .or(() -> route.openToAll() ? Optional.of(PUBLIC_ACCOUNT) : Optional.empty())
-                            .map(account -> new Authorization(route, account)));
-        }
-        return authorization;
-    }
-
-    private void runOutsideTransaction(ClientRequest.Run run, Authorization authorized, long arrivedNanos) {
+    private void runOutsideTransaction(
+            ClientRequest.Run run, SessionAuthorization.Grant authorized, long arrivedNanos) {
         DatabaseRoute route = authorized.route();
         StatementTask task = new StatementTask(
                 run,
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/SessionRegistry.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/SessionRegistry.java
@@ -3,17 +3,20 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.banyanhook.core.execution.ShutdownSchedule;
+import org.jspecify.annotations.Nullable;
 
 /** The registry of all sessions of this daemon. Confined to the event loop. */
 public final class SessionRegistry {
 
     private final Set<Session> sessions = new HashSet<>();
-    private boolean draining;
+    private @Nullable ShutdownSchedule shutdown;
 
     void add(Session session) {
         sessions.add(session);
-        if (draining) {
-            session.drain();
+        ShutdownSchedule begun = shutdown;
+        if (begun != null) {
+            session.drain(begun);
         }
     }
 
@@ -31,10 +34,14 @@
         return sessions.stream().anyMatch(Session::isActive);
     }
 
-    /** Closes every present and future session as soon as it is inactive. */
-    public void drain() {
-        draining = true;
-        List.copyOf(sessions).forEach(Session::drain);
+    /**
+     * Closes every present and future session as soon as it is inactive.
+     *
+     * @param schedule decides which statements still run
+     */
+    public void drain(ShutdownSchedule schedule) {
+        shutdown = schedule;
+        List.copyOf(sessions).forEach(session -> session.drain(schedule));
     }
 
     /** Rolls back the transactions that have exceeded the idle timeout. */
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
@@ -1,11 +1,12 @@
 package org.banyanhook.gateway;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -15,9 +16,12 @@
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.core.configuration.ClientAccount;
 import org.banyanhook.core.configuration.DatabaseRoute;
+import org.banyanhook.core.configuration.GrantedKey;
 import org.banyanhook.core.configuration.GroupLimits;
 import org.banyanhook.core.configuration.ReadFreshness;
 import org.banyanhook.core.configuration.SessionConfiguration;
+import org.banyanhook.core.execution.ShutdownSchedule;
+import org.banyanhook.core.key.KeyHashes;
 import org.banyanhook.core.replication.LogPosition;
 import org.banyanhook.gateway.backend.DatabaseGroup;
 import org.banyanhook.gateway.backend.DatabaseGroups;
@@ -49,8 +53,15 @@
     /** A database whose reads have to be current. */
     public static final String DATABASE = "orders-current";
 
+    /** A database that only callers with a granted key may use. */
+    public static final String PRIVATE_DATABASE = "orders-private";
+
     public static final long STATEMENT_TIMEOUT_MILLIS = 1_000;
 
+    public static final long GRACE_MILLIS = 6_000;
+
+    public static final long EVACUATION_LIMIT_MILLIS = 5_000;
+
     private static final int CONNECTION_LIMIT = 6;
     private static final InetSocketAddress UNUSED = InetSocketAddress.createUnresolved("unused", 1);
 
@@ -62,12 +73,14 @@
     private final FleetDirectory directory;
     private final GroupContext groupContext;
     private final DatabaseGroups groups;
+    private final AccountRateLimiter rateLimiter;
     private final SessionContext sessionContext;
     private final SessionRegistry registry = new SessionRegistry();
     private final TextRecordCodec recordCodec = new TextRecordCodec();
     private long nowNanos = TimeUnit.SECONDS.toNanos(100);
     private long suspendedMillis;
     private long revision = 10;
+    private long configurationVersion;
     private boolean inContact = true;
 
     /** Creates a gateway that knows a configuration and no members. */
@@ -76,8 +89,18 @@
         clock = new MonotonicClock(() -> nowNanos, () -> TimeUnit.NANOSECONDS.toMillis(nowNanos) + suspendedMillis);
         directory = new FleetDirectory(recordCodec, log, clock);
         GatewayMetrics metrics = new GatewayMetrics();
-        GatewaySettings settings =
-                new GatewaySettings("vm", "east", Map.of(), UNUSED, UNUSED, UNUSED, UNUSED, UNUSED, UNUSED, 1_000);
+        GatewaySettings settings = new GatewaySettings(
+                "vm",
+                "east",
+                Map.of(),
+                UNUSED,
+                UNUSED,
+                UNUSED,
+                UNUSED,
+                UNUSED,
+                UNUSED,
+                GRACE_MILLIS,
+                EVACUATION_LIMIT_MILLIS);
         groupContext = new GroupContext(
                 settings,
                 directory,
@@ -91,7 +114,7 @@
                 metrics);
         groups = new DatabaseGroups(groupContext);
         directory.addListener(groups);
-        AccountRateLimiter rateLimiter = new AccountRateLimiter(
+        rateLimiter = new AccountRateLimiter(
                 "vm",
                 "east",
                 directory,
@@ -101,21 +124,32 @@
                 metrics);
         sessionContext = new SessionContext(
                 settings, directory, groups, rateLimiter, group -> inContact, eventLoop(), clock, log, metrics);
-        apply("config", new FleetRecord.Configuration(configuration()));
+        grantKeys();
+    }
+
+    /** Applies a new configuration in which the account has these keys and no others. */
+    public void grantKeys(String... keys) {
+        apply("config", new FleetRecord.Configuration(configuration(++configurationVersion, List.of(keys))));
     }
 
-    private static SessionConfiguration configuration() {
-        DatabaseRoute route = new DatabaseRoute(
-                DATABASE, GROUP, ReadFreshness.CURRENT, 0, STATEMENT_TIMEOUT_MILLIS, 100, 0, true, Set.of());
+    private static SessionConfiguration configuration(long version, List<String> keys) {
+        List<GrantedKey> granted = keys.stream()
+                .map(key -> new GrantedKey(key, KeyHashes.hash(key)))
+                .toList();
         return new SessionConfiguration(
-                1,
-                List.of(new ClientAccount("account", List.of(), 100, 100, 1)),
+                version,
+                List.of(new ClientAccount("account", granted, 100, 100, 1)),
                 Map.of(),
-                Map.of(DATABASE, route),
+                Map.of(DATABASE, route(DATABASE, true), PRIVATE_DATABASE, route(PRIVATE_DATABASE, false)),
                 Map.of(GROUP, new GroupLimits(GROUP, CONNECTION_LIMIT, 0)),
                 TimeUnit.SECONDS.toMillis(10));
     }
 
+    private static DatabaseRoute route(String database, boolean openToAll) {
+        return new DatabaseRoute(
+                database, GROUP, ReadFreshness.CURRENT, 0, STATEMENT_TIMEOUT_MILLIS, 100, 0, openToAll, Set.of());
+    }
+
     public EventLoop eventLoop() {
         return timers.eventLoop();
     }
@@ -156,6 +190,18 @@
         return nowNanos;
     }
 
+    /** Lists this daemon as the only one, and lets time pass until accounts have tokens. */
+    public void accrueTokens() {
+        directory.apply(new StoreRecord(recordCodec.daemonKey("vm"), ++revision, "east".getBytes(UTF_8), 0));
+        rateLimiter.tick();
+        advanceMillis(1_000);
+    }
+
+    /** Returns the schedule of a stop that begins now. */
+    public ShutdownSchedule shutdownSchedule() {
+        return ShutdownSchedule.startingAt(nowNanos, GRACE_MILLIS);
+    }
+
     /** Sets whether this daemon would learn of the replacement of a primary. */
     public void inContact(boolean value) {
         inContact = value;
@@ -168,18 +214,28 @@
 
     /** Lists a member in the store. */
     public ScriptedMember list(String name, boolean primary) {
-        apply("members/" + name, new FleetRecord.Member(entry(name, primary, false)));
+        return listIn("east", name, primary);
+    }
+
+    /** Lists a member of a failure domain in the store. */
+    public ScriptedMember listIn(String failureDomain, String name, boolean primary) {
+        apply("members/" + name, new FleetRecord.Member(entry(failureDomain, name, primary, false)));
         return member(name);
     }
 
     /** Lists a member as leaving. */
     public void listLeaving(String name, boolean primary) {
-        apply("members/" + name, new FleetRecord.Member(entry(name, primary, true)));
+        apply("members/" + name, new FleetRecord.Member(entry("east", name, primary, true)));
     }
 
-    private static MemberEntry entry(String name, boolean primary, boolean leaving) {
+    private static MemberEntry entry(String failureDomain, String name, boolean primary, boolean leaving) {
         return new MemberEntry(
-                name, GROUP, InetSocketAddress.createUnresolved(name, 1), "east", 2, leaving, primary, 0, 1);
+                name, GROUP, InetSocketAddress.createUnresolved(name, 1), failureDomain, 2, leaving, primary, 0, 1);
+    }
+
+    /** Records that operators take a failure domain out. */
+    public void takeOut(String failureDomain) {
+        directory.apply(new StoreRecord(TextRecordCodec.EVACUATION_PREFIX + failureDomain, ++revision, new byte[0], 0));
     }
 
     /** Removes the entry of a member from the store. */
@@ -197,10 +253,15 @@
         directory.apply(new StoreRecord(key, ++revision, new byte[0], 0));
     }
 
-    /** Opens a session to the database. */
+    /** Opens a session to the database that is open to all. */
     public EmbeddedChannel openSession() {
+        return openSession(DATABASE, "");
+    }
+
+    /** Opens a session to a database with a key. */
+    public EmbeddedChannel openSession(String database, String key) {
         EmbeddedChannel session = new EmbeddedChannel(new Session(sessionContext, registry));
-        session.writeInbound(new ClientRequest.Open(DATABASE, ""));
+        session.writeInbound(new ClientRequest.Open(database, key));
         session.readOutbound();
         return session;
     }
@@ -231,7 +292,7 @@
     public String logged() {
         log.flush();
         log.close();
-        return logged.toString(StandardCharsets.UTF_8);
+        return logged.toString(UTF_8);
     }
 
     @Override
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/backend/DatabaseGroupTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/backend/DatabaseGroupTest.java
@@ -42,6 +42,7 @@
         gateway.close();
     }
 
+    /** A commit at the old primary was acknowledged after the promotion, and then rolled back. */
     @Test
     void recordedPromotionEndsOpenTransactions() {
         gateway.recordPromotion("new");
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/SessionTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/SessionTest.java
@@ -43,7 +43,7 @@
         EmbeddedChannel session = openSession();
         GatewayFixture.send(session, "1", new SessionStatement.Read("item"));
         member.answerAll();
-        gateway.registry().drain();
+        gateway.registry().drain(gateway.shutdownSchedule());
         assertThat(session.isActive()).isTrue();
         assertThat(gateway.registry().isActive()).isTrue();
         network.writeHeld();
@@ -56,7 +56,7 @@
     @Test
     void requestThatArrivesWhileTheLastAnswerIsWrittenIsAnsweredBeforeTheClose() {
         EmbeddedChannel session = openSession();
-        gateway.registry().drain();
+        gateway.registry().drain(gateway.shutdownSchedule());
         GatewayFixture.send(session, "1", new SessionStatement.Read("item"));
         network.writeHeld();
         assertThat(session.isActive()).isTrue();
@@ -79,6 +79,41 @@
         assertThat(session.<Object>readOutbound()).isInstanceOf(ClientAnswer.Failed.class);
     }
 
+    /** A ROLLBACK ended the transaction of another session, whose later writes ran outside of any transaction. */
+    @Test
+    void rollbackAfterABeginThatTimedOutLeavesTheTransactionOfAnotherSessionOpen() {
+        EmbeddedChannel timedOut = gateway.openSession();
+        GatewayFixture.send(timedOut, "1", new SessionStatement.Begin(false));
+        GatewayFixture.send(timedOut, "2", new SessionStatement.Write("item data"));
+        Link silent = member.links().get(0);
+        silent.run();
+        silent.answer();
+        silent.silence();
+        EmbeddedChannel other = gateway.openSession();
+        gateway.advanceMillis(GatewayFixture.STATEMENT_TIMEOUT_MILLIS - 100);
+        GatewayFixture.send(other, "0", new SessionStatement.Read("item"));
+        member.answerAll();
+        gateway.advanceMillis(100);
+        member.answerAll();
+        GatewayFixture.send(other, "3", new SessionStatement.Begin(false));
+        GatewayFixture.send(other, "4", new SessionStatement.Write("item data"));
+        member.answerAll();
+        GatewayFixture.send(timedOut, "5", new SessionStatement.Rollback());
+        member.answerAll();
+        GatewayFixture.send(other, "6", new SessionStatement.Write("item data"));
+        GatewayFixture.send(other, "7", new SessionStatement.Commit());
+        member.answerAll();
+        assertThat(member.runs().stream().map(ScriptedMember.Run::requestId).toList())
+                .containsExactly("0", "4", "6", "7")
+                .inOrder();
+        assertThat(member.runs().stream()
+                        .map(ScriptedMember.Run::transaction)
+                        .distinct()
+                        .toList())
+                .hasSize(2);
+        assertThat(member.committed()).hasSize(2);
+    }
+
     /** Nothing of the transaction can have been kept, so the caller may run it again. */
     @Test
     void commitAfterTheConnectionHasClosedIsKnownNotToHaveRun() {
