Apply the other records of a page when one cannot be applied

Operators' report: one odd entry kept the readers of the list from following it. Cause: an exception while one record is applied ended the batch; the records behind it on the same page were lost, as the watch goes on after the page. Change: each record is applied under a guard of its own, which logs the key.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
@@ -272,7 +272,7 @@
         boolean othersChanged = false;
         for (StoreRecord change : changes) {
             FleetRecord before = recordsByKey.get(change.key());
-            if (applyRecord(change)) {
+            if (applyOrLog(change)) {
                 boolean daemonChange = concernsDaemons(before) && concernsDaemons(recordsByKey.get(change.key()));
                 daemonsChanged |= daemonChange;
                 othersChanged |= !daemonChange;
@@ -303,11 +303,11 @@
         Set<String> present = new HashSet<>();
         for (StoreRecord found : all) {
             present.add(found.key());
-            applyRecord(found);
+            applyOrLog(found);
         }
         for (String key : ImmutableSet.copyOf(recordsByKey.keySet())) {
             if (!present.contains(key) && revisions.getOrDefault(key, 0L) <= revision) {
-                applyRecord(new StoreRecord(key, revision, null, 0));
+                applyOrLog(new StoreRecord(key, revision, null, 0));
             }
         }
         notifyListeners();
@@ -338,6 +338,20 @@
         }
     }
 
+    /** Applies a record; one that cannot be applied must not keep the others from being applied. */
+    private boolean applyOrLog(StoreRecord change) {
+        try {
+            return applyRecord(change);
+        } catch (RuntimeException | StackOverflowError exception) {
+            log.line("fault")
+                    .with("key", change.key())
+                    .with("revision", change.revision())
+                    .with("reason", exception.toString())
+                    .write();
+            return false;
+        }
+    }
+
     private boolean applyRecord(StoreRecord change) {
         if (change.revision() < revisions.getOrDefault(change.key(), 0L)) {
             return false;
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/FleetDirectoryTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/FleetDirectoryTest.java
@@ -15,7 +15,8 @@
 final class FleetDirectoryTest {
 
     private final DecisionLog log = new DecisionLog("vm", OutputStream.nullOutputStream(), System::nanoTime);
-    private final FleetDirectory directory = new FleetDirectory(new TextRecordCodec(), log, MonotonicClock.ofSystem());
+    private final TextRecordCodec codec = new TextRecordCodec();
+    private final FleetDirectory directory = new FleetDirectory(codec, log, MonotonicClock.ofSystem());
 
     private int notifications;
 
@@ -70,6 +71,19 @@
         assertThat(directory.recordedPrimary("group")).hasValue("b");
     }
 
+    /** The records after it on the same page are not sent again. */
+    @Test
+    void recordThatCannotBeAppliedDoesNotKeepOthersFromBeingApplied() {
+        codec.failToDecode("odd");
+        StoreRecord odd = new StoreRecord("odd", 3, new byte[0], 0);
+        directory.addListener(() -> notifications++);
+        directory.apply(List.of(odd, promotion("a", 4)));
+        assertThat(directory.recordedPrimary("group")).hasValue("a");
+        directory.replaceAll(List.of(odd, promotion("b", 5)), 5);
+        assertThat(directory.recordedPrimary("group")).hasValue("b");
+        assertThat(notifications).isEqualTo(2);
+    }
+
     private static StoreRecord daemon(String entryVm, long revision) {
         return new StoreRecord(
                 TextRecordCodec.DAEMON_PREFIX + entryVm, revision, "east".getBytes(StandardCharsets.UTF_8), 7);
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/TextRecordCodec.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/TextRecordCodec.java
@@ -2,7 +2,9 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import org.banyanhook.gateway.port.DaemonEntry;
 import org.banyanhook.gateway.port.FleetRecord;
 import org.banyanhook.gateway.port.FleetRecordCodec;
@@ -16,12 +18,18 @@
     public static final String PROMOTION_LEASE_PREFIX = "duties/promotion/";
 
     private final Map<String, FleetRecord> prepared = new HashMap<>();
+    private final Set<String> failing = new HashSet<>();
 
     /** Sets what the next records with a key decode to, whatever their value is. */
     public void prepare(String key, FleetRecord record) {
         prepared.put(key, record);
     }
 
+    /** Makes the records with a key fail to decode. */
+    public void failToDecode(String key) {
+        failing.add(key);
+    }
+
     @Override
     public String keyPrefix() {
         return "";
@@ -29,6 +37,9 @@
 
     @Override
     public FleetRecord decode(String key, byte[] value) {
+        if (failing.contains(key)) {
+            throw new IllegalArgumentException("expected by the test");
+        }
         String text = new String(value, StandardCharsets.UTF_8);
         if (key.startsWith(EVACUATION_PREFIX)) {
             return new FleetRecord.Evacuation(key.substring(EVACUATION_PREFIX.length()));
