Replace leaving primaries at once, and settle unanswered promotions

Change: a change of the fleet that makes a primary leave or takes its domain out starts the replacement at once; every transaction that begins meanwhile is lost. The choice of candidates moved out of PromotionWorkflow.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/primary/UnresolvedPromotions.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/UnresolvedPromotions.java
@@ -23,7 +23,7 @@
      */
     public static final long RECORD_RELEVANCE_NANOS = Duration.ofSeconds(10).toNanos();
 
-    private final Map<String, String> unansweredRequests = new HashMap<>();
+    private final Map<String, UnansweredRequest> unansweredRequests = new HashMap<>();
     private final Map<String, Long> completedRevisions = new HashMap<>();
 
     /**
@@ -35,9 +35,17 @@
      */
     public record RecordedPromotion(String member, long revision, long learnedNanos) {}
 
-    /** Records that this daemon sent a request to promote a member and received no answer. */
-    public void recordUnanswered(String group, String member) {
-        unansweredRequests.put(group, member);
+    private record UnansweredRequest(String member, long revision) {}
+
+    /**
+     * Records that this daemon sent a request to promote a member and received no answer.
+     *
+     * @param group the database group
+     * @param member the member
+     * @param revision the revision of the record of this promotion
+     */
+    public void recordUnanswered(String group, String member, long revision) {
+        unansweredRequests.put(group, new UnansweredRequest(member, revision));
     }
 
     /**
@@ -49,16 +57,21 @@
     }
 
     /**
-     * Records which member is the primary.
+     * Records which member is the primary. A request without an answer is settled if its member leads, or if a member
+     * leads that was recorded later; its connection was reset before this daemon lost the promotion lease.
      *
      * @param group the database group
      * @param primary the current primary
      * @param recorded the last recorded promotion, or null if there is none
      */
     public void observePrimary(String group, String primary, @Nullable RecordedPromotion recorded) {
-        unansweredRequests.remove(group, primary);
-        if (recorded != null && recorded.member().equals(primary)) {
-            completedRevisions.put(group, recorded.revision());
+        long ledRevision = recorded != null && recorded.member().equals(primary) ? recorded.revision() : 0;
+        UnansweredRequest unanswered = unansweredRequests.get(group);
+        if (unanswered != null && (unanswered.member().equals(primary) || ledRevision > unanswered.revision())) {
+            unansweredRequests.remove(group);
+        }
+        if (ledRevision > 0) {
+            completedRevisions.put(group, ledRevision);
         }
     }
 
@@ -73,9 +86,9 @@
      */
     public Optional<String> memberToPromoteFirst(
             String group, @Nullable RecordedPromotion recorded, Set<String> candidates, long nowNanos) {
-        String unanswered = unansweredRequests.get(group);
+        UnansweredRequest unanswered = unansweredRequests.get(group);
         if (unanswered != null) {
-            return Optional.of(unanswered);
+            return Optional.of(unanswered.member());
         }
         if (recorded == null
                 || completedRevisions.getOrDefault(group, 0L) >= recorded.revision()
--- a/banyanhook-core/src/test/java/org/banyanhook/core/primary/UnresolvedPromotionsTest.java
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/primary/UnresolvedPromotionsTest.java
@@ -18,7 +18,7 @@
     /** The address of the platform is cut off while a primary is dark, and the primary is back before the end. */
     @Test
     void noOtherMemberIsPromotedWhileARequestIsUnanswered() {
-        promotions.recordUnanswered("group", "b");
+        promotions.recordUnanswered("group", "b", 7);
         assertThat(first(null, Set.of("a", "c"), Long.MAX_VALUE / 2)).hasValue("b");
         promotions.recordAnswer("group");
         assertThat(first(null, Set.of("a", "b"), LEARNED_NANOS)).isEmpty();
@@ -26,13 +26,23 @@
 
     @Test
     void unansweredRequestIsResolvedWhenItsMemberLeads() {
-        promotions.recordUnanswered("group", "b");
+        promotions.recordUnanswered("group", "b", 7);
         promotions.observePrimary("group", "a", null);
         assertThat(first(null, Set.of("a"), LEARNED_NANOS)).hasValue("b");
         promotions.observePrimary("group", "b", null);
         assertThat(first(null, Set.of("a"), LEARNED_NANOS)).isEmpty();
     }
 
+    /** A later replacement by this daemon would otherwise begin with a member that may have fallen behind. */
+    @Test
+    void unansweredRequestIsResolvedWhenAMemberLeadsThatWasRecordedLater() {
+        promotions.recordUnanswered("group", "b", 7);
+        promotions.observePrimary("group", "c", new RecordedPromotion("c", 6, LEARNED_NANOS));
+        assertThat(first(null, Set.of("a"), LEARNED_NANOS)).hasValue("b");
+        promotions.observePrimary("group", "c", new RecordedPromotion("c", 8, LEARNED_NANOS));
+        assertThat(first(null, Set.of("a"), LEARNED_NANOS)).isEmpty();
+    }
+
     /** A daemon takes over from one that has recorded a promotion and may have requested it. */
     @Test
     void recordedPromotionComesFirstUntilItsMemberHasLed() {
@@ -57,7 +67,7 @@
 
     @Test
     void groupsAreIndependent() {
-        promotions.recordUnanswered("other", "b");
+        promotions.recordUnanswered("other", "b", 7);
         assertThat(first(null, Set.of("a", "b"), LEARNED_NANOS)).isEmpty();
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -155,6 +155,7 @@
                 new PromotionLeases(settings.entryVm(), ports.store(), ports.recordCodec(), directory, clock, log);
         storeMirror.onFirstReading(promotionLeases::endFormerLeases);
         this.promotionController = newPromotionController(promotionLeases, voteExchange, promotionVoter, probe);
+        directory.addListener(promotionController);
         this.sessionContext = new SessionContext(
                 settings, directory, databaseGroups, rateLimiter, primaryAccess, eventLoop, clock, log, metrics);
     }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
@@ -16,6 +16,7 @@
 import org.banyanhook.gateway.backend.DatabaseGroups;
 import org.banyanhook.gateway.backend.MemberServer;
 import org.banyanhook.gateway.fleet.FleetDirectory;
+import org.banyanhook.gateway.fleet.FleetListener;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.MonotonicClock;
 
@@ -24,7 +25,7 @@
  * groups. The one that rendezvous hashing ranks first acts first, and the promotion lease in the store prevents two
  * daemons from acting at the same time. Used on the event loop only.
  */
-public final class PromotionController {
+public final class PromotionController implements FleetListener {
 
     /** How long a primary must be unreachable to be considered failed; longer than the loss of a few packets. */
     static final long FAILURE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
@@ -102,12 +103,24 @@
     /** Checks every group and starts a replacement where one is due. */
     public void tick() {
         long now = clock.nowNanos();
-        for (DatabaseGroup group : ImmutableList.copyOf(groups.all())) {
-            evaluate(group, groupStates.computeIfAbsent(group.name(), name -> new GroupState()), now);
+        ImmutableList.copyOf(groups.all()).forEach(group -> evaluate(group, now));
+    }
+
+    /**
+     * Starts the replacement of primaries that are leaving or taken out at once. Every transaction that begins at such
+     * a primary before it steps down is lost. The other reasons depend on time and are found by {@link #tick()}.
+     */
+    @Override
+    public void onFleetChange() {
+        for (DatabaseGroup group : groups.all()) {
+            if (findPlannedReason(group).isPresent()) {
+                eventLoop.execute(() -> evaluate(group, clock.nowNanos()));
+            }
         }
     }
 
-    private void evaluate(DatabaseGroup group, GroupState state, long now) {
+    private void evaluate(DatabaseGroup group, long now) {
+        GroupState state = groupStates.computeIfAbsent(group.name(), name -> new GroupState());
         workflow.observePrimary(group);
         Optional<Reason> reason = findReason(group, now);
         if (!reason.equals(state.reason)) {
@@ -173,15 +186,19 @@
         if (primary == null) {
             return Optional.of(Reason.ABSENT);
         }
-        if (directory.isEvacuated(primary.entry().failureDomain())) {
-            return Optional.of(Reason.TAKEN_OUT);
-        }
-        if (primary.entry().leaving()) {
-            return Optional.of(Reason.LEAVING);
-        }
-        return primary.unreachableNanos(now) >= FAILURE_TIMEOUT_NANOS
+        Optional<Reason> unreachable = primary.unreachableNanos(now) >= FAILURE_TIMEOUT_NANOS
                 ? Optional.of(Reason.UNREACHABLE)
                 : Optional.empty();
+        return findPlannedReason(group).or(() -> unreachable);
+    }
+
+    private Optional<Reason> findPlannedReason(DatabaseGroup group) {
+        return group.primary().map(MemberServer::entry).flatMap(primary -> {
+            if (directory.isEvacuated(primary.failureDomain())) {
+                return Optional.of(Reason.TAKEN_OUT);
+            }
+            return primary.leaving() ? Optional.of(Reason.LEAVING) : Optional.empty();
+        });
     }
 
     private int rank(String groupName) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
@@ -4,7 +4,6 @@
 import com.google.common.collect.Sets;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -31,6 +30,7 @@
 import org.banyanhook.gateway.port.FleetRecordCodec;
 import org.banyanhook.gateway.port.PromotionAuthority;
 import org.banyanhook.gateway.port.RecordStore;
+import org.banyanhook.gateway.primary.PromotionCandidates.Candidate;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -47,10 +47,6 @@
     private static final int MAXIMUM_PROMOTION_REQUESTS = 4;
     private static final long PROMOTION_RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
-    private static final Comparator<Candidate> LONGEST_LOG = Comparator.comparing(
-                    (Candidate candidate) -> candidate.report().position())
-            .thenComparing(candidate -> candidate.server().name());
-
     private final RecordStore store;
     private final FleetRecordCodec recordCodec;
     private final FleetDirectory directory;
@@ -64,10 +60,9 @@
     private final MonotonicClock clock;
     private final DecisionLog log;
     private final PrimaryStepDown stepDown;
+    private final PromotionCandidates candidates;
     private final UnresolvedPromotions unresolvedPromotions = new UnresolvedPromotions();
 
-    private record Candidate(MemberServer server, MemberReport report) {}
-
     /**
      * The approval of a replacement by the other daemons.
      *
@@ -146,6 +141,7 @@
         this.clock = clock;
         this.log = log;
         this.stepDown = new PrimaryStepDown(probe, clock);
+        this.candidates = new PromotionCandidates(directory, probe, clock);
     }
 
     /** Observes the primary of a group, so that a promotion counts as complete once its member leads. */
@@ -248,7 +244,8 @@
                 return CompletableFuture.completedFuture("the group has no primary any more");
             }
             CompletableFuture<Optional<MemberReport>> status = probe.send(oldPrimary, new MemberCommand.Status());
-            return candidates(group, rejected)
+            return candidates
+                    .find(group, rejected)
                     .thenCombine(status, StepDownStart::new)
                     .thenCompose(start -> {
                         if (start.candidates().isEmpty()) {
@@ -287,9 +284,9 @@
 
     private CompletableFuture<Void> awaitCatchUp(
             DatabaseGroup group, Set<String> rejected, LogPosition finalPosition, long untilNanos) {
-        return candidates(group, rejected).thenCompose(found -> {
-            boolean caughtUp = found.stream()
-                    .anyMatch(candidate -> candidate.report().position().covers(finalPosition));
+        return candidates.find(group, rejected).thenCompose(found -> {
+            boolean caughtUp =
+                    found.stream().anyMatch(candidate -> candidate.position().covers(finalPosition));
             if (caughtUp || clock.nowNanos() - untilNanos >= 0) {
                 return CompletableFuture.<Void>completedFuture(null);
             }
@@ -300,16 +297,14 @@
 
     private CompletableFuture<String> promoteBest(
             DatabaseGroup group, long token, Set<String> rejected, QuorumApproval approval) {
-        return candidates(group, rejected).thenCompose(found -> {
+        return candidates.find(group, rejected).thenCompose(found -> {
             Optional<String> unresolved = unresolvedPromotions.memberToPromoteFirst(
                     group.name(),
                     recordedPromotion(group),
-                    found.stream().map(candidate -> candidate.server().name()).collect(ImmutableSet.toImmutableSet()),
+                    found.stream().map(Candidate::member).collect(ImmutableSet.toImmutableSet()),
                     clock.nowNanos());
-            Optional<String> longest = found.stream()
-                    .max(LONGEST_LOG)
-                    .map(candidate -> candidate.server().name());
-            Optional<String> chosen = unresolved.or(() -> longest);
+            Optional<String> chosen =
+                    unresolved.or(() -> PromotionCandidates.longestLog(found).map(Candidate::member));
             if (chosen.isEmpty()) {
                 rejected.clear();
                 return CompletableFuture.completedFuture("no member is eligible for promotion");
@@ -319,7 +314,7 @@
                     .thenCompose(recording -> recording.revision() == 0
                             ? CompletableFuture.completedFuture(
                                     "not recorded: the votes of the other daemons are too old")
-                            : promoteRecorded(group, chosen.get(), recording, token, rejected, approval));
+                            : promoteRecorded(group, recording, token, rejected, approval));
         });
     }
 
@@ -337,8 +332,8 @@
                 .with(
                         "position",
                         found.stream()
-                                .filter(candidate -> candidate.server().name().equals(member))
-                                .map(candidate -> candidate.report().position().toString())
+                                .filter(candidate -> candidate.member().equals(member))
+                                .map(candidate -> candidate.position().toString())
                                 .findFirst()
                                 .orElse(null))
                 .with("wanted", approval.targetPosition().toString())
@@ -392,12 +387,7 @@
      * daemon that does not answer is shut out. A daemon that restarts later reads the record.
      */
     private CompletableFuture<String> promoteRecorded(
-            DatabaseGroup group,
-            String member,
-            Recording recording,
-            long token,
-            Set<String> rejected,
-            QuorumApproval approval) {
+            DatabaseGroup group, Recording recording, long token, Set<String> rejected, QuorumApproval approval) {
         voter.learnPromotion(recording.promotion(), recording.revision());
         long announcedNanos = clock.nowNanos();
         return shutOut(group, approval.unresponsive())
@@ -411,7 +401,7 @@
                                 .thenCompose(done ->
                                         promotionLeases.lease(group.name()).acquire())
                                 .thenCompose(renewed -> renewed == token
-                                        ? requestPromotion(group, member, token, rejected, 1)
+                                        ? requestPromotion(group, recording, token, rejected, 1)
                                         : CompletableFuture.completedFuture(
                                                 "the promotion lease was lost before the request")));
     }
@@ -444,7 +434,8 @@
     }
 
     private CompletableFuture<String> requestPromotion(
-            DatabaseGroup group, String member, long token, Set<String> rejected, int attempt) {
+            DatabaseGroup group, Recording recording, long token, Set<String> rejected, int attempt) {
+        String member = recording.promotion().member();
         if (!promotionLeases.lease(group.name()).isHeld()) {
             return CompletableFuture.completedFuture("the promotion lease expired before the request");
         }
@@ -458,20 +449,20 @@
                 rejected.add(member);
                 yield CompletableFuture.completedFuture("rejected: " + member);
             }
-            case REFUSED -> retryPromotion(group, member, token, rejected, attempt);
+            case REFUSED -> retryPromotion(group, recording, token, rejected, attempt);
             case NO_ANSWER -> {
-                unresolvedPromotions.recordUnanswered(group.name(), member);
-                yield retryPromotion(group, member, token, rejected, attempt);
+                unresolvedPromotions.recordUnanswered(group.name(), member, recording.revision());
+                yield retryPromotion(group, recording, token, rejected, attempt);
             }
         });
     }
 
     private CompletableFuture<String> retryPromotion(
-            DatabaseGroup group, String member, long token, Set<String> rejected, int attempt) {
+            DatabaseGroup group, Recording recording, long token, Set<String> rejected, int attempt) {
         return attempt >= MAXIMUM_PROMOTION_REQUESTS
                 ? CompletableFuture.completedFuture("the platform did not answer the promotion request")
                 : delay(PROMOTION_RETRY_DELAY_NANOS)
-                        .thenCompose(done -> requestPromotion(group, member, token, rejected, attempt + 1));
+                        .thenCompose(done -> requestPromotion(group, recording, token, rejected, attempt + 1));
     }
 
     private CompletableFuture<String> awaitPrimary(DatabaseGroup group, String member, long untilNanos) {
@@ -485,29 +476,6 @@
         return delay(POLL_INTERVAL_NANOS).thenCompose(done -> awaitPrimary(group, member, untilNanos));
     }
 
-    private CompletableFuture<List<Candidate>> candidates(DatabaseGroup group, Set<String> rejected) {
-        List<CompletableFuture<Optional<Candidate>>> reports = new ArrayList<>();
-        for (MemberServer server : List.copyOf(group.servers())) {
-            boolean eligible = server.acceptsRequests()
-                    && !directory.isEvacuated(server.entry().failureDomain())
-                    && !rejected.contains(server.name())
-                    && group.primary().filter(primary -> primary == server).isEmpty();
-            if (eligible) {
-                long sentNanos = clock.nowNanos();
-                reports.add(probe.send(server, new MemberCommand.Status())
-                        .thenApply(report -> report.map(found -> {
-                            group.onReport(server, found, sentNanos);
-                            return new Candidate(server, found);
-                        })));
-            }
-        }
-        return CompletableFuture.allOf(reports.toArray(new CompletableFuture<?>[0]))
-                .thenApply(done -> reports.stream()
-                        .map(CompletableFuture::join)
-                        .flatMap(Optional::stream)
-                        .toList());
-    }
-
     private CompletableFuture<Void> delay(long nanos) {
         CompletableFuture<Void> elapsed = new CompletableFuture<>();
         var unused = eventLoop.schedule(() -> elapsed.complete(null), nanos, TimeUnit.NANOSECONDS);
--- /dev/null
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionControllerTest.java
@@ -0,0 +1,53 @@
+package org.banyanhook.gateway.primary;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.banyanhook.core.replication.LogPosition;
+import org.banyanhook.gateway.GatewayFixture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+final class PromotionControllerTest {
+
+    private final PromotionFixture promotions = new PromotionFixture();
+    private final GatewayFixture gateway = promotions.gateway();
+
+    @BeforeEach
+    void start() {
+        PromotionController unused = promotions.newController();
+        gateway.list("a", true);
+        gateway.list("b", false);
+        promotions.members().set("a", true, 1, new LogPosition(1, 9));
+        promotions.members().set("b", false, 1, new LogPosition(1, 9));
+    }
+
+    @AfterEach
+    void close() {
+        promotions.close();
+    }
+
+    /** Transactions that begin at a leaving primary before the next periodic check are lost at its step-down. */
+    @Test
+    void leavingPrimaryIsReplacedAtOnce() {
+        gateway.listLeaving("a", true);
+        gateway.advanceMillis(0);
+        assertThat(promotions.members().stepDownTerms()).hasSize(1);
+        assertThat(promotions.requests()).containsExactly("b");
+    }
+
+    @Test
+    void primaryInADomainThatIsTakenOutIsReplacedAtOnce() {
+        gateway.listIn("west", "b", false);
+        gateway.takeOut("east");
+        gateway.advanceMillis(0);
+        assertThat(promotions.requests()).containsExactly("b");
+    }
+
+    @Test
+    void leavingReplicaIsNotReplaced() {
+        gateway.listLeaving("b", false);
+        gateway.advanceMillis(0);
+        assertThat(promotions.members().stepDownTerms()).isEmpty();
+    }
+}
--- /dev/null
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionFixture.java
@@ -0,0 +1,93 @@
+package org.banyanhook.gateway.primary;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.banyanhook.gateway.GatewayFixture;
+import org.banyanhook.gateway.fleet.ScriptedRecordStore;
+import org.banyanhook.gateway.port.PromotionAuthority;
+
+/** What replaces primaries in a fleet of one daemon, before scripted members, a store and an authority. */
+final class PromotionFixture implements AutoCloseable {
+
+    private final GatewayFixture gateway = new GatewayFixture();
+    private final ScriptedRecordStore store = new ScriptedRecordStore();
+    private final ScriptedProbe members = new ScriptedProbe();
+    private final List<String> requests = new ArrayList<>();
+    private final PromotionVoter voter = new PromotionVoter(
+            gateway.groups(), gateway.directory(), members, gateway::nowNanos, () -> true, gateway.clock());
+    private PromotionAuthority.Result authorityResult = PromotionAuthority.Result.ACCEPTED;
+
+    PromotionFixture() {
+        store.answerAtOnce();
+    }
+
+    GatewayFixture gateway() {
+        return gateway;
+    }
+
+    ScriptedRecordStore store() {
+        return store;
+    }
+
+    ScriptedProbe members() {
+        return members;
+    }
+
+    /** Returns the members that the authority was asked to promote. */
+    List<String> requests() {
+        return requests;
+    }
+
+    /** Sets how the authority answers from now on. */
+    void authorityAnswers(PromotionAuthority.Result result) {
+        authorityResult = result;
+    }
+
+    /** Creates a workflow that remembers nothing of earlier ones. */
+    PromotionWorkflow newWorkflow() {
+        PeerVoteExchange voteExchange =
+                new PeerVoteExchange("vm", new NoPeers(), gateway.directory(), gateway.eventLoop(), gateway.clock());
+        PromotionLeases leases = new PromotionLeases(
+                "vm", store, gateway.recordCodec(), gateway.directory(), gateway.clock(), gateway.log());
+        return new PromotionWorkflow(
+                "vm",
+                store,
+                gateway.recordCodec(),
+                gateway.directory(),
+                leases,
+                voteExchange,
+                voter,
+                members,
+                this::promote,
+                gateway.eventLoop(),
+                gateway.clock(),
+                gateway.log());
+    }
+
+    /** Creates a controller that is notified of the changes of the fleet. */
+    PromotionController newController() {
+        PromotionController controller = new PromotionController(
+                "vm",
+                gateway.groups(),
+                gateway.directory(),
+                newWorkflow(),
+                voter,
+                gateway.eventLoop(),
+                gateway.clock(),
+                gateway.log());
+        gateway.directory().addListener(controller);
+        return controller;
+    }
+
+    private CompletableFuture<PromotionAuthority.Result> promote(
+            String group, String member, String leaseHolder, long fencingToken) {
+        requests.add(member);
+        return CompletableFuture.completedFuture(authorityResult);
+    }
+
+    @Override
+    public void close() {
+        gateway.close();
+    }
+}
