--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberConnection.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberConnection.java
@@ -3,6 +3,7 @@
 import com.google.common.base.Preconditions;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -269,9 +270,14 @@
             return;
         }
         Channel activeChannel = channel;
-        if (activeChannel != null && activeChannel.isActive() && pendingCommands.isEmpty()) {
-            activeChannel.write(new MemberCommand.Terminate(), activeChannel.voidPromise());
-            activeChannel.flush();
+        if (activeChannel != null && activeChannel.isActive()) {
+            if (pendingCommands.isEmpty()) {
+                activeChannel.write(new MemberCommand.Terminate(), activeChannel.voidPromise());
+                activeChannel.flush();
+            } else {
+                // Resets the connection. After an orderly close the kernel would go on sending abandoned commands.
+                activeChannel.config().setOption(ChannelOption.SO_LINGER, 0);
+            }
         }
         handleClose(reason);
         if (activeChannel != null) {
