Close the transaction of a refused commit, and keep requests through stray messages

And a message with a known correlation that is no reply removed the request that it names, which then timed out. Change: the refused commit ends its transaction; only a reply removes a request.

--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/execution/TransactionStepExecution.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/execution/TransactionStepExecution.java
@@ -131,6 +131,7 @@
             result.completeExceptionally(RefusalException.notRun(
                     RefusalKind.STATEMENT_REJECTED, String.valueOf(backendFailure.getMessage())));
         } else if (refused && backendFailure.errorCode().equals(BackendErrorCodes.IDEMPOTENCY_KEY_REUSED)) {
+            effect = Effect.ROLLED_BACK;
             transaction.connection().discard();
             result.completeExceptionally(RefusalException.notRun(
                     RefusalKind.IDEMPOTENCY_KEY_REUSED, String.valueOf(backendFailure.getMessage())));
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/peer/PeerClientHandler.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/peer/PeerClientHandler.java
@@ -73,8 +73,8 @@
     @Override
     protected void channelRead0(ChannelHandlerContext channelContext, PeerEnvelope message) {
         lastReadNanos = System.nanoTime();
-        PendingRequest request = outstandingRequests.remove(message.getCorrelationId());
-        if (request == null || !message.getReply()) {
+        PendingRequest request = message.getReply() ? outstandingRequests.remove(message.getCorrelationId()) : null;
+        if (request == null) {
             LOGGER.debug(
                     "dropped a message from {} that is not the reply to an outstanding request",
                     message.getSenderEntryVm());
