--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/GatewayFleet.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/GatewayFleet.java
@@ -6,7 +6,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.banyanhook.platform.PlatformDaemon;
@@ -32,6 +34,7 @@
     private final Path folder;
     private final List<Gateway> gateways = new ArrayList<>();
     private final AtomicInteger promotionRequestCount = new AtomicInteger();
+    private final Map<String, Long> withdrawnSinceNanos = new HashMap<>();
     private int configurationVersion;
     private int launchCount;
 
@@ -151,8 +154,9 @@
      * @param enabledKeys the keys that are granted, each to the account of its index in {@link #API_KEYS}
      * @param ratePerSecond the rate of each account, which is also its burst
      */
-    public void configureAccounts(List<String> enabledKeys, double ratePerSecond) {
+    public synchronized void configureAccounts(List<String> enabledKeys, double ratePerSecond) {
         configurationVersion++;
+        enabledKeys.forEach(withdrawnSinceNanos::remove);
         StringBuilder accounts = new StringBuilder();
         for (int number = 0; number < API_KEYS.size(); number++) {
             String grantedKey = enabledKeys.contains(API_KEYS.get(number)) ? "\"" + API_KEYS.get(number) + "\"" : "";
@@ -168,6 +172,22 @@
                         + routeJson("own", "read_your_writes", 2_500)
                         + "],\"backends\":[{\"name\":\"group\",\"max_conns\":16}],\"limits\":{\"idle_tx_ms\":1500},"
                         + "\"tenants\":[" + accounts + "]}");
+        API_KEYS.stream()
+                .filter(key -> !enabledKeys.contains(key))
+                .forEach(key -> withdrawnSinceNanos.putIfAbsent(key, System.nanoTime()));
+    }
+
+    /** Returns the keys that the newest configuration grants. */
+    public synchronized List<String> enabledKeys() {
+        return API_KEYS.stream()
+                .filter(key -> !withdrawnSinceNanos.containsKey(key))
+                .toList();
+    }
+
+    /** Returns for how long a key has been withdrawn, in nanoseconds; 0 if it is granted. */
+    public synchronized long nanosSinceWithdrawal(String key) {
+        Long withdrawn = withdrawnSinceNanos.get(key);
+        return withdrawn == null ? 0 : System.nanoTime() - withdrawn;
     }
 
     @Override
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/LineGroup.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/LineGroup.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A database group whose members use the line protocol and report to a store. Commits are replicated synchronously,
@@ -16,6 +17,9 @@
  */
 public final class LineGroup implements AutoCloseable {
 
+    /** The users' bound: no request reaches a member later than this after its failure domain was taken out. */
+    private static final long EVACUATION_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(5);
+
     private final String name;
     private final StoreStandIn store;
     private final Map<String, LineMember> members = new LinkedHashMap<>();
@@ -28,6 +32,8 @@
     private final Set<String> draining = new HashSet<>();
     private final Set<String> rolledBackWrites = new HashSet<>();
     private final Set<String> commitsInSupersededTerms = new HashSet<>();
+    private final Map<String, Long> takenOutSinceNanos = new HashMap<>();
+    private final Set<String> requestsInTakenOutDomains = new HashSet<>();
     private long newestTerm = 1;
 
     private record LogEntry(long term, String account, String itemAndData) {}
@@ -97,6 +103,35 @@
         reportToStore(member);
     }
 
+    /** Reports that a new member takes the place of a draining one, with its log and at its address. */
+    public synchronized void endDraining(LineMember member) {
+        draining.remove(member.name());
+        reportToStore(member);
+    }
+
+    /** Takes a failure domain out of service, or returns it. */
+    public synchronized void takeOut(String failureDomain, boolean value) {
+        if (value) {
+            store.put("op/evacuate/" + failureDomain, "{}");
+            takenOutSinceNanos.put(failureDomain, System.nanoTime());
+        } else {
+            takenOutSinceNanos.remove(failureDomain);
+            store.remove("op/evacuate/" + failureDomain);
+        }
+    }
+
+    /** Returns the requests that reached a member later than the limit after its failure domain was taken out. */
+    public synchronized Set<String> requestsInTakenOutDomains() {
+        return Set.copyOf(requestsInTakenOutDomains);
+    }
+
+    synchronized void recordRequest(LineMember member, String requestId) {
+        Long takenOut = takenOutSinceNanos.get(failureDomains.get(member.name()));
+        if (takenOut != null && System.nanoTime() - takenOut > EVACUATION_LIMIT_NANOS) {
+            requestsInTakenOutDomains.add(requestId);
+        }
+    }
+
     /**
      * Promotes a member to primary in the next term, as the platform's promotion call does. Has no effect if the member
      * is already the primary of the newest term.
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/LineSession.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/LineSession.java
@@ -43,6 +43,9 @@
             answer.add(readyLine());
             return true;
         }
+        if (!words[1].equals("-")) {
+            group.recordRequest(member, words[1]);
+        }
         String error = runStatement(words[1], words[2], answer);
         if (!error.isEmpty()) {
             answer.add("ERROR " + error + " " + member.name());
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/soak/SoakCaller.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/soak/SoakCaller.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Random;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.banyanhook.testbed.line.GatewayFleet;
 import org.banyanhook.testbed.line.LineCaller;
@@ -20,10 +19,6 @@
  */
 final class SoakCaller implements Runnable {
 
-    /** Error codes that guarantee that the statement or transaction had no effect. */
-    private static final Set<String> NO_EFFECT_ERROR_CODES =
-            Set.of("BUSY", "ABORTED", "LAGGING", "READONLY", "MOVED", "MAXCONN", "NOAUTH", "NODB");
-
     private static final int STATEMENTS_PER_SESSION = 60;
     private static final int MEAN_PAUSE_MILLIS = 15;
     private static final int RECONNECT_DELAY_MILLIS = 100;
@@ -37,19 +32,31 @@
     private long lastValue;
     private int sessionCount;
 
-    SoakCaller(
+    /**
+     * What a caller of a run is given.
+     *
+     * @param callerIndex its number, from 0
+     * @param callerCount the number of callers
+     * @param fleet the gateways
+     * @param history receives what the caller sees
+     * @param seed the seed of the run
+     * @param stopRequested returns whether the caller should end
+     */
+    record Setting(
             int callerIndex,
             int callerCount,
             GatewayFleet fleet,
             SoakHistory history,
             long seed,
-            BooleanSupplier stopRequested) {
-        this.callerIndex = callerIndex;
-        this.callerCount = callerCount;
-        this.fleet = fleet;
-        this.history = history;
-        this.random = new Random(seed * 31 + callerIndex);
-        this.stopRequested = stopRequested;
+            BooleanSupplier stopRequested) {}
+
+    SoakCaller(Setting setting) {
+        this.callerIndex = setting.callerIndex();
+        this.callerCount = setting.callerCount();
+        this.fleet = setting.fleet();
+        this.history = setting.history();
+        this.random = new Random(setting.seed() * 31 + callerIndex);
+        this.stopRequested = setting.stopRequested();
     }
 
     @Override
@@ -68,7 +75,7 @@
                 }
             } catch (IOException exception) {
                 // Broken connections are an expected effect of the faults; continue with a new session.
-                pause(RECONNECT_DELAY_MILLIS);
+                SoakAnswers.pause(RECONNECT_DELAY_MILLIS);
             }
         }
     }
@@ -84,37 +91,38 @@
             if (!sessionUsable) {
                 return;
             }
-            pause(random.nextInt(2 * MEAN_PAUSE_MILLIS));
+            SoakAnswers.pause(random.nextInt(2 * MEAN_PAUSE_MILLIS));
         }
     }
 
     private boolean runWrite(LineCaller session) {
         long value = ++lastValue;
-        List<String> answer = runStatement(session, "WRITE " + itemName(callerIndex) + " " + value);
-        recordWrite(value, toOutcome(answer));
-        return isSessionReady(answer);
+        List<String> answer = SoakAnswers.run(session, "WRITE " + itemName(callerIndex) + " " + value);
+        recordWrite(value, SoakAnswers.toOutcome(answer));
+        return SoakAnswers.isSessionReady(answer);
     }
 
     private boolean runTransaction(LineCaller session) {
         long value = ++lastValue;
-        List<String> beginAnswer = runStatement(session, "BEGIN");
-        List<String> writeAnswer = runStatement(session, "WRITE " + itemName(callerIndex) + " " + value);
-        if (!succeeded(beginAnswer) || !succeeded(writeAnswer)) {
+        List<String> beginAnswer = SoakAnswers.run(session, "BEGIN");
+        List<String> writeAnswer = SoakAnswers.run(session, "WRITE " + itemName(callerIndex) + " " + value);
+        if (!SoakAnswers.succeeded(beginAnswer) || !SoakAnswers.succeeded(writeAnswer)) {
             // No COMMIT was sent, so the write must not be in the log.
             recordWrite(value, Outcome.NOT_KEPT);
-            return isSessionReady(writeAnswer) && isSessionReady(runStatement(session, "ROLLBACK"));
+            return SoakAnswers.isSessionReady(writeAnswer)
+                    && SoakAnswers.isSessionReady(SoakAnswers.run(session, "ROLLBACK"));
         }
         boolean shouldCommit = random.nextInt(4) > 0;
-        List<String> endAnswer = runStatement(session, shouldCommit ? "COMMIT" : "ROLLBACK");
-        recordWrite(value, shouldCommit ? toOutcome(endAnswer) : Outcome.NOT_KEPT);
-        return isSessionReady(endAnswer);
+        List<String> endAnswer = SoakAnswers.run(session, shouldCommit ? "COMMIT" : "ROLLBACK");
+        recordWrite(value, shouldCommit ? SoakAnswers.toOutcome(endAnswer) : Outcome.NOT_KEPT);
+        return SoakAnswers.isSessionReady(endAnswer);
     }
 
     private boolean runRead(LineCaller session, int gateway, Freshness freshness) {
         int readIndex = random.nextInt(callerCount);
         long sentNanos = System.nanoTime();
-        List<String> answer = runStatement(session, "READ " + itemName(readIndex));
-        if (succeeded(answer) && answer.get(0).startsWith("DATAROW ")) {
+        List<String> answer = SoakAnswers.run(session, "READ " + itemName(readIndex));
+        if (SoakAnswers.succeeded(answer) && answer.get(0).startsWith("DATAROW ")) {
             String[] row = answer.get(0).substring("DATAROW ".length()).split("\\|", -1);
             long value = row[0].equals("-") ? 0 : Long.parseLong(row[0]);
             history.add(new Read(itemName(readIndex), value, sentNanos, freshness, sessionName(), gateway));
@@ -122,7 +130,7 @@
                 history.addViolation("values mixed: session of caller " + callerIndex + " ran with " + row[1]);
             }
         }
-        return isSessionReady(answer);
+        return SoakAnswers.isSessionReady(answer);
     }
 
     private void recordWrite(long value, Outcome outcome) {
@@ -133,40 +141,7 @@
         return callerIndex + "-" + sessionCount;
     }
 
-    private static Outcome toOutcome(List<String> answer) {
-        if (succeeded(answer)) {
-            return Outcome.ACKNOWLEDGED;
-        }
-        String[] words = answer.isEmpty() ? new String[0] : answer.get(0).split(" ");
-        boolean hasNoEffect = words.length > 1 && words[0].equals("ERROR") && NO_EFFECT_ERROR_CODES.contains(words[1]);
-        return hasNoEffect ? Outcome.NOT_KEPT : Outcome.UNKNOWN;
-    }
-
-    private static boolean succeeded(List<String> answer) {
-        return answer.stream().anyMatch(line -> line.startsWith("COMPLETE ")) && isSessionReady(answer);
-    }
-
-    private static boolean isSessionReady(List<String> answer) {
-        return !answer.isEmpty() && answer.get(answer.size() - 1).startsWith("READY");
-    }
-
-    private static List<String> runStatement(LineCaller session, String statement) {
-        try {
-            return session.run(statement);
-        } catch (IOException exception) {
-            return List.of("CLOSED " + exception.getMessage());
-        }
-    }
-
     private static String itemName(int callerIndex) {
         return "item-" + callerIndex;
     }
-
-    private static void pause(long millis) {
-        try {
-            Thread.sleep(millis);
-        } catch (InterruptedException exception) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/soak/SoakCommand.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/soak/SoakCommand.java
@@ -31,6 +31,17 @@
     @Option(names = "--seconds", defaultValue = "20", description = "How long faults are injected in each run.")
     private int seconds;
 
+    @Option(
+            names = "--planned",
+            description = "Plays planned work in overlapping series in place of faults; no answer may be cut off.")
+    private boolean planned;
+
+    @Option(names = "--gateways", defaultValue = "4", description = "The number of gateway processes.")
+    private int gateways;
+
+    @Option(names = "--callers", defaultValue = "8", description = "The number of callers.")
+    private int callers;
+
     @Option(names = "--folder", description = "The folder for the logs; a temporary folder by default.")
     private @Nullable Path folder;
 
@@ -44,9 +55,12 @@
         Path baseFolder = folder == null ? Files.createTempDirectory("soak") : folder;
         int failedRuns = 0;
         for (long currentSeed = seed; currentSeed < seed + runs; currentSeed++) {
-            SoakRun.Result result = new SoakRun(
-                            currentSeed, seconds, Files.createDirectories(baseFolder.resolve("seed-" + currentSeed)))
-                    .run();
+            SoakRun.Builder run = SoakRun.builder(
+                            currentSeed, Files.createDirectories(baseFolder.resolve("seed-" + currentSeed)))
+                    .seconds(seconds)
+                    .gateways(gateways)
+                    .callers(callers);
+            SoakRun.Result result = (planned ? run.plannedWork() : run).build().run();
             out.println("seed " + currentSeed + ": " + (result.violations().isEmpty() ? "kept" : "BROKEN") + "; "
                     + result.summary());
             if (!result.violations().isEmpty()) {
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/soak/SoakFaults.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/soak/SoakFaults.java
@@ -17,7 +17,7 @@
  * Generates a random sequence of overlapping faults from a seed and schedules their start and end. Confined to the
  * thread of one run, except for the scheduled actions.
  */
-final class SoakFaults {
+final class SoakFaults implements SoakScenario.Schedule {
 
     /** Mean time between the starts of two faults. */
     private static final int MEAN_FAULT_INTERVAL_MILLIS = 1_200;
@@ -47,12 +47,8 @@
         this.scheduler = scheduler;
     }
 
-    /**
-     * Schedules faults for a period. The end of each fault is scheduled no later than the end of the period.
-     *
-     * @param durationMillis the length of the period
-     */
-    void scheduleFaults(long durationMillis) {
+    @Override
+    public void start(long durationMillis) {
         for (long startMillis = MEAN_FAULT_INTERVAL_MILLIS;
                 startMillis < durationMillis - MIN_FAULT_DURATION_MILLIS;
                 startMillis += random.nextInt(2 * MEAN_FAULT_INTERVAL_MILLIS)) {
@@ -66,8 +62,8 @@
         }
     }
 
-    /** Returns descriptions of the faults in order of their start, with start time and duration in milliseconds. */
-    List<String> scheduledFaults() {
+    @Override
+    public List<String> descriptions() {
         return List.copyOf(scheduledFaults);
     }
 
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/soak/SoakHistory.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/soak/SoakHistory.java
@@ -36,6 +36,7 @@
 
     private final List<Write> writes = new ArrayList<>();
     private final List<Read> reads = new ArrayList<>();
+    private final List<String> unansweredWrites = new ArrayList<>();
     private final List<String> violations = new ArrayList<>();
 
     /**
@@ -69,6 +70,16 @@
         reads.add(read);
     }
 
+    /**
+     * Records a write whose connection ended so soon that it may not have arrived. If it was carried out, it had, and
+     * its answer was cut off.
+     *
+     * @param logEntry the item and the value, separated by a space
+     */
+    synchronized void addUnansweredWrite(String logEntry) {
+        unansweredWrites.add(logEntry);
+    }
+
     synchronized void addViolation(String description) {
         violations.add(description);
     }
@@ -118,6 +129,11 @@
                 allViolations.add("said not to have run, but kept: " + logEntry);
             }
         }
+        for (String logEntry : unansweredWrites) {
+            if (occurrencesInLog.applyAsLong(logEntry) > 0) {
+                allViolations.add("cut off, but kept: " + logEntry);
+            }
+        }
         reads.forEach(read -> checkRead(read, rolledBack, allViolations));
         return allViolations;
     }
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/soak/SoakRun.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/soak/SoakRun.java
@@ -18,8 +18,9 @@
  */
 public final class SoakRun {
 
-    private static final int GATEWAY_COUNT = 4;
-    private static final int CALLER_COUNT = 8;
+    private static final int DEFAULT_GATEWAY_COUNT = 4;
+    private static final int DEFAULT_CALLER_COUNT = 8;
+
     /** Limits the start of the fleet, and the wait for the faults to end after the callers have stopped. */
     private static final long START_TIMEOUT_MILLIS = 60_000;
 
@@ -32,6 +33,9 @@
     private final long seed;
     private final long faultPeriodMillis;
     private final Path folder;
+    private final SoakScenario scenario;
+    private final int gatewayCount;
+    private final int callerCount;
 
     /**
      * The result of a run.
@@ -48,17 +52,67 @@
         }
     }
 
+    private SoakRun(Builder builder) {
+        this.seed = builder.seed;
+        this.faultPeriodMillis = TimeUnit.SECONDS.toMillis(builder.seconds);
+        this.folder = builder.folder;
+        this.scenario = builder.scenario;
+        this.gatewayCount = builder.gatewayCount;
+        this.callerCount = builder.callerCount;
+    }
+
     /**
-     * Creates a run.
+     * Returns a builder of a run.
      *
      * @param seed the seed of the faults and of the callers' statements
-     * @param seconds the period in which faults are injected
      * @param folder the folder for the settings and logs of the gateways
      */
-    public SoakRun(long seed, int seconds, Path folder) {
-        this.seed = seed;
-        this.faultPeriodMillis = TimeUnit.SECONDS.toMillis(seconds);
-        this.folder = folder;
+    public static Builder builder(long seed, Path folder) {
+        return new Builder(seed, folder);
+    }
+
+    /** Builds a {@link SoakRun}. Not thread-safe. */
+    public static final class Builder {
+        private final long seed;
+        private final Path folder;
+        private int seconds = 20;
+        private SoakScenario scenario = SoakScenario.FAULTS;
+        private int gatewayCount = DEFAULT_GATEWAY_COUNT;
+        private int callerCount = DEFAULT_CALLER_COUNT;
+
+        private Builder(long seed, Path folder) {
+            this.seed = seed;
+            this.folder = folder;
+        }
+
+        /** Sets the period in which faults are injected. Defaults to 20 s. */
+        public Builder seconds(int value) {
+            seconds = value;
+            return this;
+        }
+
+        /** Replaces faults by planned work, during which no answer may be cut off. */
+        public Builder plannedWork() {
+            scenario = SoakScenario.PLANNED_WORK;
+            return this;
+        }
+
+        /** Sets the number of gateways. */
+        public Builder gateways(int value) {
+            gatewayCount = value;
+            return this;
+        }
+
+        /** Sets the number of callers. */
+        public Builder callers(int value) {
+            callerCount = value;
+            return this;
+        }
+
+        /** Creates the run. */
+        public SoakRun build() {
+            return new SoakRun(this);
+        }
     }
 
     /**
@@ -70,12 +124,12 @@
      */
     public Result run() throws IOException, InterruptedException {
         ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(2);
-        try (SoakLinks links = new SoakLinks(GATEWAY_COUNT, seed);
-                GatewayFleet fleet = new GatewayFleet(folder, GATEWAY_COUNT, links)) {
+        try (SoakLinks links = new SoakLinks(gatewayCount, seed);
+                GatewayFleet fleet = new GatewayFleet(folder, gatewayCount, links)) {
             SoakHistory history = new SoakHistory();
             awaitService(fleet, history, START_TIMEOUT_MILLIS);
-            SoakFaults faults = new SoakFaults(fleet, links, seed, scheduler);
-            faults.scheduleFaults(faultPeriodMillis);
+            SoakScenario.Schedule schedule = scenario.newSchedule(fleet, links, seed, scheduler);
+            schedule.start(faultPeriodMillis);
             runCallers(fleet, history);
             scheduler.shutdown();
             if (!scheduler.awaitTermination(START_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)) {
@@ -86,7 +140,10 @@
             Set<String> rolledBack = fleet.group().rolledBackWrites();
             List<String> violations = history.check(
                     fleet.group()::countWrites, rolledBack, fleet.group().commitsInSupersededTerms());
-            return new Result(seed, faults.scheduledFaults(), violations, summary(history, fleet, rolledBack));
+            fleet.group()
+                    .requestsInTakenOutDomains()
+                    .forEach(request -> violations.add("reached a domain that was taken out: " + request));
+            return new Result(seed, schedule.descriptions(), violations, summary(history, fleet, rolledBack));
         } finally {
             scheduler.shutdownNow();
         }
@@ -95,9 +152,11 @@
     private void runCallers(GatewayFleet fleet, SoakHistory history) throws InterruptedException {
         AtomicBoolean stopRequested = new AtomicBoolean();
         List<Thread> callers = new ArrayList<>();
-        for (int number = 0; number < CALLER_COUNT; number++) {
+        for (int number = 0; number < callerCount; number++) {
             Thread caller = new Thread(
-                    new SoakCaller(number, CALLER_COUNT, fleet, history, seed, stopRequested::get), "caller-" + number);
+                    scenario.newCaller(
+                            new SoakCaller.Setting(number, callerCount, fleet, history, seed, stopRequested::get)),
+                    "caller-" + number);
             caller.setDaemon(true);
             caller.start();
             callers.add(caller);
--- a/banyanhook-testbed/src/test/java/org/banyanhook/testbed/soak/SoakHistoryTest.java
+++ b/banyanhook-testbed/src/test/java/org/banyanhook/testbed/soak/SoakHistoryTest.java
@@ -39,6 +39,13 @@
                 .containsExactly("acknowledged by a superseded primary: a 1");
     }
 
+    @Test
+    void reportsKeptWriteWhoseAnswerWasCutOff() {
+        history.addUnansweredWrite("a 1");
+        assertThat(check(0)).isEmpty();
+        assertThat(check(1)).containsExactly("cut off, but kept: a 1");
+    }
+
     @Test
     void reportsDuplicateWrite() {
         history.add(new Write("a", 1, SECOND_NANOS, Outcome.UNKNOWN, "s"));
--- a/banyanhook-testbed/src/test/java/org/banyanhook/testbed/soak/SoakIT.java
+++ b/banyanhook-testbed/src/test/java/org/banyanhook/testbed/soak/SoakIT.java
@@ -13,6 +13,9 @@
 
     private static final int SECONDS = 12;
 
+    /** Long enough for a failure domain to be taken out for longer than the bound. */
+    private static final int PLANNED_SECONDS = 15;
+
     @TempDir
     @SuppressWarnings("NullAway.Init")
     private Path folder;
@@ -29,9 +32,24 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 100, 201, 3006})
     void meetsGuaranteesUnderRandomFaults(long seed) throws IOException, InterruptedException {
-        SoakRun.Result result = new SoakRun(seed, SECONDS, folder).run();
+        SoakRun.Result result =
+                SoakRun.builder(seed, folder).seconds(SECONDS).build().run();
         assertWithMessage("seed %s, faults %s", seed, result.faults())
                 .that(result.violations())
                 .isEmpty();
     }
+
+    /** Callers keep their connections and open transactions until the gateway that is stopped ends them. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void answersEveryStatementDuringPlannedWork(long seed) throws IOException, InterruptedException {
+        SoakRun.Result result = SoakRun.builder(seed, folder)
+                .seconds(PLANNED_SECONDS)
+                .plannedWork()
+                .build()
+                .run();
+        assertWithMessage("seed %s, planned work %s", seed, result.faults())
+                .that(result.violations())
+                .isEmpty();
+    }
 }
