--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
@@ -107,8 +107,8 @@
     }
 
     /**
-     * Starts the replacement of primaries that are leaving or taken out at once. Every transaction that begins at such
-     * a primary before it steps down is lost. The other reasons depend on time and are found by {@link #tick()}.
+     * Starts the replacement of primaries that are leaving or taken out at once, since they get no new work. The other
+     * reasons depend on time and are found by {@link #tick()}.
      */
     @Override
     public void onFleetChange() {
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionControllerTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionControllerTest.java
@@ -27,7 +27,7 @@
         promotions.close();
     }
 
-    /** Transactions that begin at a leaving primary before the next periodic check are lost at its step-down. */
+    /** Writes that wait for the successor timed out, since the periodic check came up to 200 ms later. */
     @Test
     void leavingPrimaryIsReplacedAtOnce() {
         gateway.listLeaving("a", true);
