Refuse what still waits for a connection when a process ends

What callers saw: during planned work the connection ended without an answer for statements that had waited for a primary for 1.3 to 2.0 s. Cause: the end of the grace period closed sessions whatever was in progress; a statement that waits and has not been passed on can be refused truthfully. Change: at the end of the schedule every waiting statement is refused as not run, and the process ends 100 ms later. A unit test sees the refusal.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -55,6 +55,9 @@
 
     private static final long DRAIN_POLL_INTERVAL_MILLIS = 50;
 
+    /** The time for the last refusals to be written before the process ends. */
+    private static final long REFUSAL_DELIVERY_MILLIS = 100;
+
     /** How long the end of the process waits for the store to remove the entry of this daemon. */
     private static final long REGISTRATION_END_TIMEOUT_MILLIS = 350;
 
@@ -246,11 +249,18 @@
     }
 
     private void stopWhenIdle(long deadlineNanos, CompletableFuture<Void> drained) {
-        if (sessions.isActive() && clock.nowNanos() - deadlineNanos < 0) {
+        if (!sessions.isActive()) {
+            stop(drained);
+        } else if (clock.nowNanos() - deadlineNanos < 0) {
             var unused = eventLoop.schedule(
                     () -> stopWhenIdle(deadlineNanos, drained), DRAIN_POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-            return;
+        } else {
+            sessions.refuseWaiting();
+            var unused = eventLoop.schedule(() -> stop(drained), REFUSAL_DELIVERY_MILLIS, TimeUnit.MILLISECONDS);
         }
+    }
+
+    private void stop(CompletableFuture<Void> drained) {
         storeMirror.stop();
         registration
                 .stop()
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
@@ -146,6 +146,14 @@
         closeIfIdle();
     }
 
+    /** Refuses the statement that waits for a connection, if there is one, because the process ends. */
+    void refuseWaiting() {
+        StatementExecution execution = currentExecution;
+        if (execution != null) {
+            execution.refuseWaiting();
+        }
+    }
+
     /** Returns whether a transaction or statement is in progress, or an answer has not been sent completely. */
     public boolean isActive() {
         return isBusy() || closing.isInProgress();
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/SessionRegistry.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/SessionRegistry.java
@@ -44,6 +44,11 @@
         List.copyOf(sessions).forEach(session -> session.drain(schedule));
     }
 
+    /** Refuses the statements that still wait for a connection, because the process ends. */
+    public void refuseWaiting() {
+        List.copyOf(sessions).forEach(Session::refuseWaiting);
+    }
+
     /** Rolls back the transactions that have exceeded the idle timeout. */
     public void rollBackIdleTransactions(SessionContext context) {
         long now = context.clock().nowNanos();
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
@@ -132,6 +132,13 @@
         }
     }
 
+    /** Refuses the statement if it still waits for a connection, because the process ends; it has not run then. */
+    void refuseWaiting() {
+        if (ExecutionTransitions.decide(phase, ExecutionEvent.DEADLINE_PASSED) == ExecutionAction.WITHDRAW_AND_REPORT) {
+            fail(SessionError.OVERLOADED, "this entry VM is being stopped; retry on a new connection");
+        }
+    }
+
     /** Resumes reading rows after the caller could not take any more. */
     void resume() {
         ConnectionLease currentLease = lease;
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/TransactionContinuationSessionTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/TransactionContinuationSessionTest.java
@@ -88,6 +88,22 @@
         assertThat(gateway.registry().isActive()).isFalse();
     }
 
+    /** The connection ended without an answer when the process did, while the group had no primary. */
+    @Test
+    void statementThatWaitsForAConnectionIsRefusedWhenTheProcessEnds() {
+        gateway.group().pausePrimary(Long.MAX_VALUE);
+        EmbeddedChannel waiting = gateway.openSession();
+        GatewayFixture.send(waiting, "5", WRITE);
+        gateway.registry().drain(gateway.shutdownSchedule());
+        assertThat(waiting.<Object>readOutbound()).isNull();
+        gateway.registry().refuseWaiting();
+        ClientAnswer.Failed refused = waiting.readOutbound();
+        assertThat(refused.error()).isEqualTo(SessionError.OVERLOADED);
+        assertThat(waiting.isActive()).isFalse();
+        member.answerAll();
+        assertThat(member.runs()).hasSize(1);
+    }
+
     /** Statements of a long transaction went on reaching a failure domain that operators had taken out. */
     @Test
     void transactionInADomainThatWasTakenOutEndsBeforeTheLimit() {
--- a/banyanhook-testbed/src/test/java/org/banyanhook/testbed/soak/SoakIT.java
+++ b/banyanhook-testbed/src/test/java/org/banyanhook/testbed/soak/SoakIT.java
@@ -39,9 +39,14 @@
                 .isEmpty();
     }
 
-    /** Callers keep their connections and open transactions until the gateway that is stopped ends them. */
+    /**
+     * Callers keep their connections and open transactions until the gateway that is stopped ends them.
+     *
+     * <p>Seeds 101, 104, 108, 110 and 112 revealed that statements which waited for a primary when the process ended
+     * got no answer.
+     */
     @ParameterizedTest
-    @ValueSource(longs = {1, 2})
+    @ValueSource(longs = {1, 2, 101, 104, 108, 110, 112})
     void answersEveryStatementDuringPlannedWork(long seed) throws IOException, InterruptedException {
         SoakRun.Result result = SoakRun.builder(seed, folder)
                 .seconds(PLANNED_SECONDS)
