Log whether contact to the store is missing since the start or a suspension

What on-call engineers saw: the line "dependency" gave ms of silence where none was measured, after a start and after a suspension alike. Change: the field "contact" says none-since-start, suspended or measured; silentMs is written only if it was measured. Result: DaemonRegistrationTest.startSuspensionAndSilenceAreToldApart passes with the change; before it there was nothing to ask.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -130,8 +130,8 @@
                 metrics);
         PeerVoteExchange voteExchange =
                 new PeerVoteExchange(settings.entryVm(), messenger, directory, eventLoop, clock);
-        this.primaryAccess =
-                new StoreOrQuorumPolicy(registration::nanosSinceContact, voteExchange, clock, eventLoop, log);
+        this.primaryAccess = new StoreOrQuorumPolicy(
+                registration::nanosSinceContact, registration::contact, voteExchange, clock, eventLoop, log);
         GroupContext groupContext = new GroupContext(
                 settings,
                 directory,
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DaemonRegistration.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DaemonRegistration.java
@@ -136,9 +136,16 @@
 
     /** Returns the time since the last call that the store answered, in nanoseconds; very large if it never did. */
     public long nanosSinceContact() {
+        return contact() == StoreContact.MEASURED ? clock.nowNanos() - lastContactNanos : Long.MAX_VALUE / 2;
+    }
+
+    /** Returns what is known of the time since the last call that the store answered. */
+    public StoreContact contact() {
+        if (!contactEstablished) {
+            return StoreContact.NONE_SINCE_START;
+        }
         // The clock does not count a suspension, in which a primary may have been replaced.
-        boolean known = contactEstablished && !clock.jumpedSince(lastContactNanos);
-        return known ? clock.nowNanos() - lastContactNanos : Long.MAX_VALUE / 2;
+        return clock.jumpedSince(lastContactNanos) ? StoreContact.SUSPENDED : StoreContact.MEASURED;
     }
 
     /** Returns when the last call was sent that the store answered; far in the past if it never did. */
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/StoreOrQuorumPolicy.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/StoreOrQuorumPolicy.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import org.banyanhook.core.primary.PeerContact;
 import org.banyanhook.core.primary.PromotionPermission;
+import org.banyanhook.gateway.fleet.StoreContact;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.MonotonicClock;
 
@@ -24,6 +25,7 @@
     private static final long PEER_QUERY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(350);
 
     private final LongSupplier nanosSinceStoreContact;
+    private final Supplier<StoreContact> storeContact;
     private final PeerVoteExchange voteExchange;
     private final MonotonicClock clock;
     private final EventLoop eventLoop;
@@ -37,6 +39,7 @@
      * Creates a policy.
      *
      * @param nanosSinceStoreContact returns for how long the store has not answered
+     * @param storeContact returns what is known of that time, for the log
      * @param voteExchange queries the other daemons
      * @param clock the monotonic clock
      * @param eventLoop the event loop on which answers are handled
@@ -44,11 +47,13 @@
      */
     public StoreOrQuorumPolicy(
             LongSupplier nanosSinceStoreContact,
+            Supplier<StoreContact> storeContact,
             PeerVoteExchange voteExchange,
             MonotonicClock clock,
             EventLoop eventLoop,
             DecisionLog log) {
         this.nanosSinceStoreContact = nanosSinceStoreContact;
+        this.storeContact = storeContact;
         this.voteExchange = voteExchange;
         this.clock = clock;
         this.eventLoop = eventLoop;
@@ -85,11 +90,15 @@
         boolean lost = sinceContactNanos > PromotionPermission.CONTACT_TIMEOUT_NANOS;
         if (lost != storeContactLost) {
             storeContactLost = lost;
-            log.line("dependency")
+            StoreContact contact = storeContact.get();
+            var line = log.line("dependency")
                     .with("name", "store-lease")
                     .with("change", lost ? "lost" : "regained")
-                    .with("silentMs", TimeUnit.NANOSECONDS.toMillis(sinceContactNanos))
-                    .write();
+                    .with("contact", contact.logValue());
+            if (contact == StoreContact.MEASURED) {
+                line.with("silentMs", TimeUnit.NANOSECONDS.toMillis(sinceContactNanos));
+            }
+            line.write();
         }
     }
 
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/DaemonRegistrationTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/DaemonRegistrationTest.java
@@ -63,6 +63,16 @@
         assertThat(registration.nanosSinceContact()).isLessThan(TimeUnit.SECONDS.toNanos(1));
     }
 
+    /** On-call engineers could not tell a start from a suspension by the log. */
+    @Test
+    void startSuspensionAndSilenceAreToldApart() {
+        assertThat(registration.contact()).isEqualTo(StoreContact.NONE_SINCE_START);
+        register();
+        assertThat(registration.contact()).isEqualTo(StoreContact.MEASURED);
+        gateway.suspendMillis(5_000);
+        assertThat(registration.contact()).isEqualTo(StoreContact.SUSPENDED);
+    }
+
     @Test
     void renewalThatWasSentBeforeASuspensionIsNoContact() {
         register();
