Start no replacement of a primary in a daemon that is being stopped

What callers could see: a daemon that ends in the middle of a replacement leaves its promotion lease behind, which blocks the other daemons until it lapses, up to 5 s. Cause: the controller went on to start replacements after SIGTERM. Change: it starts none from then on; one that runs goes on. The others act after their rank delay.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -230,6 +230,7 @@
                 return;
             }
             draining = true;
+            promotionController.stop();
             log.line("stop").with("sessions", sessions.size()).write();
             ShutdownSchedule schedule = ShutdownSchedule.startingAt(clock.nowNanos(), settings.shutdownGraceMillis());
             var unused = eventLoop.schedule(
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
@@ -48,6 +48,7 @@
     private final MonotonicClock clock;
     private final DecisionLog log;
     private final Map<String, GroupState> groupStates = new HashMap<>();
+    private boolean stopping;
 
     /** Why a primary has to be replaced. */
     enum Reason {
@@ -100,6 +101,11 @@
         this.log = log;
     }
 
+    /** Starts no replacement from now on, since it could not be completed before the process ends. */
+    public void stop() {
+        stopping = true;
+    }
+
     /** Checks every group and starts a replacement where one is due. */
     public void tick() {
         long now = clock.nowNanos();
@@ -134,7 +140,7 @@
                     .with("member", group.primary().map(MemberServer::name).orElse(null))
                     .write());
         }
-        if (reason.isEmpty() || state.running || now - state.nextAttemptNanos < 0) {
+        if (stopping || reason.isEmpty() || state.running || now - state.nextAttemptNanos < 0) {
             return;
         }
         if (reason.get() == Reason.ABSENT && now - state.reasonSinceNanos < ABSENCE_TIMEOUT_NANOS) {
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionControllerTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionControllerTest.java
@@ -12,10 +12,10 @@
 
     private final PromotionFixture promotions = new PromotionFixture();
     private final GatewayFixture gateway = promotions.gateway();
+    private final PromotionController controller = promotions.newController();
 
     @BeforeEach
     void start() {
-        PromotionController unused = promotions.newController();
         gateway.list("a", true);
         gateway.list("b", false);
         promotions.members().set("a", true, 1, new LogPosition(1, 9));
@@ -44,6 +44,18 @@
         assertThat(promotions.requests()).containsExactly("b");
     }
 
+    /** The process ended in the middle, and its promotion lease kept the other daemons from replacing the primary. */
+    @Test
+    void daemonThatIsBeingStoppedStartsNoReplacement() {
+        controller.stop();
+        gateway.listLeaving("a", true);
+        gateway.advanceMillis(0);
+        controller.tick();
+        gateway.advanceMillis(0);
+        assertThat(promotions.members().stepDownTerms()).isEmpty();
+        assertThat(promotions.requests()).isEmpty();
+    }
+
     @Test
     void leavingReplicaIsNotReplaced() {
         gateway.listLeaving("b", false);
