Answer every request that is outstanding when a process ends

What callers saw: their connection ended without an answer when a planned stop came to its end. Cause: at the end of the schedule only statements that waited for a connection were answered. Left without an answer were statements in preparation on a connection, with a member, or waiting for a token of the rate limit, and what had been sent ahead behind them; the process ended a fixed time later, whether the last answers had left it or not. Evidence: read in the code; each case is a test of ShutdownSessionTest. Change: at the end of service every request gets what is known of it (not run, rolled back, failed read, in doubt), every session is closed after its last answer, and the process waits for the callers until shortly before the grace period ends. The steps are logged with the time since the request and the sessions left.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/execution/ExecutionAction.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/execution/ExecutionAction.java
@@ -26,7 +26,7 @@
     REPORT_REFUSAL,
     /** Withdraw the request for a connection and report that the statement was not run in time. */
     WITHDRAW_AND_REPORT,
-    /** Close the connection, whose state is uncertain, and report the time-out. */
+    /** Close the connection, whose state is uncertain, and report that the answer is not awaited any longer. */
     CLOSE_AND_REPORT,
     /** End the execution without a report. */
     END_SILENTLY,
--- a/banyanhook-core/src/main/java/org/banyanhook/core/execution/ExecutionEvent.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/execution/ExecutionEvent.java
@@ -21,5 +21,7 @@
     /** The time limit of the statement has passed. */
     DEADLINE_PASSED,
     /** The caller has disconnected. */
-    CALLER_LEFT
+    CALLER_LEFT,
+    /** The process ends before the statement has been answered. */
+    PROCESS_ENDS
 }
--- a/banyanhook-core/src/main/java/org/banyanhook/core/execution/ExecutionTransitions.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/execution/ExecutionTransitions.java
@@ -34,7 +34,7 @@
         return switch (event) {
             case CONNECTION_LEASED -> ExecutionAction.USE_CONNECTION;
             case CONNECTION_REFUSED -> ExecutionAction.REPORT_REFUSAL;
-            case DEADLINE_PASSED -> ExecutionAction.WITHDRAW_AND_REPORT;
+            case DEADLINE_PASSED, PROCESS_ENDS -> ExecutionAction.WITHDRAW_AND_REPORT;
             case CALLER_LEFT -> ExecutionAction.END_SILENTLY;
             default -> unexpected(event);
         };
@@ -45,7 +45,7 @@
             case BEGIN_SUCCEEDED -> ExecutionAction.SEND_STATEMENT;
             case BEGIN_REFUSED -> ExecutionAction.EVALUATE_REFUSED_BEGIN;
             case CONNECTION_LOST -> ExecutionAction.REQUEST_CONNECTION;
-            case DEADLINE_PASSED -> ExecutionAction.CLOSE_AND_REPORT;
+            case DEADLINE_PASSED, PROCESS_ENDS -> ExecutionAction.CLOSE_AND_REPORT;
             case CALLER_LEFT -> ExecutionAction.END_SILENTLY;
             default -> unexpected(event);
         };
@@ -56,7 +56,7 @@
             case STATEMENT_ANSWERED -> ExecutionAction.EVALUATE_ANSWER;
             case ROWS_EXCEED_BOUND -> ExecutionAction.PASS_ROWS;
             case CONNECTION_LOST -> ExecutionAction.EVALUATE_LOSS;
-            case DEADLINE_PASSED -> ExecutionAction.CLOSE_AND_REPORT;
+            case DEADLINE_PASSED, PROCESS_ENDS -> ExecutionAction.CLOSE_AND_REPORT;
             // A statement that was sent runs to completion, so that its transaction ends in a known state.
             case CALLER_LEFT -> ExecutionAction.IGNORE;
             default -> unexpected(event);
@@ -69,6 +69,7 @@
             case ROWS_EXCEED_BOUND -> ExecutionAction.PASS_ROWS;
             case CONNECTION_LOST -> ExecutionAction.REPORT_INCOMPLETE;
             case DEADLINE_PASSED -> ExecutionAction.CHECK_PROGRESS;
+            case PROCESS_ENDS -> ExecutionAction.CLOSE_AND_REPORT;
             case CALLER_LEFT -> ExecutionAction.CLOSE_SILENTLY;
             default -> unexpected(event);
         };
@@ -77,7 +78,7 @@
     private static ExecutionAction whileWaitingForRetry(ExecutionEvent event) {
         return switch (event) {
             case RETRY_DUE -> ExecutionAction.REQUEST_CONNECTION;
-            case DEADLINE_PASSED -> ExecutionAction.WITHDRAW_AND_REPORT;
+            case DEADLINE_PASSED, PROCESS_ENDS -> ExecutionAction.WITHDRAW_AND_REPORT;
             case CALLER_LEFT -> ExecutionAction.END_SILENTLY;
             default -> unexpected(event);
         };
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -46,6 +46,7 @@
 import org.banyanhook.gateway.session.Session;
 import org.banyanhook.gateway.session.SessionContext;
 import org.banyanhook.gateway.session.SessionRegistry;
+import org.jspecify.annotations.Nullable;
 
 /** Assembles the components of a gateway and runs them on one event loop. */
 public final class Gateway {
@@ -53,11 +54,6 @@
     /** The interval at which queued requests, idle transactions and primaries are checked. */
     private static final long TICK_INTERVAL_MILLIS = 200;
 
-    private static final long DRAIN_POLL_INTERVAL_MILLIS = 50;
-
-    /** The time for the last refusals to be written before the process ends. */
-    private static final long REFUSAL_DELIVERY_MILLIS = 100;
-
     /** How long the end of the process waits for the store to remove the entry of this daemon. */
     private static final long REGISTRATION_END_TIMEOUT_MILLIS = 350;
 
@@ -78,6 +74,7 @@
     private final PromotionController promotionController;
     private final SessionRegistry sessions = new SessionRegistry();
     private final SessionContext sessionContext;
+    private volatile @Nullable Channel clientPort;
     private boolean draining;
 
     /**
@@ -201,7 +198,7 @@
         ChannelHandler http = initializer(channel -> channel.pipeline().addLast(new HttpServerCodec(), endpoint));
         listen(settings.readinessAddress(), http);
         listen(settings.metricsAddress(), http);
-        listen(
+        clientPort = listen(
                 settings.clientAddress(),
                 initializer(channel -> channel.pipeline()
                         .addLast(ports.sessionCodec().newClientCodec(), new Session(sessionContext, sessions))));
@@ -231,15 +228,10 @@
             }
             draining = true;
             promotionController.stop();
-            log.line("stop").with("sessions", sessions.size()).write();
             ShutdownSchedule schedule = ShutdownSchedule.startingAt(clock.nowNanos(), settings.shutdownGraceMillis());
-            var unused = eventLoop.schedule(
-                    () -> {
-                        sessions.drain(schedule);
-                        stopWhenIdle(schedule.endNanos(), drained);
-                    },
-                    schedule.closeSessionsAfterMillis(),
-                    TimeUnit.MILLISECONDS);
+            new GracefulShutdown(schedule, sessions, this::withdraw, eventLoop, clock, log)
+                    .start()
+                    .thenRun(() -> drained.complete(null));
         });
         return drained;
     }
@@ -249,30 +241,13 @@
         eventLoop.execute(() -> log.line("reload").with("changed", changed).write());
     }
 
-    private void stopWhenIdle(long deadlineNanos, CompletableFuture<Void> drained) {
-        if (!sessions.isActive()) {
-            stop(drained);
-        } else if (clock.nowNanos() - deadlineNanos < 0) {
-            var unused = eventLoop.schedule(
-                    () -> stopWhenIdle(deadlineNanos, drained), DRAIN_POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-        } else {
-            sessions.refuseWaiting();
-            var unused = eventLoop.schedule(() -> stop(drained), REFUSAL_DELIVERY_MILLIS, TimeUnit.MILLISECONDS);
+    private CompletableFuture<Void> withdraw() {
+        Channel port = clientPort;
+        if (port != null) {
+            port.close();
         }
-    }
-
-    private void stop(CompletableFuture<Void> drained) {
         storeMirror.stop();
-        registration
-                .stop()
-                .orTimeout(REGISTRATION_END_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-                .whenComplete((done, failure) -> {
-                    log.line("stopped")
-                            .with("reason", failure == null ? "drained" : "store did not answer")
-                            .write();
-                    log.close();
-                    drained.complete(null);
-                });
+        return registration.stop().orTimeout(REGISTRATION_END_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private HttpEndpoint.Response readiness() {
@@ -297,7 +272,7 @@
         }
     }
 
-    private void listen(InetSocketAddress address, ChannelHandler initializer) throws IOException {
+    private Channel listen(InetSocketAddress address, ChannelHandler initializer) throws IOException {
         var bindFuture = NettyBootstraps.serverBootstrap(eventLoops, initializer)
                 .bind(address)
                 .awaitUninterruptibly();
@@ -305,6 +280,7 @@
             throw new IOException(
                     "cannot listen on " + address + "; set a free port", requireNonNull(bindFuture.cause()));
         }
+        return bindFuture.channel();
     }
 
     private static ChannelHandler initializer(java.util.function.Consumer<Channel> configure) {
--- /dev/null
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/GracefulShutdown.java
@@ -0,0 +1,115 @@
+package org.banyanhook.gateway;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.banyanhook.core.execution.ShutdownSchedule;
+import org.banyanhook.gateway.operation.DecisionLog;
+import org.banyanhook.gateway.operation.MonotonicClock;
+import org.banyanhook.gateway.session.SessionRegistry;
+
+/**
+ * Carries out a planned stop: closes sessions as they become inactive, answers what is outstanding at the end of
+ * service, and waits until callers have received their last answers. Confined to the event loop.
+ */
+final class GracefulShutdown {
+
+    private static final long POLL_INTERVAL_MILLIS = 50;
+
+    /** A task with any delay runs after the connections have been read once more. */
+    private static final long READ_PASS_MILLIS = 1;
+
+    private final ShutdownSchedule schedule;
+    private final SessionRegistry sessions;
+    private final Supplier<CompletableFuture<Void>> withdrawal;
+    private final EventLoop eventLoop;
+    private final MonotonicClock clock;
+    private final DecisionLog log;
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+
+    /**
+     * Creates a stop.
+     *
+     * @param schedule the steps of the stop
+     * @param sessions the sessions of this daemon
+     * @param withdrawal refuses new connections and withdraws this daemon from the fleet, when service has ended
+     * @param eventLoop the event loop on which everything runs
+     * @param clock the monotonic clock
+     * @param log receives a line for each step
+     */
+    GracefulShutdown(
+            ShutdownSchedule schedule,
+            SessionRegistry sessions,
+            Supplier<CompletableFuture<Void>> withdrawal,
+            EventLoop eventLoop,
+            MonotonicClock clock,
+            DecisionLog log) {
+        this.schedule = schedule;
+        this.sessions = sessions;
+        this.withdrawal = withdrawal;
+        this.eventLoop = eventLoop;
+        this.clock = clock;
+        this.log = log;
+    }
+
+    /**
+     * Begins the stop.
+     *
+     * @return a future that completes when the process may end, at the latest shortly before the grace period ends
+     */
+    CompletableFuture<Void> start() {
+        logStep("stop");
+        long delayNanos = schedule.closeSessionsNanos() - clock.nowNanos();
+        var unused = eventLoop.schedule(() -> afterReading(this::closeSessions), delayNanos, TimeUnit.NANOSECONDS);
+        return stopped;
+    }
+
+    private void closeSessions() {
+        logStep("stop-sessions");
+        sessions.drain(schedule);
+        awaitInactivity();
+    }
+
+    private void awaitInactivity() {
+        if (!sessions.isActive()) {
+            endService();
+        } else if (clock.nowNanos() - schedule.endOfServiceNanos() < 0) {
+            var unused = eventLoop.schedule(this::awaitInactivity, POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            afterReading(this::endService);
+        }
+    }
+
+    private void endService() {
+        logStep("stop-service");
+        sessions.conclude();
+        awaitDelivery(withdrawal.get());
+    }
+
+    private void awaitDelivery(CompletableFuture<Void> withdrawn) {
+        boolean delivered = sessions.size() == 0 && withdrawn.isDone();
+        if (!delivered && clock.nowNanos() - schedule.haltNanos() < 0) {
+            var unused =
+                    eventLoop.schedule(() -> awaitDelivery(withdrawn), POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        logStep("stopped");
+        log.close();
+        stopped.complete(null);
+    }
+
+    /** A request that has arrived while the event loop was held up is read before its session may be closed. */
+    private void afterReading(Runnable step) {
+        var unused = eventLoop.schedule(step, READ_PASS_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void logStep(String event) {
+        log.line(event)
+                .with("sinceRequestMs", TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - schedule.requestedNanos()))
+                .with("sessions", sessions.size())
+                .with("awaitingAnswer", sessions.countAwaitingAnswer())
+                .with("transactions", sessions.countTransactions())
+                .write();
+    }
+}
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
@@ -59,6 +59,8 @@
     private long configurationWaitStartNanos;
     private boolean requestInProgress;
     private boolean draining;
+    private boolean concluded;
+    private long admissionNumber;
     private @Nullable OpenTransaction transaction;
     private @Nullable StatementExecution currentExecution;
     private SessionAuthorization authorization;
@@ -146,12 +148,35 @@
         closeIfIdle();
     }
 
-    /** Refuses the statement that waits for a connection, if there is one, because the process ends. */
-    void refuseWaiting() {
+    /** Answers every request that has no answer yet and closes the session, because the process ends. */
+    void conclude() {
+        concluded = true;
         StatementExecution execution = currentExecution;
         if (execution != null) {
-            execution.refuseWaiting();
+            execution.conclude();
+        } else if (requestInProgress) {
+            answerFailed(SessionError.OVERLOADED, ShutdownAnswers.NOT_RUN_DETAIL, transactionState());
+        } else if (isOpening()) {
+            refuseSession(SessionError.OVERLOADED, ShutdownAnswers.NOT_RUN_DETAIL);
         }
+        OpenTransaction openTransaction = transaction;
+        if (openTransaction != null && openTransaction.failure() == null) {
+            releaseConnection(openTransaction);
+            openTransaction.recordFailure(
+                    SessionError.TRANSACTION_ABORTED, TransactionContinuation.ENTRY_VM_STOPS.detail());
+            sessionLog.transactionRolledBack(openTransaction, databaseName, "the process ends");
+        }
+        closeIfIdle();
+    }
+
+    /** Returns whether a request has no answer yet. */
+    boolean awaitsAnswer() {
+        return requestInProgress || isOpening() || !queuedRequests.isEmpty();
+    }
+
+    /** Returns whether the caller has a transaction open. */
+    boolean hasTransaction() {
+        return transaction != null;
     }
 
     /** Returns whether a transaction or statement is in progress, or an answer has not been sent completely. */
@@ -160,8 +185,11 @@
     }
 
     private boolean isBusy() {
-        boolean opening = configurationWaitStartNanos != 0 && !opened;
-        return requestInProgress || transaction != null || opening || !queuedRequests.isEmpty();
+        return awaitsAnswer() || (transaction != null && !concluded);
+    }
+
+    private boolean isOpening() {
+        return configurationWaitStartNanos != 0 && !opened;
     }
 
     /** Rolls back the transaction if it has been idle for at least the timeout. */
@@ -363,8 +391,9 @@
             onAdmitted.accept(authorized, now);
             return;
         }
+        long number = ++admissionNumber;
         context.rateLimiter().acquire(authorized.account().name(), run.requestId(), admitted -> {
-            if (channel == null) {
+            if (channel == null || number != admissionNumber) {
                 return;
             }
             if (admitted) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/SessionRegistry.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/SessionRegistry.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.banyanhook.core.execution.ShutdownSchedule;
 import org.jspecify.annotations.Nullable;
 
@@ -44,9 +45,23 @@
         List.copyOf(sessions).forEach(session -> session.drain(schedule));
     }
 
-    /** Refuses the statements that still wait for a connection, because the process ends. */
-    public void refuseWaiting() {
-        List.copyOf(sessions).forEach(Session::refuseWaiting);
+    /** Answers every request that has no answer yet and closes all sessions, because the process ends. */
+    public void conclude() {
+        List.copyOf(sessions).forEach(Session::conclude);
+    }
+
+    /** Returns in how many sessions a request has no answer yet. */
+    public int countAwaitingAnswer() {
+        return count(Session::awaitsAnswer);
+    }
+
+    /** Returns in how many sessions a transaction is open. */
+    public int countTransactions() {
+        return count(Session::hasTransaction);
+    }
+
+    private int count(Predicate<Session> condition) {
+        return (int) sessions.stream().filter(condition).count();
     }
 
     /** Rolls back the transactions that have exceeded the idle timeout. */
--- /dev/null
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GracefulShutdownTest.java
@@ -0,0 +1,108 @@
+package org.banyanhook.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.banyanhook.core.execution.ShutdownSchedule;
+import org.banyanhook.gateway.message.ClientAnswer;
+import org.banyanhook.gateway.message.SessionError;
+import org.banyanhook.gateway.message.SessionStatement;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** The steps of a planned stop, in virtual time. */
+final class GracefulShutdownTest {
+
+    private static final long STEP_MILLIS = 10;
+    private static final SessionStatement WRITE = new SessionStatement.Write("item data");
+
+    private final GatewayFixture gateway = new GatewayFixture();
+    private final ScriptedMember member = gateway.list("primary", true);
+    private final CompletableFuture<Void> withdrawn = new CompletableFuture<>();
+    private boolean withdrawalBegun;
+
+    @AfterEach
+    void close() {
+        gateway.close();
+    }
+
+    /** A statement that was passed on shortly before the end was cut off without an answer. */
+    @Test
+    void statementThatStillRunsAtTheEndOfServiceIsAnswered() {
+        EmbeddedChannel session = openTransaction();
+        CompletableFuture<Void> stopped = stop(0);
+        gateway.advanceMillis(GatewayFixture.GRACE_MILLIS * 5 / 6 - GatewayFixture.STATEMENT_TIMEOUT_MILLIS);
+        GatewayFixture.send(session, "3", WRITE);
+        gateway.advanceMillis(GatewayFixture.STATEMENT_TIMEOUT_MILLIS - STEP_MILLIS);
+        assertThat(session.<Object>readOutbound()).isNull();
+        millisUntil(stopped);
+        ClientAnswer.Failed failed = session.readOutbound();
+        assertThat(failed.error()).isEqualTo(SessionError.TRANSACTION_ABORTED);
+    }
+
+    @Test
+    void processWithoutActiveSessionsEndsOnceItIsWithdrawn() {
+        EmbeddedChannel idle = gateway.openSession();
+        CompletableFuture<Void> stopped = stop(0);
+        advance(2_100);
+        assertThat(idle.isActive()).isTrue();
+        advance(300);
+        assertThat(idle.isActive()).isFalse();
+        assertThat(withdrawalBegun).isTrue();
+        assertThat(stopped.isDone()).isFalse();
+        withdrawn.complete(null);
+        advance(100);
+        assertThat(stopped.isDone()).isTrue();
+    }
+
+    @Test
+    void stepsAreLoggedWithTheTimeSinceTheRequest() {
+        CompletableFuture<Void> unused = stop(900);
+        assertThat(gateway.logged()).contains("\"event\":\"stop\",\"sinceRequestMs\":900");
+    }
+
+    private EmbeddedChannel openTransaction() {
+        EmbeddedChannel session = gateway.openSession();
+        GatewayFixture.send(session, "1", new SessionStatement.Begin(false));
+        GatewayFixture.send(session, "2", WRITE);
+        member.answerAll();
+        session.readOutbound();
+        session.readOutbound();
+        return session;
+    }
+
+    private CompletableFuture<Void> stop(long heldUpMillis) {
+        ShutdownSchedule schedule = ShutdownSchedule.startingAt(
+                gateway.nowNanos() - TimeUnit.MILLISECONDS.toNanos(heldUpMillis), GatewayFixture.GRACE_MILLIS);
+        return new GracefulShutdown(
+                        schedule,
+                        gateway.registry(),
+                        this::withdraw,
+                        gateway.eventLoop(),
+                        gateway.clock(),
+                        gateway.log())
+                .start();
+    }
+
+    private CompletableFuture<Void> withdraw() {
+        withdrawalBegun = true;
+        return withdrawn;
+    }
+
+    private void advance(long millis) {
+        for (long passed = 0; passed < millis; passed += STEP_MILLIS) {
+            gateway.advanceMillis(STEP_MILLIS);
+        }
+    }
+
+    private long millisUntil(CompletableFuture<Void> stopped) {
+        long millis = 0;
+        while (!stopped.isDone() && millis < 2 * GatewayFixture.GRACE_MILLIS) {
+            gateway.advanceMillis(STEP_MILLIS);
+            millis += STEP_MILLIS;
+        }
+        return millis;
+    }
+}
--- /dev/null
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/ShutdownSessionTest.java
@@ -0,0 +1,148 @@
+package org.banyanhook.gateway.session;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.concurrent.TimeUnit;
+import org.banyanhook.core.execution.ShutdownSchedule;
+import org.banyanhook.gateway.GatewayFixture;
+import org.banyanhook.gateway.ScriptedMember;
+import org.banyanhook.gateway.message.ClientAnswer;
+import org.banyanhook.gateway.message.SessionError;
+import org.banyanhook.gateway.message.SessionStatement;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** The process ends while requests have no answer yet. */
+final class ShutdownSessionTest {
+
+    private static final String KEY = "key";
+    private static final SessionStatement READ = new SessionStatement.Read("item");
+    private static final SessionStatement WRITE = new SessionStatement.Write("item data");
+
+    private final GatewayFixture gateway = new GatewayFixture();
+    private final ScriptedMember member = gateway.list("primary", true);
+    private final EmbeddedChannel session = gateway.openSession();
+
+    @AfterEach
+    void close() {
+        gateway.close();
+    }
+
+    /** The connection ended without an answer while the member ran the write. */
+    @Test
+    void writeThatTheMemberRunsIsInDoubtWhenTheProcessEnds() {
+        openMemberConnection();
+        GatewayFixture.send(session, "1", WRITE);
+        endProcess();
+        assertThat(refusal()).isEqualTo(SessionError.OUTCOME_UNKNOWN);
+        assertThat(session.isActive()).isFalse();
+    }
+
+    @Test
+    void readThatTheMemberRunsIsReportedAsFailed() {
+        openMemberConnection();
+        GatewayFixture.send(session, "1", READ);
+        endProcess();
+        assertThat(refusal()).isEqualTo(SessionError.STATEMENT_FAILED);
+        assertThat(session.isActive()).isFalse();
+    }
+
+    /** The connection ended without an answer while it was being prepared for the transaction. */
+    @Test
+    void statementWhoseTransactionHasNotBegunIsRefusedAsNotRun() {
+        GatewayFixture.send(session, "1", new SessionStatement.Begin(false));
+        GatewayFixture.send(session, "2", WRITE);
+        endProcess();
+        session.readOutbound();
+        assertThat(refusal()).isEqualTo(SessionError.OVERLOADED);
+        member.answerAll();
+        assertThat(member.runs()).isEmpty();
+        assertThat(session.isActive()).isFalse();
+    }
+
+    @Test
+    void statementOfATransactionIsAborted() {
+        beginAndWrite();
+        GatewayFixture.send(session, "3", WRITE);
+        endProcess();
+        assertThat(refusal()).isEqualTo(SessionError.TRANSACTION_ABORTED);
+        assertThat(member.links().stream().anyMatch(ScriptedMember.Link::isOpen))
+                .isFalse();
+        assertThat(session.isActive()).isFalse();
+    }
+
+    @Test
+    void commitThatTheMemberRunsIsInDoubt() {
+        beginAndWrite();
+        GatewayFixture.send(session, "3", new SessionStatement.Commit());
+        endProcess();
+        assertThat(refusal()).isEqualTo(SessionError.OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    void everyRequestThatWasSentAheadIsAnswered() {
+        openMemberConnection();
+        GatewayFixture.send(session, "1", WRITE);
+        GatewayFixture.send(session, "2", WRITE);
+        GatewayFixture.send(session, "3", new SessionStatement.Begin(false));
+        endProcess();
+        assertThat(refusal()).isEqualTo(SessionError.OUTCOME_UNKNOWN);
+        assertThat(refusal()).isEqualTo(SessionError.OVERLOADED);
+        assertThat(refusal()).isEqualTo(SessionError.OVERLOADED);
+        assertThat(session.isActive()).isFalse();
+    }
+
+    /** The connection ended without an answer, and the statement could be sent after the end. */
+    @Test
+    void requestThatWaitsForATokenIsRefusedAndNeverRuns() {
+        gateway.grantKeys(KEY);
+        EmbeddedChannel limited = gateway.openSession(GatewayFixture.PRIVATE_DATABASE, KEY);
+        GatewayFixture.send(limited, "1", WRITE);
+        assertThat(limited.<Object>readOutbound()).isNull();
+        endProcess();
+        ClientAnswer.Failed refused = limited.readOutbound();
+        assertThat(refused.error()).isEqualTo(SessionError.OVERLOADED);
+        gateway.accrueTokens();
+        member.answerAll();
+        assertThat(member.runs()).isEmpty();
+        assertThat(limited.outboundMessages().stream().anyMatch(ClientAnswer.class::isInstance))
+                .isFalse();
+    }
+
+    /** A caller that is silent in a transaction kept the process to its end, and its connection was reset then. */
+    @Test
+    void silentTransactionIsRolledBackAndItsSessionClosed() {
+        beginAndWrite();
+        endProcess();
+        member.answerAll();
+        assertThat(session.isActive()).isFalse();
+        assertThat(member.committed()).isEmpty();
+    }
+
+    private void openMemberConnection() {
+        GatewayFixture.send(session, "0", READ);
+        member.answerAll();
+        session.readOutbound();
+    }
+
+    private void beginAndWrite() {
+        GatewayFixture.send(session, "1", new SessionStatement.Begin(false));
+        GatewayFixture.send(session, "2", WRITE);
+        member.answerAll();
+        session.readOutbound();
+        session.readOutbound();
+    }
+
+    /** Stops the process while the member does not answer. */
+    private void endProcess() {
+        long requestedNanos = gateway.nowNanos() - TimeUnit.MILLISECONDS.toNanos(GatewayFixture.GRACE_MILLIS * 5 / 6);
+        gateway.registry().drain(ShutdownSchedule.startingAt(requestedNanos, GatewayFixture.GRACE_MILLIS));
+        gateway.registry().conclude();
+    }
+
+    private SessionError refusal() {
+        ClientAnswer.Failed failed = session.readOutbound();
+        return failed.error();
+    }
+}
