Count the grace period from the signal, not from when the event loop takes it up

What callers could see: a process whose event loop was held up at SIGTERM was killed with answers outstanding. Cause: the steps of the stop counted from the task on the event loop; its end came as much later, past the grace period. Change: the handler notes the time of the signal, and the schedule counts from there. Result: GracefulShutdownTest.stopThatIsTakenUpLateEndsBeforeTheGracePeriodDoes fails without the change (scratch copy).

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -218,9 +218,11 @@
     /**
      * Shuts down gracefully: withdraws readiness, closes idle sessions, waits for active ones and stops.
      *
+     * @param requestedNanos when the stop was requested, a reading of {@link System#nanoTime()}; the grace period
+     *     counts from then, even if the event loop is held up
      * @return a future that completes when the gateway has stopped, at the latest shortly before the grace period ends
      */
-    public CompletableFuture<Void> drain() {
+    public CompletableFuture<Void> drain(long requestedNanos) {
         CompletableFuture<Void> drained = new CompletableFuture<>();
         eventLoop.execute(() -> {
             if (draining) {
@@ -228,7 +230,7 @@
             }
             draining = true;
             promotionController.stop();
-            ShutdownSchedule schedule = ShutdownSchedule.startingAt(clock.nowNanos(), settings.shutdownGraceMillis());
+            ShutdownSchedule schedule = ShutdownSchedule.startingAt(requestedNanos, settings.shutdownGraceMillis());
             new GracefulShutdown(schedule, sessions, this::withdraw, eventLoop, clock, log)
                     .start()
                     .thenRun(() -> drained.complete(null));
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GracefulShutdownTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GracefulShutdownTest.java
@@ -28,6 +28,17 @@
         gateway.close();
     }
 
+    /** The process was killed with answers outstanding, since its steps counted from when it took up the signal. */
+    @Test
+    void stopThatIsTakenUpLateEndsBeforeTheGracePeriodDoes() {
+        EmbeddedChannel silent = openTransaction();
+        long heldUpMillis = 900;
+        CompletableFuture<Void> stopped = stop(heldUpMillis);
+        long endMillis = heldUpMillis + millisUntil(stopped);
+        assertThat(endMillis).isLessThan(GatewayFixture.GRACE_MILLIS);
+        assertThat(silent.isActive()).isFalse();
+    }
+
     /** A statement that was passed on shortly before the end was cut off without an answer. */
     @Test
     void statementThatStillRunsAtTheEndOfServiceIsAnswered() {
