End a stopped process in time though one of its steps fails

What callers could see: an unexpected error in one session, or in the withdrawal of the daemon, left all other requests without an answer until the platform killed the process. Cause: the steps of a stop follow from each other; one that throws ends the chain. Change: the end of the process is scheduled at the start of the stop, and an error in one session closes only that one. Result: GracefulShutdownTest.processEndsBeforeTheGracePeriodDoesThoughAStepFails passes; the statement whose transaction has not begun is now tested on an open connection.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/GracefulShutdown.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/GracefulShutdown.java
@@ -60,8 +60,9 @@
      */
     CompletableFuture<Void> start() {
         logStep("stop");
-        long delayNanos = schedule.closeSessionsNanos() - clock.nowNanos();
-        var unused = eventLoop.schedule(() -> afterReading(this::closeSessions), delayNanos, TimeUnit.NANOSECONDS);
+        at(schedule.closeSessionsNanos(), () -> afterReading(this::closeSessions));
+        // Scheduled now, so that the process ends even if a step fails.
+        at(schedule.haltNanos(), this::end);
         return stopped;
     }
 
@@ -88,10 +89,16 @@
     }
 
     private void awaitDelivery(CompletableFuture<Void> withdrawn) {
-        boolean delivered = sessions.size() == 0 && withdrawn.isDone();
-        if (!delivered && clock.nowNanos() - schedule.haltNanos() < 0) {
+        if (sessions.size() == 0 && withdrawn.isDone()) {
+            end();
+        } else {
             var unused =
                     eventLoop.schedule(() -> awaitDelivery(withdrawn), POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void end() {
+        if (stopped.isDone()) {
             return;
         }
         logStep("stopped");
@@ -99,6 +106,10 @@
         stopped.complete(null);
     }
 
+    private void at(long nanos, Runnable step) {
+        var unused = eventLoop.schedule(step, nanos - clock.nowNanos(), TimeUnit.NANOSECONDS);
+    }
+
     /** A request that has arrived while the event loop was held up is read before its session may be closed. */
     private void afterReading(Runnable step) {
         var unused = eventLoop.schedule(step, READ_PASS_MILLIS, TimeUnit.MILLISECONDS);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
@@ -148,8 +148,23 @@
         closeIfIdle();
     }
 
-    /** Answers every request that has no answer yet and closes the session, because the process ends. */
-    void conclude() {
+    /**
+     * Answers every request that has no answer yet and closes the session, because the process ends. An unexpected
+     * error closes the connection, so that it does not affect other sessions.
+     */
+    void concludeOrClose() {
+        try {
+            conclude();
+        } catch (RuntimeException exception) {
+            sessionLog.broken(databaseName, exception);
+            Channel clientChannel = channel;
+            if (clientChannel != null) {
+                clientChannel.close();
+            }
+        }
+    }
+
+    private void conclude() {
         concluded = true;
         StatementExecution execution = currentExecution;
         if (execution != null) {
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GracefulShutdownTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GracefulShutdownTest.java
@@ -22,6 +22,7 @@
     private final ScriptedMember member = gateway.list("primary", true);
     private final CompletableFuture<Void> withdrawn = new CompletableFuture<>();
     private boolean withdrawalBegun;
+    private boolean failWithdrawal;
 
     @AfterEach
     void close() {
@@ -68,6 +69,14 @@
         assertThat(stopped.isDone()).isTrue();
     }
 
+    /** An unexpected error kept the process until it was killed. */
+    @Test
+    void processEndsBeforeTheGracePeriodDoesThoughAStepFails() {
+        EmbeddedChannel unused = openTransaction();
+        failWithdrawal = true;
+        assertThat(millisUntil(stop(0))).isLessThan(GatewayFixture.GRACE_MILLIS);
+    }
+
     @Test
     void stepsAreLoggedWithTheTimeSinceTheRequest() {
         CompletableFuture<Void> unused = stop(900);
@@ -99,6 +108,9 @@
 
     private CompletableFuture<Void> withdraw() {
         withdrawalBegun = true;
+        if (failWithdrawal) {
+            throw new IllegalStateException("expected by the test");
+        }
         return withdrawn;
     }
 
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/ShutdownSessionTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/ShutdownSessionTest.java
@@ -51,13 +51,15 @@
     /** The connection ended without an answer while it was being prepared for the transaction. */
     @Test
     void statementWhoseTransactionHasNotBegunIsRefusedAsNotRun() {
+        openMemberConnection();
         GatewayFixture.send(session, "1", new SessionStatement.Begin(false));
         GatewayFixture.send(session, "2", WRITE);
         endProcess();
         session.readOutbound();
         assertThat(refusal()).isEqualTo(SessionError.OVERLOADED);
         member.answerAll();
-        assertThat(member.runs()).isEmpty();
+        assertThat(member.runs().stream().map(ScriptedMember.Run::requestId).toList())
+                .containsExactly("0");
         assertThat(session.isActive()).isFalse();
     }
 
