Go on renewing the lease and watching the store after a listener has failed

What callers could see: a daemon whose entry ended and which used primaries only on the word of the other daemons, or one that applied no later configuration, key or evacuation, until it was started again. Cause: the next renewal was scheduled after the listener of the contact (the checks of all database groups) had run, and the watch after the listener of the first reading; an exception was swallowed by the future, and neither was called again. Change: an exception of either listener is logged as a fault; the renewals and the watch go on. Result: DaemonRegistrationTest.listenerThatFailsDoesNotEndTheRenewals and StoreMirrorTest.firstReadingListenerThatFailsDoesNotPreventTheWatch fail without the change and pass with it.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DaemonRegistration.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DaemonRegistration.java
@@ -187,7 +187,7 @@
         store.renewLease(lease).whenComplete((done, failure) -> {
             if (failure == null) {
                 recordContact(sentNanos);
-                contactListener.run();
+                notifyContactListener();
             }
         });
     }
@@ -203,7 +203,16 @@
             recordReader.restartWatch();
         }
         if (regained || established) {
+            notifyContactListener();
+        }
+    }
+
+    /** Calls the listener; an exception must not end the renewals. */
+    private void notifyContactListener() {
+        try {
             contactListener.run();
+        } catch (RuntimeException exception) {
+            log.line("fault").with("reason", exception.toString()).write();
         }
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreMirror.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreMirror.java
@@ -163,7 +163,10 @@
             });
             if (!complete) {
                 complete = true;
-                firstReadingListener.run();
+                applyOrLog("first reading", () -> {
+                    firstReadingListener.run();
+                    return true;
+                });
             }
             List.copyOf(pendingReloads).forEach(waiting -> waiting.complete(null));
             pendingReloads.clear();
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/DaemonRegistrationTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/DaemonRegistrationTest.java
@@ -84,6 +84,23 @@
         assertThat(registration.nanosSinceContact()).isGreaterThan(TimeUnit.HOURS.toNanos(1));
     }
 
+    /** The lease was never renewed again, so that the entry ended and this daemon used no primary any more. */
+    @Test
+    void listenerThatFailsDoesNotEndTheRenewals() {
+        registration.onContact(() -> {
+            throw new IllegalStateException("expected by the test");
+        });
+        register();
+        gateway.advanceMillis(1_000);
+        assertThat(store.renewals()).hasSize(1);
+        store.renewals().get(0).completeExceptionally(failure(StoreException.Kind.NO_ANSWER));
+        gateway.advanceMillis(500);
+        assertThat(store.renewals()).hasSize(2);
+        store.renewals().get(1).complete(null);
+        gateway.advanceMillis(1_000);
+        assertThat(store.renewals()).hasSize(3);
+    }
+
     private void register() {
         registration.start();
         store.openedLeases().get(0).complete(LEASE);
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/StoreMirrorTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/StoreMirrorTest.java
@@ -5,6 +5,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.OutputStream;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.GatewayMetrics;
@@ -70,6 +71,19 @@
         assertThat(store.watches()).hasSize(2);
     }
 
+    /** Neither the watch nor the registration that waited for the listing was ever started. */
+    @Test
+    void firstReadingListenerThatFailsDoesNotPreventTheWatch() {
+        StoreMirror other = new StoreMirror(store, "", directory, channel.eventLoop(), log, metrics);
+        other.onFirstReading(() -> {
+            throw new IllegalStateException("expected by the test");
+        });
+        CompletableFuture<Void> reloaded = other.reloadAll();
+        store.lists().get(1).complete(new StorePage(List.of(evacuation("a", 4)), 5, false));
+        assertThat(reloaded.isDone()).isTrue();
+        assertThat(store.watches()).hasSize(2);
+    }
+
     /** The store loses a watch that it received while it was silent, but answers the next renewal of the lease. */
     @Test
     void watchLostByASilentStoreIsSentAgainWhenTheStoreAnswers() {
