Check every database group, even if one fails or another is created meanwhile

Cause: the check walked over the map of the groups. A caller whose request is refused in it sends its next one at once; if the route names a group that nobody has used yet, the group is added to the map, and the walk ends with a ConcurrentModificationException. An exception of one group also kept the groups after it from being checked. Change: the check, the update of the members and the reset of the positions walk over a copy, and log the exception of a group.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroups.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroups.java
@@ -2,7 +2,9 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.banyanhook.gateway.fleet.FleetDirectory.MemberRecord;
 import org.banyanhook.gateway.fleet.FleetListener;
 
@@ -34,7 +36,7 @@
 
     /** Performs the periodic checks of all groups. */
     public void tick() {
-        groups.values().forEach(DatabaseGroup::tick);
+        forEachOrLog(DatabaseGroup::tick);
     }
 
     @Override
@@ -45,19 +47,24 @@
                     .put(member.entry().member(), member);
         }
         byGroup.keySet().forEach(this::group);
-        groups.forEach((name, group) -> updateOrLog(group, byGroup.getOrDefault(name, Map.of())));
+        forEachOrLog(group -> group.update(byGroup.getOrDefault(group.name(), Map.of())));
     }
 
-    /** Updates a group; an entry that one group cannot apply must not keep the others from being updated. */
-    private void updateOrLog(DatabaseGroup group, Map<String, MemberRecord> members) {
-        try {
-            group.update(members);
-        } catch (RuntimeException exception) {
-            context.log()
-                    .line("fault")
-                    .with("group", group.name())
-                    .with("reason", exception.toString())
-                    .write();
+    /**
+     * Performs an action on each group. One that fails must not keep it from being performed on the others, and groups
+     * may be created meanwhile, for the next request of a caller that was answered.
+     */
+    private void forEachOrLog(Consumer<DatabaseGroup> action) {
+        for (DatabaseGroup group : List.copyOf(groups.values())) {
+            try {
+                action.accept(group);
+            } catch (RuntimeException exception) {
+                context.log()
+                        .line("fault")
+                        .with("group", group.name())
+                        .with("reason", exception.toString())
+                        .write();
+            }
         }
     }
 
@@ -67,6 +74,6 @@
                 .with("change", "jump")
                 .with("reason", "the machine was suspended or its time of day was set")
                 .write();
-        groups.values().forEach(DatabaseGroup::clearPositionHistory);
+        forEachOrLog(DatabaseGroup::clearPositionHistory);
     }
 }
