Send what was answered during a close

What callers could see: a caller that sends ahead and is slow to read lost the answer to a later request when its session was closed during a planned stop. Cause: the output was closed when what had been written at the start of the close had left; an answer that was given meanwhile was behind it, and was discarded. Change: if something has been written meanwhile, it is flushed before the output is closed.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/GracefulClose.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/GracefulClose.java
@@ -17,6 +17,7 @@
     private static final long TIMEOUT_MILLIS = 1_000;
 
     private boolean flushing;
+    private boolean writtenMeanwhile;
     private boolean outputClosed;
 
     /** Returns whether a close has begun. */
@@ -29,6 +30,11 @@
         return outputClosed;
     }
 
+    /** Records that something has been written, which is sent before the output is closed. */
+    void recordWrite() {
+        writtenMeanwhile = true;
+    }
+
     /**
      * Closes a connection when what has been sent so far is written.
      *
@@ -37,9 +43,15 @@
      */
     void start(Channel channel, BooleanSupplier busy) {
         flushing = true;
+        writtenMeanwhile = false;
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> {
             flushing = false;
-            if (!busy.getAsBoolean() && channel.isActive()) {
+            if (busy.getAsBoolean() || !channel.isActive()) {
+                return;
+            }
+            if (writtenMeanwhile) {
+                start(channel, busy);
+            } else {
                 closeOutput(channel);
             }
         });
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
@@ -525,6 +525,7 @@
     private void sendAnswer(ClientAnswer answer) {
         Channel clientChannel = channel;
         if (clientChannel != null) {
+            closing.recordWrite();
             clientChannel.writeAndFlush(answer, clientChannel.voidPromise());
         }
     }
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/SessionTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/SessionTest.java
@@ -68,6 +68,17 @@
         assertThat(answers.get(1)).isInstanceOf(ClientAnswer.Completed.class);
     }
 
+    /** The output was closed before an answer that had been given while earlier ones were still being written. */
+    @Test
+    void answerGivenWhileTheLastOneIsWrittenIsSentBeforeTheClose() {
+        EmbeddedChannel session = openSession();
+        gateway.registry().drain(gateway.shutdownSchedule());
+        GatewayFixture.send(session, "1", new SessionStatement.SetValue("name", "value"));
+        network.writeHeld();
+        assertThat(answers(session)).hasSize(2);
+        assertThat(session.isActive()).isFalse();
+    }
+
     @Test
     void misunderstoodRequestIsAnsweredAfterTheOneInProgress() {
         EmbeddedChannel session = gateway.openSession();
