Never run a request that was refused while it waited for a token

What callers could see: a write that was refused as not run at the end of a stop ran after all, and its request was answered twice. Cause: the answer did not cancel the wait for a token of the rate limit. The connection is closed one way only, so that the session still counted as connected when the token came. Change: the end of service invalidates the admission that is waited for; what was waiting is logged with its id.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
@@ -58,6 +58,7 @@
     private boolean opened;
     private long configurationWaitStartNanos;
     private boolean requestInProgress;
+    private @Nullable ClientRequest currentRequest;
     private boolean draining;
     private boolean concluded;
     private long admissionNumber;
@@ -148,32 +149,42 @@
         closeIfIdle();
     }
 
-    /**
-     * Answers every request that has no answer yet and closes the session, because the process ends. An unexpected
-     * error closes the connection, so that it does not affect other sessions.
-     */
-    void concludeOrClose() {
-        try {
-            conclude();
-        } catch (RuntimeException exception) {
-            sessionLog.broken(databaseName, exception);
-            Channel clientChannel = channel;
-            if (clientChannel != null) {
-                clientChannel.close();
+    /** Refuses the statement that waits for a connection, if there is one, because the process ends. */
+    void refuseWaiting() {
+        closeOnError(() -> {
+            StatementExecution execution = currentExecution;
+            if (execution != null) {
+                execution.refuseWaiting();
             }
-        }
+        });
     }
 
-    private void conclude() {
+    /** Answers every request that has no answer yet and closes the session, because the process ends. */
+    void conclude() {
         concluded = true;
+        // A token that is granted later must not let the request run.
+        admissionNumber++;
+        closeOnError(() -> {
+            answerOutstanding();
+            endSilentTransaction();
+            closeIfIdle();
+        });
+    }
+
+    private void answerOutstanding() {
         StatementExecution execution = currentExecution;
+        ClientRequest request = currentRequest;
         if (execution != null) {
             execution.conclude();
-        } else if (requestInProgress) {
+        } else if (requestInProgress && request != null) {
+            sessionLog.requestRefused(request, databaseName, "the entry VM is being stopped");
             answerFailed(SessionError.OVERLOADED, ShutdownAnswers.NOT_RUN_DETAIL, transactionState());
         } else if (isOpening()) {
             refuseSession(SessionError.OVERLOADED, ShutdownAnswers.NOT_RUN_DETAIL);
         }
+    }
+
+    private void endSilentTransaction() {
         OpenTransaction openTransaction = transaction;
         if (openTransaction != null && openTransaction.failure() == null) {
             releaseConnection(openTransaction);
@@ -181,7 +192,19 @@
                     SessionError.TRANSACTION_ABORTED, TransactionContinuation.ENTRY_VM_STOPS.detail());
             sessionLog.transactionRolledBack(openTransaction, databaseName, "the process ends");
         }
-        closeIfIdle();
+    }
+
+    /** Closes the connection if a step fails, so that the error does not affect other sessions. */
+    private void closeOnError(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException exception) {
+            sessionLog.broken(databaseName, exception);
+            Channel clientChannel = channel;
+            if (clientChannel != null) {
+                clientChannel.close();
+            }
+        }
     }
 
     /** Returns whether a request has no answer yet. */
@@ -293,6 +316,7 @@
 
     private void handleRequest(ClientRequest request) {
         requestInProgress = true;
+        currentRequest = request;
         if (request instanceof ClientRequest.Run run) {
             handleStatement(run);
         } else if (request instanceof ClientRequest.Misunderstood misunderstood) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/SessionLog.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/SessionLog.java
@@ -41,6 +41,12 @@
                 .write();
     }
 
+    void requestRefused(ClientRequest request, String databaseName, String reason) {
+        if (request instanceof ClientRequest.Run run) {
+            statementRefused(run, databaseName, SessionError.OVERLOADED, reason);
+        }
+    }
+
     void transactionRolledBack(OpenTransaction transaction, String databaseName, String reason) {
         context.log()
                 .line("transaction")
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/SessionRegistry.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/SessionRegistry.java
@@ -47,7 +47,7 @@
 
     /** Answers every request that has no answer yet and closes all sessions, because the process ends. */
     public void conclude() {
-        List.copyOf(sessions).forEach(Session::concludeOrClose);
+        List.copyOf(sessions).forEach(Session::conclude);
     }
 
     /** Returns in how many sessions a request has no answer yet. */
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
@@ -133,20 +133,24 @@
         }
     }
 
+    /** Refuses the statement if it still waits for a connection, because the process ends; it has not run then. */
+    void refuseWaiting() {
+        if (ExecutionTransitions.decide(phase, ExecutionEvent.PROCESS_ENDS) == ExecutionAction.WITHDRAW_AND_REPORT) {
+            fail(SessionError.OVERLOADED, ShutdownAnswers.NOT_RUN_DETAIL);
+        }
+    }
+
     /** Reports what is known of the statement, because the process ends before the answer may arrive. */
     void conclude() {
-        switch (ExecutionTransitions.decide(phase, ExecutionEvent.PROCESS_ENDS)) {
-            case WITHDRAW_AND_REPORT -> fail(SessionError.OVERLOADED, ShutdownAnswers.NOT_RUN_DETAIL);
-            case CLOSE_AND_REPORT -> {
-                UnansweredStatement known =
-                        UnansweredStatement.decide(phase != ExecutionPhase.BEGINNING, scope(), hasWritten());
-                closeAndReport(
-                        Objects.requireNonNull(lease),
-                        ShutdownAnswers.error(known),
-                        ShutdownAnswers.detail(known),
-                        "the entry VM is being stopped");
-            }
-            default -> {}
+        refuseWaiting();
+        if (ExecutionTransitions.decide(phase, ExecutionEvent.PROCESS_ENDS) == ExecutionAction.CLOSE_AND_REPORT) {
+            UnansweredStatement known =
+                    UnansweredStatement.decide(phase != ExecutionPhase.BEGINNING, scope(), hasWritten());
+            closeAndReport(
+                    Objects.requireNonNull(lease),
+                    ShutdownAnswers.error(known),
+                    ShutdownAnswers.detail(known),
+                    "the entry VM is being stopped");
         }
     }
 
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
@@ -266,6 +266,16 @@
         return session;
     }
 
+    /** Returns the handler of a session that the caller has not opened yet. */
+    public Session newSession() {
+        return new Session(sessionContext, registry);
+    }
+
+    /** Grants the tokens that have accrued to requests that wait for one. */
+    public void grantAccruedTokens() {
+        rateLimiter.tick();
+    }
+
     /** Creates a session that the caller has not opened yet, behind a handler of the test. */
     public EmbeddedChannel connectSession(ChannelHandler first) {
         return new EmbeddedChannel(first, new Session(sessionContext, registry));
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/ShutdownSessionTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/ShutdownSessionTest.java
@@ -8,6 +8,7 @@
 import org.banyanhook.gateway.GatewayFixture;
 import org.banyanhook.gateway.ScriptedMember;
 import org.banyanhook.gateway.message.ClientAnswer;
+import org.banyanhook.gateway.message.ClientRequest;
 import org.banyanhook.gateway.message.SessionError;
 import org.banyanhook.gateway.message.SessionStatement;
 import org.junit.jupiter.api.AfterEach;
@@ -95,17 +96,23 @@
         assertThat(session.isActive()).isFalse();
     }
 
-    /** The connection ended without an answer, and the statement could be sent after the end. */
+    /** A write that was refused as not run was sent to the member when its token was granted, and answered twice. */
     @Test
     void requestThatWaitsForATokenIsRefusedAndNeverRuns() {
         gateway.grantKeys(KEY);
-        EmbeddedChannel limited = gateway.openSession(GatewayFixture.PRIVATE_DATABASE, KEY);
+        gateway.accrueTokens();
+        takeAllTokens();
+        HalfClosableChannel limited = new HalfClosableChannel(gateway.newSession());
+        limited.writeInbound(new ClientRequest.Open(GatewayFixture.PRIVATE_DATABASE, KEY));
+        limited.readOutbound();
         GatewayFixture.send(limited, "1", WRITE);
         assertThat(limited.<Object>readOutbound()).isNull();
         endProcess();
         ClientAnswer.Failed refused = limited.readOutbound();
         assertThat(refused.error()).isEqualTo(SessionError.OVERLOADED);
-        gateway.accrueTokens();
+        assertThat(limited.isOutputShutdown()).isTrue();
+        gateway.advanceMillis(100);
+        gateway.grantAccruedTokens();
         member.answerAll();
         assertThat(member.runs()).isEmpty();
         assertThat(limited.outboundMessages().stream().anyMatch(ClientAnswer.class::isInstance))
@@ -122,6 +129,18 @@
         assertThat(member.committed()).isEmpty();
     }
 
+    private void takeAllTokens() {
+        EmbeddedChannel other = gateway.openSession(GatewayFixture.PRIVATE_DATABASE, KEY);
+        boolean granted = true;
+        while (granted) {
+            GatewayFixture.send(other, "b", new SessionStatement.Begin(false));
+            granted = other.readOutbound() != null;
+            GatewayFixture.send(other, "r", new SessionStatement.Rollback());
+            other.readOutbound();
+        }
+        other.close();
+    }
+
     private void openMemberConnection() {
         GatewayFixture.send(session, "0", READ);
         member.answerAll();
