Open no connections for waiting statements at the end of service

What callers and members could see: at the end of a stop, statements that waited were given the connections of those that were ended, or new ones, and were reported as in doubt instead of as not run. Cause: sessions were concluded one after the other, and a connection that becomes free is given to who waits. Change: all that waits is refused first.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/SessionRegistry.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/SessionRegistry.java
@@ -47,6 +47,8 @@
 
     /** Answers every request that has no answer yet and closes all sessions, because the process ends. */
     public void conclude() {
+        // Otherwise the connections of statements that are ended would serve those that wait.
+        List.copyOf(sessions).forEach(Session::refuseWaiting);
         List.copyOf(sessions).forEach(Session::conclude);
     }
 
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/ShutdownSessionTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/ShutdownSessionTest.java
@@ -3,6 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.core.execution.ShutdownSchedule;
 import org.banyanhook.gateway.GatewayFixture;
@@ -119,6 +121,27 @@
                 .isFalse();
     }
 
+    /** Statements that waited were sent on the connections that the end of others made free. */
+    @Test
+    void endOfServiceOpensNoConnections() {
+        int callers = 20;
+        List<EmbeddedChannel> waiting = new ArrayList<>();
+        for (int number = 0; number < callers; number++) {
+            GatewayFixture.send(gateway.openSession(), "r" + number, READ);
+        }
+        member.answerAll();
+        for (int number = 0; number < callers; number++) {
+            waiting.add(gateway.openSession());
+            GatewayFixture.send(waiting.get(number), "w" + number, WRITE);
+        }
+        int connections = member.links().size();
+        endProcess();
+        assertThat(member.links()).hasSize(connections);
+        for (EmbeddedChannel caller : waiting) {
+            assertThat(caller.<Object>readOutbound()).isInstanceOf(ClientAnswer.Failed.class);
+        }
+    }
+
     /** A caller that is silent in a transaction kept the process to its end, and its connection was reset then. */
     @Test
     void silentTransactionIsRolledBackAndItsSessionClosed() {
