Await a running replacement of a primary before a process ends

What callers could see: a process without active sessions ended 2.2 s after SIGTERM, also in the middle of a replacement; the primary had stepped down, and the promotion lease that was left kept the others from acting until it lapsed. Cause: only sessions counted as work. Found by review, by reading. Change: a replacement that was started is awaited until the end of service.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -231,7 +231,8 @@
             draining = true;
             promotionController.stop();
             ShutdownSchedule schedule = ShutdownSchedule.startingAt(requestedNanos, settings.shutdownGraceMillis());
-            new GracefulShutdown(schedule, sessions, this::withdraw, eventLoop, clock, log)
+            new GracefulShutdown(
+                            schedule, sessions, promotionController::isReplacing, this::withdraw, eventLoop, clock, log)
                     .start()
                     .thenRun(() -> drained.complete(null));
         });
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/GracefulShutdown.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/GracefulShutdown.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.banyanhook.core.execution.ShutdownSchedule;
 import org.banyanhook.gateway.operation.DecisionLog;
@@ -22,6 +23,7 @@
 
     private final ShutdownSchedule schedule;
     private final SessionRegistry sessions;
+    private final BooleanSupplier replacing;
     private final Supplier<CompletableFuture<Void>> withdrawal;
     private final EventLoop eventLoop;
     private final MonotonicClock clock;
@@ -33,6 +35,7 @@
      *
      * @param schedule the steps of the stop
      * @param sessions the sessions of this daemon
+     * @param replacing returns whether this daemon is replacing a primary, which is awaited as long as service goes on
      * @param withdrawal refuses new connections and withdraws this daemon from the fleet, when service has ended
      * @param eventLoop the event loop on which everything runs
      * @param clock the monotonic clock
@@ -41,12 +44,14 @@
     GracefulShutdown(
             ShutdownSchedule schedule,
             SessionRegistry sessions,
+            BooleanSupplier replacing,
             Supplier<CompletableFuture<Void>> withdrawal,
             EventLoop eventLoop,
             MonotonicClock clock,
             DecisionLog log) {
         this.schedule = schedule;
         this.sessions = sessions;
+        this.replacing = replacing;
         this.withdrawal = withdrawal;
         this.eventLoop = eventLoop;
         this.clock = clock;
@@ -73,7 +78,7 @@
     }
 
     private void awaitInactivity() {
-        if (!sessions.isActive()) {
+        if (!sessions.isActive() && !replacing.getAsBoolean()) {
             endService();
         } else if (clock.nowNanos() - schedule.endOfServiceNanos() < 0) {
             var unused = eventLoop.schedule(this::awaitInactivity, POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
@@ -85,6 +90,7 @@
     private void endService() {
         logStep("stop-service");
         sessions.conclude();
+        log.flush();
         awaitDelivery(withdrawal.get());
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
@@ -106,6 +106,11 @@
         stopping = true;
     }
 
+    /** Returns whether a replacement has been started that has not ended. */
+    public boolean isReplacing() {
+        return groupStates.values().stream().anyMatch(state -> state.running);
+    }
+
     /** Checks every group and starts a replacement where one is due. */
     public void tick() {
         long now = clock.nowNanos();
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GracefulShutdownTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GracefulShutdownTest.java
@@ -23,6 +23,7 @@
     private final CompletableFuture<Void> withdrawn = new CompletableFuture<>();
     private boolean withdrawalBegun;
     private boolean failWithdrawal;
+    private boolean replacing;
 
     @AfterEach
     void close() {
@@ -69,6 +70,18 @@
         assertThat(stopped.isDone()).isTrue();
     }
 
+    /** A primary that had stepped down was left without a successor until the promotion lease of the process lapsed. */
+    @Test
+    void replacementOfAPrimaryIsAwaitedUntilTheEndOfService() {
+        replacing = true;
+        CompletableFuture<Void> stopped = stop(0);
+        advance(GatewayFixture.GRACE_MILLIS * 5 / 6 - STEP_MILLIS);
+        assertThat(withdrawalBegun).isFalse();
+        withdrawn.complete(null);
+        advance(200);
+        assertThat(stopped.isDone()).isTrue();
+    }
+
     /** An unexpected error kept the process until it was killed. */
     @Test
     void processEndsBeforeTheGracePeriodDoesThoughAStepFails() {
@@ -99,6 +112,7 @@
         return new GracefulShutdown(
                         schedule,
                         gateway.registry(),
+                        () -> replacing,
                         this::withdraw,
                         gateway.eventLoop(),
                         gateway.clock(),
