End the log of a stopped process before its grace period ends

Cause: the end of the log waited up to 500 ms for a slow reader of the output, 300 ms before the process is killed; the line that tells a regular end from a kill could be lost. Found by review, by reading. Result: gateway tests pass; no test for this bound.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/operation/DecisionLog.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/operation/DecisionLog.java
@@ -29,7 +29,9 @@
     /** A batch of this many characters is passed to the writer thread without waiting for {@link #flush()}. */
     private static final int BATCH_SIZE_CHARACTERS = 16_384;
 
-    private static final long CLOSE_TIMEOUT_MILLIS = 500;
+    /** Shorter than the time between the last step of a stop and the end of its grace period. */
+    private static final long CLOSE_TIMEOUT_MILLIS = 200;
+
     private static final String END_MARKER = "";
 
     private final String entryVm;
