Try a replacement of a primary again that could not be started

What callers could see: a group whose primary was replaced only by another daemon, or by none. Cause: a group's replacement was marked as running before the members were asked to confirm its reason. If this ended with an exception, for example because a command could not be sent, the mark stayed until the process ended. Evidence: read in the code; no log with it is known. Change: the confirmation is part of the replacement, whose end, also by an exception, clears the mark and is logged. Result: PromotionControllerTest.replacementThatCouldNotBeStartedIsTriedAgain fails without the change and passes with it.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
@@ -152,7 +152,9 @@
             return;
         }
         state.running = true;
-        confirmReason(group, reason.get())
+        // An exception while the replacement is started has to end it, too.
+        CompletableFuture.completedFuture(reason.get())
+                .thenCompose(found -> confirmReason(group, found))
                 .thenCompose(confirmed -> confirmed
                         ? workflow.replace(group, reason.get(), state.rejected)
                         : CompletableFuture.completedFuture("not replaced: the primary answers"))
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionControllerTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionControllerTest.java
@@ -56,6 +56,23 @@
         assertThat(promotions.requests()).isEmpty();
     }
 
+    /** The replacement counted as running for ever, so that this daemon replaced the primary of the group no more. */
+    @Test
+    void replacementThatCouldNotBeStartedIsTriedAgain() {
+        gateway.recordPromotion("b");
+        assertThat(gateway.group().primary()).isEmpty();
+        controller.tick();
+        promotions.members().failToSend(true);
+        gateway.advanceMillis(2_000);
+        controller.tick();
+        gateway.advanceMillis(0);
+        promotions.members().failToSend(false);
+        gateway.advanceMillis(500);
+        controller.tick();
+        gateway.advanceMillis(0);
+        assertThat(promotions.requests()).containsExactly("b");
+    }
+
     @Test
     void leavingReplicaIsNotReplaced() {
         gateway.listLeaving("b", false);
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/ScriptedProbe.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/ScriptedProbe.java
@@ -18,6 +18,7 @@
     private final Map<String, MemberReport> reports = new HashMap<>();
     private final List<Long> stepDownTerms = new ArrayList<>();
     private boolean obstinate;
+    private boolean failing;
     private Runnable beforeStepDown = () -> {};
 
     void set(String member, boolean primary, long term, LogPosition position) {
@@ -47,8 +48,16 @@
         beforeStepDown = action;
     }
 
+    /** Sets whether an attempt to send a command ends with an exception. */
+    void failToSend(boolean value) {
+        failing = value;
+    }
+
     @Override
     public CompletableFuture<Optional<MemberReport>> send(MemberServer server, MemberCommand command) {
+        if (failing) {
+            throw new IllegalStateException("expected by the test");
+        }
         if (command instanceof MemberCommand.StepDown stepDown && reports.containsKey(server.name())) {
             stepDownTerms.add(stepDown.term());
             beforeStepDown.run();
