Perform each periodic check, even if one before it fails

What callers could see: while one check failed, transactions that stayed idle were not rolled back, rates and primaries were not checked, and the log, with the fault in it, was written only in batches of 16,384 characters. Cause: one handler covered all checks of a round, so that the first exception ended the round; an overflow of the stack ended the schedule. Change: each check has its own handler. Result: PeriodicChecksTest fails with a single handler (scratch copy) and passes with one for each check.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -29,6 +30,7 @@
 import org.banyanhook.gateway.operation.HttpEndpoint;
 import org.banyanhook.gateway.operation.MonotonicClock;
 import org.banyanhook.gateway.operation.NettyBootstraps;
+import org.banyanhook.gateway.operation.PeriodicChecks;
 import org.banyanhook.gateway.port.DaemonEntry;
 import org.banyanhook.gateway.port.FleetRecordCodec;
 import org.banyanhook.gateway.port.HttpPaths;
@@ -74,6 +76,7 @@
     private final PromotionController promotionController;
     private final SessionRegistry sessions = new SessionRegistry();
     private final SessionContext sessionContext;
+    private final PeriodicChecks periodicChecks;
     private volatile @Nullable Channel clientPort;
     private boolean draining;
 
@@ -158,6 +161,16 @@
         directory.addListener(promotionController);
         this.sessionContext = new SessionContext(
                 settings, directory, databaseGroups, rateLimiter, primaryAccess, eventLoop, clock, log, metrics);
+        this.periodicChecks = new PeriodicChecks(
+                List.of(
+                        directory::tick,
+                        databaseGroups::tick,
+                        rateLimiter::tick,
+                        primaryAccess::tick,
+                        promotionController::tick,
+                        () -> sessions.rollBackIdleTransactions(sessionContext),
+                        log::flush),
+                log);
     }
 
     private PromotionController newPromotionController(
@@ -212,7 +225,7 @@
             registration.start();
         });
         var unused = eventLoop.scheduleWithFixedDelay(
-                this::tick, TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+                periodicChecks::perform, TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -260,21 +273,6 @@
         return new HttpEndpoint.Response(ready, ready ? "ready" : draining ? "draining" : "configuration not read yet");
     }
 
-    private void tick() {
-        try {
-            directory.tick();
-            databaseGroups.tick();
-            rateLimiter.tick();
-            primaryAccess.tick();
-            promotionController.tick();
-            sessions.rollBackIdleTransactions(sessionContext);
-            log.flush();
-        } catch (RuntimeException exception) {
-            // A periodic task that throws an exception is not scheduled again.
-            log.line("fault").with("reason", exception.toString()).write();
-        }
-    }
-
     private Channel listen(InetSocketAddress address, ChannelHandler initializer) throws IOException {
         var bindFuture = NettyBootstraps.serverBootstrap(eventLoops, initializer)
                 .bind(address)
