--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
@@ -311,7 +311,7 @@
     }
 
     /** Reads "primary TERM POSITION" or "replica TERM POSITION" from the only row. */
-    private static final class ReportCodec implements SessionCodec {
+    static final class ReportCodec implements SessionCodec {
 
         @Override
         public ChannelHandler newClientCodec() {
