Planned stops of real processes: what callers receive and how the processes end

The members can take time for a statement and know which ones have reached them; a statement that has reached a member may not be cut off at all, any other not later than 200 ms after it was sent. A process is killed at the end of its grace period.

--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/fleet/ChildProcess.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/fleet/ChildProcess.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 
 /** A Java process that this one started. Safe for use by several threads. */
@@ -104,6 +105,19 @@
         process.destroy();
     }
 
+    /**
+     * Waits until the process has ended.
+     *
+     * @param timeoutMillis how long to wait at most; not positive to return at once
+     * @return the exit code, which is 128 plus its number if a signal ended the process; empty if it has not ended
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public OptionalInt awaitEnd(long timeoutMillis) throws InterruptedException {
+        return process.waitFor(timeoutMillis, TimeUnit.MILLISECONDS)
+                ? OptionalInt.of(process.exitValue())
+                : OptionalInt.empty();
+    }
+
     /** Pauses the process until it is thawed. */
     public void freeze() throws IOException, InterruptedException {
         signal("-STOP");
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/LineCaller.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/LineCaller.java
@@ -9,7 +9,10 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** A caller that runs one session over the line protocol. Not thread-safe. */
+/**
+ * A caller that runs one session over the line protocol. Not thread-safe, except that one thread may send while another
+ * receives.
+ */
 public final class LineCaller implements AutoCloseable {
 
     private static final int READ_TIMEOUT_MILLIS = 15_000;
@@ -32,15 +35,32 @@
 
     /** Opens the session and returns the lines of the answer. */
     public List<String> open(String database, String key) throws IOException {
-        sendLine("STARTUP " + database + " " + key);
+        sendOpen(database, key);
         return readAnswer();
     }
 
+    /** Sends the request that opens the session without waiting for its answer. */
+    public void sendOpen(String database, String key) throws IOException {
+        sendLine("STARTUP " + database + " " + key);
+    }
+
     /** Runs a statement under a new request id and returns the lines of the answer. */
     public List<String> run(String statement) throws IOException {
+        send(statement);
+        return readAnswer();
+    }
+
+    /** Sends a statement under a new request id, which is returned, without waiting for its answer. */
+    public String send(String statement) throws IOException {
         lastRequestNumber++;
-        sendLine("QUERY " + Integer.toHexString(System.identityHashCode(this)) + "-" + lastRequestNumber + " "
-                + statement);
+        sendLine("QUERY " + lastRequestId() + " " + statement);
+        return lastRequestId();
+    }
+
+    /**
+     * Returns the lines of the next answer, or, if the connection ends before it is complete, those so far and CLOSED.
+     */
+    public List<String> receive() throws IOException {
         return readAnswer();
     }
 
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/LineGroup.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/LineGroup.java
@@ -34,6 +34,7 @@
     private final Set<String> commitsInSupersededTerms = new HashSet<>();
     private final Map<String, Long> takenOutSinceNanos = new HashMap<>();
     private final Set<String> requestsInTakenOutDomains = new HashSet<>();
+    private final Set<String> receivedRequests = new HashSet<>();
     private long newestTerm = 1;
 
     private record LogEntry(long term, String account, String itemAndData) {}
@@ -125,7 +126,13 @@
         return Set.copyOf(requestsInTakenOutDomains);
     }
 
+    /** Returns whether a statement with this request id has reached a member. */
+    public synchronized boolean hasReceived(String requestId) {
+        return receivedRequests.contains(requestId);
+    }
+
     synchronized void recordRequest(LineMember member, String requestId) {
+        receivedRequests.add(requestId);
         Long takenOut = takenOutSinceNanos.get(failureDomains.get(member.name()));
         if (takenOut != null && System.nanoTime() - takenOut > EVACUATION_LIMIT_NANOS) {
             requestsInTakenOutDomains.add(requestId);
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/LineMember.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/LineMember.java
@@ -24,6 +24,7 @@
     private final AtomicLong openedConnectionCount = new AtomicLong();
     private volatile boolean unresponsive;
     private volatile boolean dropsAnswers;
+    private volatile long workMillis;
 
     LineMember(String name, LineGroup group) throws IOException {
         this.name = name;
@@ -57,6 +58,11 @@
         dropsAnswers = value;
     }
 
+    /** Sets how long a statement with a request id takes, in milliseconds; other statements are answered at once. */
+    public void workMillis(long value) {
+        workMillis = value;
+    }
+
     /** Closes the port and all connections abruptly, like a killed process. */
     @Override
     public void close() throws IOException {
@@ -91,9 +97,13 @@
                 }
                 List<String> answer = new ArrayList<>();
                 boolean keepOpen = session.handle(line, answer);
-                if (dropsAnswers && line.startsWith("QUERY") && !line.startsWith("QUERY - ")) {
+                boolean hasRequestId = line.startsWith("QUERY") && !line.startsWith("QUERY - ");
+                if (dropsAnswers && hasRequestId) {
                     return;
                 }
+                if (workMillis > 0 && hasRequestId) {
+                    Thread.sleep(workMillis);
+                }
                 for (String text : answer) {
                     writer.write(text + "\r\n");
                 }
@@ -105,6 +115,8 @@
         } catch (IOException exception) {
             // The connection failed or was closed by the peer, which ends the session.
             connections.remove(socket);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
         } finally {
             session.discardUncommittedWrites();
         }
