Count the grace period from before a pause that hid the signal

What callers could see: a process that is paused, or gets no processor, across its SIGTERM was killed with answers outstanding. Cause: the handler runs after the pause, and the grace period was counted from there; the platform counts from when it sent the signal. Evidence: PlannedStopIT.aProcessThatWasPausedWhenItWasStoppedEndsWithinTheGracePeriod, paused for 600 ms: "stop" was logged with sinceRequestMs 7, and the process was killed. Change: the periodic checks read the clock; after a gap of two intervals the signal counts as sent at the last reading before it, so that at most one interval of the grace period is given up.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -30,6 +30,7 @@
 import org.banyanhook.gateway.operation.HttpEndpoint;
 import org.banyanhook.gateway.operation.MonotonicClock;
 import org.banyanhook.gateway.operation.NettyBootstraps;
+import org.banyanhook.gateway.operation.PauseDetector;
 import org.banyanhook.gateway.operation.PeriodicChecks;
 import org.banyanhook.gateway.port.DaemonEntry;
 import org.banyanhook.gateway.port.FleetRecordCodec;
@@ -65,6 +66,7 @@
     private final EventLoop eventLoop;
     private final DecisionLog log;
     private final MonotonicClock clock = MonotonicClock.ofSystem();
+    private final PauseDetector pauses = new PauseDetector(System::nanoTime, TICK_INTERVAL_MILLIS);
     private final GatewayMetrics metrics = new GatewayMetrics();
     private final FleetDirectory directory;
     private final StoreMirror storeMirror;
@@ -163,6 +165,7 @@
                 settings, directory, databaseGroups, rateLimiter, primaryAccess, eventLoop, clock, log, metrics);
         this.periodicChecks = new PeriodicChecks(
                 List.of(
+                        pauses::read,
                         directory::tick,
                         databaseGroups::tick,
                         rateLimiter::tick,
@@ -229,14 +232,14 @@
     }
 
     /**
-     * Shuts down gracefully: withdraws readiness, closes idle sessions, waits for active ones and stops.
+     * Shuts down gracefully: withdraws readiness, closes idle sessions, waits for active ones and stops. The grace
+     * period counts from the call, or from before a pause of the process that has just ended.
      *
-     * @param requestedNanos when the stop was requested, a reading of {@link System#nanoTime()}; the grace period
-     *     counts from then, even if the event loop is held up
      * @return a future that completes when the gateway has stopped, at the latest shortly before the grace period ends
      */
-    public CompletableFuture<Void> drain(long requestedNanos) {
+    public CompletableFuture<Void> drain() {
         CompletableFuture<Void> drained = new CompletableFuture<>();
+        long requestedNanos = pauses.earliestSendNanos();
         eventLoop.execute(() -> {
             if (draining) {
                 return;
