--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/FleetDirectoryTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/FleetDirectoryTest.java
@@ -3,17 +3,27 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.OutputStream;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
+import org.banyanhook.core.configuration.ClientAccount;
+import org.banyanhook.core.configuration.GrantedKey;
+import org.banyanhook.core.configuration.SessionConfiguration;
+import org.banyanhook.core.key.KeyHashes;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.MonotonicClock;
 import org.banyanhook.gateway.port.FleetRecord;
+import org.banyanhook.gateway.port.MemberEntry;
 import org.banyanhook.gateway.port.StoreRecord;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 final class FleetDirectoryTest {
 
+    private static final MemberEntry LEAVING_MEMBER = new MemberEntry(
+            "a", "orders", InetSocketAddress.createUnresolved("unused", 1), "east", 2, true, false, 0, 1);
+
     private final DecisionLog log = new DecisionLog("vm", OutputStream.nullOutputStream(), System::nanoTime);
     private final TextRecordCodec codec = new TextRecordCodec();
     private final FleetDirectory directory = new FleetDirectory(codec, log, MonotonicClock.ofSystem());
@@ -84,6 +94,41 @@
         assertThat(notifications).isEqualTo(2);
     }
 
+    /** Pages are no snapshot, and a watch or an announcement may have told of a later change. */
+    @Test
+    void listingReadBeforeARemovalDoesNotBringTheMemberBack() {
+        codec.prepare("member", new FleetRecord.Member(LEAVING_MEMBER));
+        directory.apply(new StoreRecord("member", 5, new byte[0], 0));
+        assertThat(directory.members()).hasSize(1);
+        directory.apply(new StoreRecord("member", 9, null, 0));
+        assertThat(directory.members()).isEmpty();
+        directory.replaceAll(List.of(new StoreRecord("member", 5, new byte[0], 0)), 7);
+        directory.apply(new StoreRecord("member", 6, new byte[0], 0));
+        assertThat(directory.members()).isEmpty();
+    }
+
+    @Test
+    void listingReadBeforeAKeyWasWithdrawnDoesNotGrantItAgain() {
+        codec.prepare("configuration", new FleetRecord.Configuration(configuration(1, "key")));
+        directory.apply(new StoreRecord("configuration", 5, new byte[0], 0));
+        assertThat(directory.accountOf("key")).isPresent();
+        codec.prepare("configuration", new FleetRecord.Configuration(configuration(2, "other")));
+        directory.apply(new StoreRecord("configuration", 9, new byte[0], 0));
+        assertThat(directory.accountOf("key")).isEmpty();
+        codec.prepare("configuration", new FleetRecord.Configuration(configuration(1, "key")));
+        directory.replaceAll(List.of(new StoreRecord("configuration", 5, new byte[0], 0)), 7);
+        directory.replaceAll(List.of(), 12);
+        directory.apply(new StoreRecord("configuration", 13, new byte[0], 0));
+        assertThat(directory.accountOf("key")).isEmpty();
+        assertThat(directory.configuration().version()).isEqualTo(2);
+    }
+
+    private static SessionConfiguration configuration(long version, String key) {
+        List<GrantedKey> keys = List.of(new GrantedKey(key, KeyHashes.hash(key)));
+        return new SessionConfiguration(
+                version, List.of(new ClientAccount("account", keys, 1, 1, 1)), Map.of(), Map.of(), Map.of(), 1_000);
+    }
+
     private static StoreRecord daemon(String entryVm, long revision) {
         return new StoreRecord(
                 TextRecordCodec.DAEMON_PREFIX + entryVm, revision, "east".getBytes(StandardCharsets.UTF_8), 7);
