Read a listing again whose page is truncated and holds no records

What callers could see: members, evacuations and keys that the store still held were taken for removed. Cause: a page without records ended the listing, even if the store said that more follow. Evidence: no such page is known from a run. Change: such a page counts as a call without an answer; the listing is read again. Result: StoreMirrorTest.truncatedPageWithoutRecordsIsReadAgain fails without the change and passes with it.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreMirror.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreMirror.java
@@ -149,10 +149,19 @@
                         generation);
                 return;
             }
+            if (page.truncated() && page.records().isEmpty()) {
+                // The rest cannot be requested, and must not be taken for removed.
+                retryAfterFailure(
+                        "list",
+                        new StoreException(StoreException.Kind.NO_ANSWER, "a truncated page contains no records"),
+                        () -> readPage(generation, new ArrayList<>(), Optional.empty(), -1),
+                        generation);
+                return;
+            }
             recordSuccess("list");
             records.addAll(page.records());
             long revision = firstRevision < 0 ? page.revision() : firstRevision;
-            if (page.truncated() && !page.records().isEmpty()) {
+            if (page.truncated()) {
                 String last = page.records().get(page.records().size() - 1).key();
                 readPage(generation, records, Optional.of(last), revision);
                 return;
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/StoreMirrorTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/StoreMirrorTest.java
@@ -84,6 +84,19 @@
         assertThat(store.watches()).hasSize(2);
     }
 
+    /** What the store holds beyond the page was taken for removed. */
+    @Test
+    void truncatedPageWithoutRecordsIsReadAgain() {
+        answerWatch(6, evacuation("a", 6));
+        mirror.start();
+        store.lists().get(1).complete(new StorePage(List.of(), 8, true));
+        assertThat(directory.isEvacuated("a")).isTrue();
+        advanceSeconds(1);
+        assertThat(store.lists()).hasSize(3);
+        store.lists().get(2).complete(new StorePage(List.of(evacuation("a", 6)), 8, false));
+        assertThat(directory.isEvacuated("a")).isTrue();
+    }
+
     /** The store loses a watch that it received while it was silent, but answers the next renewal of the lease. */
     @Test
     void watchLostByASilentStoreIsSentAgainWhenTheStoreAnswers() {
