Write the entry of this daemon again if it has ended while its lease is renewed

What callers could see: the other daemons neither asked such a daemon before they replaced a primary nor counted it among those that share a rate. Cause: a write without an answer may be executed seconds later. The entry is written without a condition, so that a late write of a predecessor, killed a moment before, replaces that of its successor and ends with the predecessor's lease, at most 5 s later. The successor renewed only its lease and did not look at its entry. Change: after five renewals in a row without the entry, or with one under another lease, it is written again. Result: DaemonRegistrationTest.entryThatHasEndedWhileItsLeaseIsRenewedIsWrittenAgain fails without the change and passes with it.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -147,6 +147,7 @@
         this.databaseGroups = new DatabaseGroups(groupContext);
         directory.addListener(databaseGroups);
         registration.onContact(databaseGroups::tick);
+        registration.entryLease(() -> directory.daemonLease(settings.entryVm()));
         PeerTokenTransfers tokenTransfers = new PeerTokenTransfers(messenger, directory, eventLoop);
         this.rateLimiter = new AccountRateLimiter(
                 settings.entryVm(), settings.failureDomain(), directory, tokenTransfers, clock, log, metrics);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DaemonRegistration.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DaemonRegistration.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.GatewayMetrics;
 import org.banyanhook.gateway.operation.MonotonicClock;
@@ -24,6 +25,9 @@
     private static final long RENEWAL_INTERVAL_MILLIS = 1_000;
     private static final long RETRY_DELAY_MILLIS = 400;
 
+    /** The number of renewals without an entry after which it is written again; exceeds the delay of the watch. */
+    private static final int RENEWALS_BEFORE_REWRITE = 5;
+
     private final RecordStore store;
     private final String key;
     private final byte[] value;
@@ -37,6 +41,8 @@
     private boolean contactEstablished;
     private boolean lastCallFailed;
     private Runnable contactListener = () -> {};
+    private Supplier<OptionalLong> entryLease = () -> OptionalLong.of(lease);
+    private int renewalsWithoutEntry;
     private boolean stopped;
 
     /** Reads the records of the store. */
@@ -89,6 +95,11 @@
         contactListener = listener;
     }
 
+    /** Sets the supplier of the lease of this daemon's entry as it was read from the store; empty without an entry. */
+    public void entryLease(Supplier<OptionalLong> supplier) {
+        entryLease = supplier;
+    }
+
     /** Opens a lease and writes the entry; retries until it succeeds. */
     public void start() {
         if (stopped) {
@@ -162,6 +173,9 @@
             if (failure == null) {
                 recordContact(sentNanos);
                 schedule(RENEWAL_INTERVAL_MILLIS, this::renew);
+                if (hasLostEntry()) {
+                    rewriteEntry();
+                }
             } else if (StoreException.kind(failure) == StoreException.Kind.LEASE_ENDED) {
                 log.line("registration")
                         .with("lease", lease)
@@ -178,6 +192,35 @@
         });
     }
 
+    /**
+     * Returns whether the entry has been missing, or has belonged to another lease, for several renewals. A write by
+     * the predecessor of this process that the store executes late replaces the entry, which then ends with that lease.
+     */
+    private boolean hasLostEntry() {
+        OptionalLong found = entryLease.get();
+        if (found.isPresent() && found.getAsLong() == lease) {
+            renewalsWithoutEntry = 0;
+            return false;
+        }
+        renewalsWithoutEntry++;
+        if (renewalsWithoutEntry < RENEWALS_BEFORE_REWRITE) {
+            return false;
+        }
+        renewalsWithoutEntry = 0;
+        return true;
+    }
+
+    /** Writes the entry again. If that fails, it is tried again after as many renewals. */
+    private void rewriteEntry() {
+        log.line("registration")
+                .with("lease", lease)
+                .with("change", "entry-lost")
+                .write();
+        store.put(key, value, OptionalLong.empty(), lease)
+                .whenComplete((revision, failure) ->
+                        metrics.count("store.calls", "result", failure == null ? "entry-answered" : "entry-failed"));
+    }
+
     /** Renews the lease at once, since primaries are not used until the store has answered after the suspension. */
     private void renewAfterSuspension() {
         if (stopped || lease == 0) {
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/DaemonRegistrationTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/DaemonRegistrationTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.gateway.GatewayFixture;
@@ -16,6 +17,7 @@
 
     private final GatewayFixture gateway = new GatewayFixture();
     private final ScriptedRecordStore store = new ScriptedRecordStore();
+    private OptionalLong entryLease = OptionalLong.empty();
     private final DaemonRegistration registration = new DaemonRegistration(
             store,
             "daemons/vm",
@@ -101,6 +103,36 @@
         assertThat(store.renewals()).hasSize(3);
     }
 
+    /**
+     * The predecessor's write of the entry may be executed after that of this daemon. The entry then ends with the
+     * lease of the predecessor, and the other daemons would not know of this one.
+     */
+    @Test
+    void entryThatHasEndedWhileItsLeaseIsRenewedIsWrittenAgain() {
+        registration.entryLease(() -> entryLease);
+        entryLease = OptionalLong.of(LEASE);
+        register();
+        renew(10);
+        assertThat(store.writes()).hasSize(1);
+        entryLease = OptionalLong.of(LEASE - 1);
+        renew(2);
+        entryLease = OptionalLong.empty();
+        renew(3);
+        assertThat(store.writes()).hasSize(2);
+        assertThat(store.openedLeases()).hasSize(1);
+        store.writes().get(1).complete(9L);
+        entryLease = OptionalLong.of(LEASE);
+        renew(10);
+        assertThat(store.writes()).hasSize(2);
+    }
+
+    private void renew(int times) {
+        for (int number = 0; number < times; number++) {
+            gateway.advanceMillis(1_000);
+            store.renewals().forEach(renewal -> renewal.complete(null));
+        }
+    }
+
     private void register() {
         registration.start();
         store.openedLeases().get(0).complete(LEASE);
