Soak: pause some gateways across their planned stop, and kill them at the end of the grace period

About a third of the stops are sent to a gateway that is paused from 50 ms before, for at most 650 ms in all. Every gateway is killed at the end of its grace period, as the platform does; until now a stop that took longer went unnoticed. The pauses are drawn from a source of their own, so the other work of each seed is as before. No check is changed.

--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/soak/PlannedWork.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/soak/PlannedWork.java
@@ -7,20 +7,33 @@
 import java.util.Random;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.banyanhook.testbed.fleet.ChildProcess;
 import org.banyanhook.testbed.line.GatewayFleet;
 import org.banyanhook.testbed.line.LineMember;
 
 /**
- * Series of planned work, drawn from a seed, that overlap each other. Nothing fails, so no answer may be cut off.
- * Confined to the thread of one run, except for the scheduled actions.
+ * Series of planned work, drawn from a seed, that overlap each other. Nothing fails, so no answer may be cut off; some
+ * gateways are paused for a moment when they are stopped. Confined to the thread of one run, except for the scheduled
+ * actions.
  */
 final class PlannedWork implements SoakScenario.Schedule {
 
     private static final int STOP_INTERVAL_MILLIS = 1_500;
 
+    /** The grace period of a gateway, after which the platform kills it. */
+    private static final int GRACE_MILLIS = 3_000;
+
     /** Longer than the grace period of a gateway, after which it is gone. */
     private static final int STOP_MILLIS = 3_200;
 
+    /** One stop of this many, on average, is sent to a gateway that is paused. */
+    private static final int STOPS_PER_PAUSE = 3;
+
+    private static final int MAXIMUM_PAUSE_MILLIS = 600;
+
+    /** How much of a pause lies before the stop. */
+    private static final int PAUSE_LEAD_MILLIS = 50;
+
     private static final int SERIES_PAUSE_MILLIS = 1_000;
     private static final int SWITCHOVER_MILLIS = 2_500;
 
@@ -35,18 +48,23 @@
 
     private final GatewayFleet fleet;
     private final Random random;
+
+    /** A source of its own, so that the rest of the work of each seed does not depend on the pauses. */
+    private final Random pauseRandom;
+
     private final ScheduledExecutorService scheduler;
     private final List<String> descriptions = new ArrayList<>();
 
     /** A part of the work, which must not fail. */
     @FunctionalInterface
     private interface Action {
-        void run() throws IOException;
+        void run() throws IOException, InterruptedException;
     }
 
     PlannedWork(GatewayFleet fleet, long seed, ScheduledExecutorService scheduler) {
         this.fleet = fleet;
         this.random = new Random(seed);
+        this.pauseRandom = new Random(~seed);
         this.scheduler = scheduler;
     }
 
@@ -90,12 +108,29 @@
                 startMillis + STOP_MILLIS <= durationMillis;
                 startMillis += STOP_INTERVAL_MILLIS + random.nextInt(STOP_INTERVAL_MILLIS)) {
             int gateway = order.get(next++ % order.size());
+            if (pauseRandom.nextInt(STOPS_PER_PAUSE) == 0) {
+                pauseAcross(gateway, startMillis);
+            }
             describe("stop gateway " + gateway, startMillis, STOP_MILLIS);
-            at(startMillis, () -> fleet.gateways().get(gateway).process().terminate());
+            at(startMillis, () -> process(gateway).terminate());
+            at(startMillis + GRACE_MILLIS, () -> process(gateway).kill());
             at(startMillis + STOP_MILLIS, () -> fleet.restart(gateway));
         }
     }
 
+    /** Pauses a gateway from shortly before a stop. */
+    private void pauseAcross(int gateway, long stopMillis) {
+        int lengthMillis = PAUSE_LEAD_MILLIS + pauseRandom.nextInt(MAXIMUM_PAUSE_MILLIS);
+        long startMillis = Math.max(0, stopMillis - PAUSE_LEAD_MILLIS);
+        describe("pause gateway " + gateway, startMillis, lengthMillis);
+        at(startMillis, () -> process(gateway).freeze());
+        at(startMillis + lengthMillis, () -> process(gateway).thaw());
+    }
+
+    private ChildProcess process(int gateway) {
+        return fleet.gateways().get(gateway).process();
+    }
+
     private void switchOver(long startMillis, long lengthMillis) {
         describe("replace the primary", startMillis, lengthMillis);
         LineMember[] leaving = new LineMember[1];
@@ -143,6 +178,8 @@
                         action.run();
                     } catch (IOException exception) {
                         throw new IllegalStateException("could not carry out planned work", exception);
+                    } catch (InterruptedException exception) {
+                        Thread.currentThread().interrupt();
                     }
                 },
                 millis,
