Read a connection that is accepted during a stop before its session is closed

What callers saw: a statement sent with the opening of a session was cut off 286 ms after it was sent. Cause: a session that joined after sessions had begun to be closed was closed when its connection became active, before its first read. If the event loop had been held up, what the caller had sent had been waiting for longer than 200 ms. Change: such a session counts as active, and stays open, until its connection has been read once.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
@@ -43,6 +43,9 @@
 
     private static final long CONFIGURATION_POLL_INTERVAL_MILLIS = 40;
 
+    /** A task with any delay runs after the connections have been read once more. */
+    private static final long READ_PASS_MILLIS = 1;
+
     private final SessionContext context;
     private final SessionRegistry registry;
     private final Map<String, String> sessionValues = new LinkedHashMap<>();
@@ -60,6 +63,7 @@
     private boolean requestInProgress;
     private @Nullable ClientRequest currentRequest;
     private boolean draining;
+    private boolean unread;
     private boolean concluded;
     private long admissionNumber;
     private @Nullable OpenTransaction transaction;
@@ -159,9 +163,31 @@
         });
     }
 
+    /**
+     * Closes a session whose connection was accepted during the stop as soon as it is inactive, after what the caller
+     * has sent by now has been read.
+     *
+     * @param schedule decides which statements still run
+     */
+    void drainAfterReading(ShutdownSchedule schedule) {
+        guard.beginShutdown(schedule);
+        draining = true;
+        unread = true;
+        // Tasks that are due run before the next reading, so the delay begins in a task of its own.
+        context.eventLoop()
+                .execute(() -> context.eventLoop()
+                        .schedule(this::closeIfReadAndIdle, READ_PASS_MILLIS, TimeUnit.MILLISECONDS));
+    }
+
+    private void closeIfReadAndIdle() {
+        unread = false;
+        closeIfIdle();
+    }
+
     /** Answers every request that has no answer yet and closes the session, because the process ends. */
     void conclude() {
         concluded = true;
+        unread = false;
         // A token that is granted later must not let the request run.
         admissionNumber++;
         closeOnError(() -> {
@@ -219,7 +245,7 @@
 
     /** Returns whether a transaction or statement is in progress, or an answer has not been sent completely. */
     public boolean isActive() {
-        return isBusy() || closing.isInProgress();
+        return unread || isBusy() || closing.isInProgress();
     }
 
     private boolean isBusy() {
