Answer requests of the HTTP daemon that outlast its drain

What callers could see: a request that was still in progress 20 s after the gate had closed (deadlines may be up to 60 s) ended with its connection and without an answer. Not seen at a user's. Cause: at the end of the drain the server for callers was closed whatever was outstanding. Evidence: CallerDrainTest on the code before: a write and a read with a silent backend server, and a request that waits for a token, got the end of the connection 2 s after the drain's timeout ("header parser received no bytes"). Change: each outstanding request notes whether its execution has started. At the end of the drain it is answered as not run, or as unknown (outcome-unknown for writes and commits); what comes after is refused as not run, and nothing that was answered so starts later. The drain waits up to 2 s until these answers are written, then closes the server as before. Result: CallerDrainTest (6) and CallerServerTest (33) pass; 3 of the 6 failed before. The other 3 (transactions that go on, kept and new connections until the port closes) passed before as well. Not changed: a queued statement is answered as unknown, although the pool may know that it was not sent.

--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerDrain.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerDrain.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.banyanhook.daemon.execution.RequestGate;
@@ -13,12 +14,14 @@
  *
  * <p>During the announcement period it still serves requests and asks callers with each reply to reconnect, which
  * leaves the balancer and the peers time to detect the shutdown. It then refuses new requests as not run, waits until
- * requests in flight and open transactions have ended or the timeout has passed, and closes the server.
+ * requests in flight and open transactions have ended or the timeout has passed, replies to requests that are still in
+ * flight with what is known of them, and closes the server.
  */
 public final class CallerDrain {
 
     private static final Logger LOGGER = LogManager.getLogger(CallerDrain.class);
     private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
+    private static final Duration LAST_REPLY_TIMEOUT = Duration.ofSeconds(2);
 
     private final CallerServer server;
     private final RequestGate requestGate;
@@ -53,20 +56,27 @@
                 "draining; {} requests in flight and {} open transactions",
                 requestGate.inProgress(),
                 openTransactionCount.getAsInt());
-        boolean completed = awaitCompletion(System.nanoTime() + timeout.toNanos());
+        boolean completed = awaitNone(this::countOutstanding, timeout);
         if (!completed) {
             LOGGER.warn(
                     "drain did not complete within {}; {} requests in flight and {} open transactions remain",
                     timeout,
                     requestGate.inProgress(),
                     openTransactionCount.getAsInt());
+            server.endService();
+            awaitNone(requestGate::inProgress, LAST_REPLY_TIMEOUT);
         }
         server.close();
         return completed;
     }
 
-    private boolean awaitCompletion(long deadlineNanos) throws InterruptedException {
-        while (requestGate.inProgress() > 0 || openTransactionCount.getAsInt() > 0) {
+    private long countOutstanding() {
+        return requestGate.inProgress() + openTransactionCount.getAsInt();
+    }
+
+    private static boolean awaitNone(LongSupplier count, Duration timeout) throws InterruptedException {
+        long deadlineNanos = System.nanoTime() + timeout.toNanos();
+        while (count.getAsLong() > 0) {
             if (System.nanoTime() - deadlineNanos >= 0) {
                 return false;
             }
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerExchange.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerExchange.java
@@ -34,6 +34,7 @@
     private final CallerBody body;
     private final FleetConfiguration configuration;
     private final long deadlineNanos;
+    private final OutstandingRequest outstandingRequest;
     private volatile @Nullable String account;
     private volatile @Nullable SessionToken session;
     private volatile @Nullable Route route;
@@ -45,13 +46,15 @@
             CallerHeaders headers,
             CallerBody body,
             FleetConfiguration configuration,
-            long deadlineNanos) {
+            long deadlineNanos,
+            OutstandingRequest outstandingRequest) {
         this.requestId = requestId;
         this.target = target;
         this.headers = headers;
         this.body = body;
         this.configuration = configuration;
         this.deadlineNanos = deadlineNanos;
+        this.outstandingRequest = outstandingRequest;
     }
 
     /** Returns the request id, which appears in the reply and in the log. */
@@ -99,6 +102,10 @@
         return Optional.ofNullable(route);
     }
 
+    OutstandingRequest outstandingRequest() {
+        return outstandingRequest;
+    }
+
     CallerTarget target() {
         return target;
     }
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerHandler.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerHandler.java
@@ -43,6 +43,7 @@
     private final FilterChain chain;
     private final RequestGate requestGate;
     private final MeterRegistry meters;
+    private final OutstandingRequests outstandingRequests = new OutstandingRequests();
     private volatile int maximumBodyBytes = CallerBodyParser.DEFAULT_MAXIMUM_BODY_BYTES;
     private volatile Duration defaultDeadline = CallerExchange.DEFAULT_DEADLINE;
     private volatile BooleanSupplier connectionCloseCondition = () -> false;
@@ -65,6 +66,11 @@
         connectionCloseCondition = condition;
     }
 
+    /** Replies to all outstanding requests with what is known of them, and refuses further ones as not run. */
+    void endService() {
+        outstandingRequests.endService();
+    }
+
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
         String requestId = UUID.randomUUID().toString();
@@ -103,9 +109,13 @@
     }
 
     private CompletableFuture<CallerReply> readAndProcess(Request request, String requestId, long receivedNanos) {
-        return Content.Source.asByteArrayAsync(request, maximumBodyBytes)
-                .handle((content, failure) -> process(request, requestId, receivedNanos, content, failure))
+        OutstandingRequest outstanding = outstandingRequests.add(requestId);
+        CompletableFuture<CallerReply> unused = Content.Source.asByteArrayAsync(request, maximumBodyBytes)
+                .handle((content, failure) -> process(request, requestId, receivedNanos, outstanding, content, failure))
                 .thenCompose(reply -> reply)
+                .whenComplete((reply, failure) -> complete(outstanding.reply(), reply, failure));
+        return outstanding
+                .reply()
                 .exceptionally(failure -> CallerReplyFactory.problem(Refusals.from(failure), requestId));
     }
 
@@ -118,10 +128,20 @@
                 () -> write(CallerReplyFactory.problem(refusal, requestId), requestId, response));
     }
 
+    private static void complete(
+            CompletableFuture<CallerReply> target, @Nullable CallerReply reply, @Nullable Throwable failure) {
+        if (reply == null) {
+            target.completeExceptionally(requireNonNull(failure, "failure"));
+        } else {
+            target.complete(reply);
+        }
+    }
+
     private CompletableFuture<CallerReply> process(
             Request request,
             String requestId,
             long receivedNanos,
+            OutstandingRequest outstanding,
             byte @Nullable [] content,
             @Nullable Throwable failure) {
         if (content == null) {
@@ -129,7 +149,7 @@
         }
         CallerExchange exchange;
         try {
-            exchange = newExchange(request, requestId, receivedNanos, content);
+            exchange = newExchange(request, requestId, receivedNanos, outstanding, content);
         } catch (RefusalException refusal) {
             return CompletableFuture.failedFuture(refusal);
         }
@@ -137,7 +157,8 @@
                 .whenComplete((reply, processingFailure) -> recordOutcome(exchange, processingFailure, receivedNanos));
     }
 
-    private CallerExchange newExchange(Request request, String requestId, long receivedNanos, byte[] content)
+    private CallerExchange newExchange(
+            Request request, String requestId, long receivedNanos, OutstandingRequest outstanding, byte[] content)
             throws RefusalException {
         CallerTarget target = parseTarget(request);
         CallerBody body = target.operation() == CallerOperation.OUTCOME
@@ -152,7 +173,8 @@
                 parseHeaders(request.getHeaders()),
                 body,
                 configuration.current(),
-                receivedNanos + timeout.toNanos());
+                receivedNanos + timeout.toNanos(),
+                outstanding);
     }
 
     private static CallerHeaders parseHeaders(HttpFields fields) throws RefusalException {
--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerServer.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerServer.java
@@ -89,6 +89,11 @@
         handler.setConnectionCloseCondition(() -> true);
     }
 
+    /** Replies to all outstanding requests with what is known of them, and refuses further ones as not run. */
+    public void endService() {
+        handler.endService();
+    }
+
     /**
      * Stops listening and closes all connections. Requests may be aborted unless the request gate counted none in
      * progress before the call.
@@ -130,6 +135,7 @@
         filters.add(sessions);
         filters.add(new RoutingFilter());
         filters.add(new RateLimitFilter(requireNonNull(builder.rateLimiter, "rateLimiter")));
+        filters.add(new ExecutionStartFilter());
         filters.add(new StatementFilter(statements, sessions));
         filters.add(new TransactionFilter(requireNonNull(builder.transactions, "transactions"), sessions));
         filters.add(new OutcomeFilter(requireNonNull(builder.outcomes, "outcomes"), sessions));
