Take up SIGTERM in the HTTP daemon before its ports are opened

What callers could see: a signal between the opening of the ports and the end of the start ended the process at once, with the connections that it had accepted. Cause: the shutdown hook was installed after the start. Change: the hook comes first; it waits for the end of a start that is going on, up to 20 s, and then closes the daemon.

--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/BanyanhookDaemon.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/BanyanhookDaemon.java
@@ -1,8 +1,12 @@
 package org.banyanhook.daemon;
 
 import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.banyanhook.daemon.logging.LogConfigurator;
@@ -33,6 +37,7 @@
     public static final String VERSION = "0.1.0";
 
     private static final Logger LOGGER = LogManager.getLogger(BanyanhookDaemon.class);
+    private static final Duration START_TIMEOUT = Duration.ofSeconds(20);
     private static final int EXIT_STOPPED = 0;
     private static final int EXIT_START_FAILED = 1;
     private static final int EXIT_INVALID_SETTINGS = 2;
@@ -71,23 +76,33 @@
     }
 
     private static int run(DaemonSettings settings) throws InterruptedException {
+        CompletableFuture<Optional<DaemonAssembly>> started = new CompletableFuture<>();
         CountDownLatch stopped = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(started, stopped), "shutdown"));
         try (DaemonAssembly assembly = DaemonAssembly.start(settings)) {
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(assembly, stopped), "shutdown"));
             LOGGER.info("entry VM {} started, version {}", settings.entryVm(), VERSION);
+            started.complete(Optional.of(assembly));
             stopped.await();
             return EXIT_STOPPED;
         } catch (DaemonStartException exception) {
             LOGGER.error("could not start the daemon", exception);
             return EXIT_START_FAILED;
+        } finally {
+            started.complete(Optional.empty());
         }
     }
 
-    private static void shutDown(DaemonAssembly assembly, CountDownLatch stopped) {
-        LOGGER.info("shutdown requested; finishing requests in progress");
-        assembly.close();
+    /** Closes the daemon, once its start has ended. */
+    private static void shutDown(CompletableFuture<Optional<DaemonAssembly>> started, CountDownLatch stopped) {
+        Optional<DaemonAssembly> assembly = started.completeOnTimeout(
+                        Optional.empty(), START_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                .join();
+        if (assembly.isPresent()) {
+            LOGGER.info("shutdown requested; finishing requests in progress");
+            assembly.get().close();
+            LOGGER.info("stopped");
+        }
         stopped.countDown();
-        LOGGER.info("stopped");
         LogManager.shutdown();
     }
 }
