Log the stop of the HTTP daemon to its end

What on-call engineers saw: "shutdown requested" is the last line of a daemon that goes on answering for seconds; the requests in progress, a drain that does not complete, what was answered at its end, and "stopped" are missing. Cause: Log4j's own shutdown hook ends the log at the signal, beside the daemon's. Evidence: a play with a fleet of three daemons: the last line of the stopped one 1 ms after "shutdown requested", its end 6.3 s after the signal. Change: that hook is off in this daemon, which ends the log itself. Result: EntryVmStopIT now asks for the line "stopped"; it fails without the change and passes with it (separately compiled classes).

--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/BanyanhookDaemon.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/BanyanhookDaemon.java
@@ -36,6 +36,11 @@
     /** The version of this daemon. */
     public static final String VERSION = "0.1.0";
 
+    static {
+        // The shutdown hook of Log4j would end the log while requests are still being finished.
+        System.setProperty("log4j2.shutdownHookEnabled", "false");
+    }
+
     private static final Logger LOGGER = LogManager.getLogger(BanyanhookDaemon.class);
     private static final Duration START_TIMEOUT = Duration.ofSeconds(20);
     private static final int EXIT_STOPPED = 0;
--- a/banyanhook-testbed/src/test/java/org/banyanhook/testbed/fleet/EntryVmStopIT.java
+++ b/banyanhook-testbed/src/test/java/org/banyanhook/testbed/fleet/EntryVmStopIT.java
@@ -55,6 +55,7 @@
                     entryVm.process().close();
                 }
                 assertThat(entryVm.process().isAlive()).isFalse();
+                assertThat(Files.readString(entryVm.process().output())).contains("BanyanhookDaemon: stopped");
             }
         }
     }
