Answer callers before a process ends whose event loop was held up until then

Cause: the end of the process has a timer of its own. When the event loop is held up from before the end of service until that timer is due, the timer overtakes the last answers, which wait for one more reading of the connections. Change: the timer answers what is outstanding, if that has not been done, and ends the process one poll later.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/GracefulShutdown.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/GracefulShutdown.java
@@ -43,6 +43,7 @@
     private final MonotonicClock clock;
     private final DecisionLog log;
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private boolean serviceEnded;
 
     /**
      * Creates a stop.
@@ -78,7 +79,7 @@
         logStep("stop");
         at(schedule.closeSessionsNanos(), () -> afterReading(this::closeSessions));
         // Scheduled now, so that the process ends even if a step fails.
-        at(schedule.haltNanos(), this::end);
+        at(schedule.haltNanos(), this::halt);
         return stopped;
     }
 
@@ -100,6 +101,10 @@
     }
 
     private void endService() {
+        if (serviceEnded) {
+            return;
+        }
+        serviceEnded = true;
         logStep("stop-service");
         sessions.conclude();
         log.flush();
@@ -115,6 +120,16 @@
         }
     }
 
+    /** Ends the process; if the event loop was held up until now, what is outstanding is answered first. */
+    private void halt() {
+        if (serviceEnded) {
+            end();
+            return;
+        }
+        var unused = eventLoop.schedule(this::end, POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        endService();
+    }
+
     private void end() {
         if (stopped.isDone()) {
             return;
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GracefulShutdownTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GracefulShutdownTest.java
@@ -85,6 +85,18 @@
         assertThat(stopped.isDone()).isTrue();
     }
 
+    /** The end of the process overtook the last answers when the event loop was held up before the end of service. */
+    @Test
+    void callersAreAnsweredThoughTheEventLoopIsHeldUpUntilTheEnd() {
+        EmbeddedChannel silent = openTransaction();
+        CompletableFuture<Void> stopped = stop(0);
+        advance(GatewayFixture.GRACE_MILLIS * 4 / 5);
+        gateway.advanceMillis(GatewayFixture.GRACE_MILLIS / 8);
+        assertThat(silent.isActive()).isFalse();
+        advance(100);
+        assertThat(stopped.isDone()).isTrue();
+    }
+
     /** An unexpected error kept the process until it was killed. */
     @Test
     void processEndsBeforeTheGracePeriodDoesThoughAStepFails() {
