Close the port of the HTTP daemon when no caller is connecting

What callers could see: at a planned stop a caller who connected while the port was closed had its connection reset after it had sent a request. Cause: a close of the port resets the connections that wait in the kernel to be accepted. The thread that accepts connections is behind when the processor is busy, and a caller who is refused connects again at once, also between the last call of accept and the close.

--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerServer.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerServer.java
@@ -95,8 +95,8 @@
     }
 
     /**
-     * Stops listening and closes all connections. Requests may be aborted unless the request gate counted none in
-     * progress before the call.
+     * Stops listening and closes all connections; connections that wait to be accepted are answered first. Requests may
+     * be aborted unless the request gate counted none in progress before the call.
      *
      * @throws Exception if the server cannot be stopped
      */
@@ -111,12 +111,12 @@
     private static ServerConnector connector(Server server, @Nullable ServerCertificate certificate) {
         HttpConfiguration http = httpConfiguration();
         if (certificate == null) {
-            return new ServerConnector(server, new HttpConnectionFactory(http));
+            return new CallerConnector(server, null, new HttpConnectionFactory(http));
         }
         SecureRequestCustomizer customizer = new SecureRequestCustomizer();
         customizer.setSniHostCheck(false);
         http.addCustomizer(customizer);
-        return new ServerConnector(server, certificate.sslContextFactory(), new HttpConnectionFactory(http));
+        return new CallerConnector(server, certificate.sslContextFactory(), new HttpConnectionFactory(http));
     }
 
     private static HttpConfiguration httpConfiguration() {
