Close the client port when no caller is connecting, and wait for the first request of a new session

What callers could see: statements sent with the opening of a session were cut off at a planned stop, though nothing of them had run. Cause: the close of the port reset the connections that waited in the kernel; a channel that is registered with the selector even keeps its port open until the next selection. A session that had been accepted, but had sent nothing yet, was closed as idle. A session that has received nothing stays open 200 ms for its first request.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -28,6 +28,7 @@
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.GatewayMetrics;
 import org.banyanhook.gateway.operation.HttpEndpoint;
+import org.banyanhook.gateway.operation.ListeningChannel;
 import org.banyanhook.gateway.operation.MonotonicClock;
 import org.banyanhook.gateway.operation.NettyBootstraps;
 import org.banyanhook.gateway.operation.PauseDetector;
@@ -79,7 +80,7 @@
     private final SessionRegistry sessions = new SessionRegistry();
     private final SessionContext sessionContext;
     private final PeriodicChecks periodicChecks;
-    private volatile @Nullable Channel clientPort;
+    private volatile @Nullable ListeningChannel clientPort;
     private boolean draining;
 
     /**
@@ -263,11 +264,9 @@
     private final class StoppingDaemon implements GracefulShutdown.Daemon {
 
         @Override
-        public void closeClientPort() {
-            Channel port = clientPort;
-            if (port != null) {
-                port.close();
-            }
+        public CompletableFuture<Void> closeClientPort() {
+            ListeningChannel port = clientPort;
+            return port == null ? CompletableFuture.completedFuture(null) : port.closeAfterAccepting();
         }
 
         @Override
@@ -289,7 +288,7 @@
         return new HttpEndpoint.Response(ready, ready ? "ready" : draining ? "draining" : "configuration not read yet");
     }
 
-    private Channel listen(InetSocketAddress address, ChannelHandler initializer) throws IOException {
+    private ListeningChannel listen(InetSocketAddress address, ChannelHandler initializer) throws IOException {
         var bindFuture = NettyBootstraps.serverBootstrap(eventLoops, initializer)
                 .bind(address)
                 .awaitUninterruptibly();
@@ -297,7 +296,7 @@
             throw new IOException(
                     "cannot listen on " + address + "; set a free port", requireNonNull(bindFuture.cause()));
         }
-        return bindFuture.channel();
+        return (ListeningChannel) bindFuture.channel();
     }
 
     private static ChannelHandler initializer(java.util.function.Consumer<Channel> configure) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/GracefulShutdown.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/GracefulShutdown.java
@@ -22,8 +22,12 @@
     /** The parts of a daemon that a stop ends. */
     interface Daemon {
 
-        /** Closes the client port. The sessions of new connections would be closed at once. */
-        void closeClientPort();
+        /**
+         * Closes the client port, after accepting the connections that wait there.
+         *
+         * @return a future that completes when the port is closed
+         */
+        CompletableFuture<Void> closeClientPort();
 
         /** Returns whether a replacement of a primary is in progress, which is awaited as long as service goes on. */
         boolean isReplacingPrimary();
@@ -85,9 +89,11 @@
 
     private void closeSessions() {
         logStep("stop-sessions");
-        daemon.closeClientPort();
-        sessions.drain(schedule);
-        awaitInactivity();
+        // Callers whose sessions are closed come back at once, so the port is closed before them.
+        daemon.closeClientPort().thenRun(() -> {
+            sessions.drain(schedule);
+            awaitInactivity();
+        });
     }
 
     private void awaitInactivity() {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/operation/NettyBootstraps.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/operation/NettyBootstraps.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import jdk.net.ExtendedSocketOptions;
 
@@ -55,7 +54,7 @@
     public static ServerBootstrap serverBootstrap(EventLoopGroup eventLoops, ChannelHandler initializer) {
         return new ServerBootstrap()
                 .group(eventLoops)
-                .channel(NioServerSocketChannel.class)
+                .channel(ListeningChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG_CONNECTIONS)
                 .childOption(ChannelOption.ALLOCATOR, ALLOCATOR)
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
@@ -46,6 +46,9 @@
     /** A task with any delay runs after the connections have been read once more. */
     private static final long READ_PASS_MILLIS = 1;
 
+    /** How long a stop leaves a session open that has received nothing yet. */
+    private static final long FIRST_REQUEST_TIMEOUT_MILLIS = 200;
+
     private final SessionContext context;
     private final SessionRegistry registry;
     private final Map<String, String> sessionValues = new LinkedHashMap<>();
@@ -58,6 +61,7 @@
     private @Nullable Channel channel;
     private String databaseName = "";
     private String key = "";
+    private boolean received;
     private boolean opened;
     private long configurationWaitStartNanos;
     private boolean requestInProgress;
@@ -127,6 +131,7 @@
             // Sent after the session was closed; nothing of it runs and no answer can reach the caller.
             return;
         }
+        received = true;
         if (request instanceof ClientRequest.Open open) {
             open(open);
         } else if (request instanceof ClientRequest.Run run) {
@@ -143,13 +148,35 @@
     }
 
     /**
-     * Closes the session as soon as no transaction or statement is in progress.
+     * Closes the session as soon as no transaction or statement is in progress. A session without a request so far is
+     * closed a little later.
      *
      * @param schedule decides which statements still run
      */
     void drain(ShutdownSchedule schedule) {
         guard.beginShutdown(schedule);
         draining = true;
+        if (received) {
+            closeIfIdle();
+        } else {
+            awaitFirstRequest();
+        }
+    }
+
+    /** Leaves a caller who has just connected the time to send a request, which is then answered. */
+    private void awaitFirstRequest() {
+        unread = true;
+        // Tasks that are due run before the next reading, so the last delay begins in a task of its own.
+        context.eventLoop()
+                .schedule(
+                        () -> context.eventLoop()
+                                .schedule(this::closeIfReadAndIdle, READ_PASS_MILLIS, TimeUnit.MILLISECONDS),
+                        FIRST_REQUEST_TIMEOUT_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private void closeIfReadAndIdle() {
+        unread = false;
         closeIfIdle();
     }
 
@@ -163,27 +190,6 @@
         });
     }
 
-    /**
-     * Closes a session whose connection was accepted during the stop as soon as it is inactive, after what the caller
-     * has sent by now has been read.
-     *
-     * @param schedule decides which statements still run
-     */
-    void drainAfterReading(ShutdownSchedule schedule) {
-        guard.beginShutdown(schedule);
-        draining = true;
-        unread = true;
-        // Tasks that are due run before the next reading, so the delay begins in a task of its own.
-        context.eventLoop()
-                .execute(() -> context.eventLoop()
-                        .schedule(this::closeIfReadAndIdle, READ_PASS_MILLIS, TimeUnit.MILLISECONDS));
-    }
-
-    private void closeIfReadAndIdle() {
-        unread = false;
-        closeIfIdle();
-    }
-
     /** Answers every request that has no answer yet and closes the session, because the process ends. */
     void conclude() {
         concluded = true;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/SessionRegistry.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/SessionRegistry.java
@@ -17,7 +17,7 @@
         sessions.add(session);
         ShutdownSchedule begun = shutdown;
         if (begun != null) {
-            session.drainAfterReading(begun);
+            session.drain(begun);
         }
     }
 
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GracefulShutdownTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GracefulShutdownTest.java
@@ -130,8 +130,9 @@
     }
 
     @Override
-    public void closeClientPort() {
+    public CompletableFuture<Void> closeClientPort() {
         portClosed = true;
+        return CompletableFuture.completedFuture(null);
     }
 
     @Override
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/ShutdownSessionTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/ShutdownSessionTest.java
@@ -152,6 +152,30 @@
         assertThat(member.committed()).isEmpty();
     }
 
+    /** Its connection was closed before its first request had arrived. */
+    @Test
+    void callerWhoConnectsShortlyBeforeAStopIsAnswered() {
+        EmbeddedChannel caller = new EmbeddedChannel(gateway.newSession());
+        gateway.registry().drain(gateway.shutdownSchedule());
+        gateway.advanceMillis(100);
+        caller.writeInbound(new ClientRequest.Open(GatewayFixture.DATABASE, ""));
+        assertThat(caller.<Object>readOutbound()).isInstanceOf(ClientAnswer.Opened.class);
+        GatewayFixture.send(caller, "1", WRITE);
+        member.answerAll();
+        assertThat(caller.<Object>readOutbound()).isNotNull();
+    }
+
+    @Test
+    void callerWhoSendsNothingDoesNotKeepTheProcess() {
+        EmbeddedChannel caller = new EmbeddedChannel(gateway.newSession());
+        gateway.registry().drain(gateway.shutdownSchedule());
+        assertThat(gateway.registry().isActive()).isTrue();
+        gateway.advanceMillis(201);
+        gateway.advanceMillis(1);
+        assertThat(caller.isActive()).isFalse();
+        assertThat(gateway.registry().isActive()).isFalse();
+    }
+
     private void takeAllTokens() {
         EmbeddedChannel other = gateway.openSession(GatewayFixture.PRIVATE_DATABASE, KEY);
         boolean granted = true;
