Accept connections of the HTTP daemon with one thread and a selector

What operators could see, found by review, not shown: with no acceptor thread, a lack of file descriptors made a selector of Jetty try again without a pause; a start that failed after the port was open could wait in accept for ever. Cause: left the accepting to Jetty's selectors, and closed a port that may still have been blocking. Change: CallerConnector has one acceptor, which waits in a selector of its own and leaves the pause after a failed accept to Jetty; the port is never blocking. A failed accept during the close does not count as a pause of the callers.

--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerConnector.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/caller/CallerConnector.java
@@ -1,7 +1,12 @@
 package org.banyanhook.daemon.caller;
 
+import static java.util.Objects.requireNonNull;
+
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.channels.ClosedSelectorException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
@@ -23,15 +28,14 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * A connector that accepts the connections that wait in the kernel before it closes its port, which would reset them.
+ * A connector that can close its port without resetting the connections that wait in the kernel to be accepted. Its
+ * acceptor waits for connections with a selector, since a thread that waits in a call of accept keeps others from it.
  */
 final class CallerConnector extends ServerConnector {
 
     private static final Logger LOGGER = LogManager.getLogger(CallerConnector.class);
 
-    /** No threads of its own accept connections, since a thread that waits in a call of accept keeps others from it. */
-    private static final int ACCEPTORS = 0;
-
+    private static final int ACCEPTORS = 1;
     private static final int DEFAULT_SELECTORS = -1;
     private static final long POLL_INTERVAL_MILLIS = 1;
 
@@ -41,6 +45,9 @@
     /** Limits each step of the close, so that callers who go on to connect do not delay it. */
     private static final Duration STEP_TIMEOUT = Duration.ofMillis(500);
 
+    private volatile @Nullable Selector acceptSelector;
+    private final Object acceptLock = new Object();
+
     /** Connections that were accepted and are not known to the server yet. */
     private final Set<Socket> opening = Collections.synchronizedSet(Collections.newSetFromMap(new WeakHashMap<>()));
 
@@ -62,6 +69,39 @@
                 tls == null ? new ConnectionFactory[] {http} : AbstractConnectionFactory.getFactories(tls, http));
     }
 
+    @Override
+    public void open() throws IOException {
+        super.open();
+        if (acceptSelector != null) {
+            // The server opens its connectors before it starts them, which opens them again.
+            return;
+        }
+        ServerSocketChannel port = (ServerSocketChannel) getTransport();
+        port.configureBlocking(false);
+        Selector selector = Selector.open();
+        acceptSelector = selector;
+        port.register(selector, SelectionKey.OP_ACCEPT);
+    }
+
+    @Override
+    public void accept(int acceptor) throws IOException {
+        Selector selector = requireNonNull(acceptSelector, "the port is not open");
+        try {
+            selector.select();
+            selector.selectedKeys().clear();
+        } catch (ClosedSelectorException exception) {
+            return;
+        }
+        synchronized (acceptLock) {
+            if (getTransport() instanceof ServerSocketChannel port && port.isOpen()) {
+                SocketChannel connection = port.accept();
+                if (connection != null) {
+                    open(connection);
+                }
+            }
+        }
+    }
+
     /**
      * Accepts connections until callers make a short pause, closes the port in the pause, and serves the connections
      * then. A caller who was answered before could connect again between the last call of accept and the close.
@@ -71,18 +111,18 @@
         if (getTransport() instanceof ServerSocketChannel port && port.isOpen()) {
             setAccepting(false);
             // The kernel keeps the port of a registered channel open, even if it is closed, until the next selection.
-            await(() -> !port.isRegistered());
+            closeSelector();
             List<SocketChannel> connections = new ArrayList<>();
-            await(new QuietPeriod(port, connections));
-            try {
-                port.close();
-            } catch (IOException exception) {
-                LOGGER.warn("the port for callers could not be closed", exception);
+            synchronized (acceptLock) {
+                await(new QuietPeriod(port, connections));
+                super.close();
             }
             connections.forEach(this::open);
             await(this::isNoneOpening);
+        } else {
+            closeSelector();
+            super.close();
         }
-        super.close();
     }
 
     @Override
@@ -115,6 +155,18 @@
         }
     }
 
+    private void closeSelector() {
+        Selector selector = acceptSelector;
+        if (selector == null) {
+            return;
+        }
+        try {
+            selector.close();
+        } catch (IOException exception) {
+            LOGGER.warn("the selector of the port for callers could not be closed", exception);
+        }
+    }
+
     private static void await(BooleanSupplier condition) {
         long deadlineNanos = System.nanoTime() + STEP_TIMEOUT.toNanos();
         try {
@@ -150,7 +202,8 @@
                     connections.add(next);
                 }
             } catch (IOException exception) {
-                LOGGER.warn("connections of callers may be reset; the port does not accept any more", exception);
+                LOGGER.debug("a connection of a caller could not be accepted, retrying", exception);
+                return true;
             }
             return connections.size() > before;
         }
