Begin to refuse statements before the client port is closed; leave a caller time for its first statement

What callers could see: with the event loop held up between the close of the port and the end of service, sessions had never been told of the stop; at its end the answer to one statement let the next one in the queue run, which was cut off. A caller who waited for the answer to its opening was closed before its first statement arrived. Cause: the sessions were told only once the port was closed, which takes up to 200 ms; the end of service was reached only after it. The time in which a session was left open counted from the drain alone and ended with any request. Change: SessionRegistry.beginShutdown comes before the port is closed; the end of service is scheduled with the start of the stop; a session that ends drains. The wait counts from the connection and again from the answer to the opening. The limit of the close of the port is a time, no count of polls; a failed accept is no pause of the callers; a port that is opened after the stop has closed it is closed at once. Tests: SessionTest lets time pass in two cases, since a session is no longer closed in the moment in which it was opened. GracefulShutdownTest and ShutdownSessionTest have a case for each of the faults.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -82,6 +82,7 @@
     private final PeriodicChecks periodicChecks;
     private volatile @Nullable ListeningChannel clientPort;
     private boolean draining;
+    private boolean clientPortClosed;
 
     /**
      * The adapters that connect the gateway to the platform.
@@ -216,11 +217,16 @@
         ChannelHandler http = initializer(channel -> channel.pipeline().addLast(new HttpServerCodec(), endpoint));
         listen(settings.readinessAddress(), http);
         listen(settings.metricsAddress(), http);
-        clientPort = listen(
+        ListeningChannel port = listen(
                 settings.clientAddress(),
                 initializer(channel -> channel.pipeline()
                         .addLast(ports.sessionCodec().newClientCodec(), new Session(sessionContext, sessions))));
+        clientPort = port;
         eventLoop.execute(() -> {
+            if (clientPortClosed) {
+                // The stop was requested while the port was being opened.
+                port.closeAfterAccepting();
+            }
             log.line("start")
                     .with("failureDomain", settings.failureDomain())
                     .with("clients", hostAndPort(settings.clientAddress()))
@@ -265,6 +271,7 @@
 
         @Override
         public CompletableFuture<Void> closeClientPort() {
+            clientPortClosed = true;
             ListeningChannel port = clientPort;
             return port == null ? CompletableFuture.completedFuture(null) : port.closeAfterAccepting();
         }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/GracefulShutdown.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/GracefulShutdown.java
@@ -82,13 +82,15 @@
     CompletableFuture<Void> start() {
         logStep("stop");
         at(schedule.closeSessionsNanos(), () -> afterReading(this::closeSessions));
-        // Scheduled now, so that the process ends even if a step fails.
+        // Scheduled now, so that callers are answered and the process ends even if a step fails.
+        at(schedule.endOfServiceNanos(), () -> afterReading(this::endService));
         at(schedule.haltNanos(), this::halt);
         return stopped;
     }
 
     private void closeSessions() {
         logStep("stop-sessions");
+        sessions.beginShutdown(schedule);
         // Callers whose sessions are closed come back at once, so the port is closed before them.
         daemon.closeClientPort().thenRun(() -> {
             sessions.drain(schedule);
@@ -99,10 +101,8 @@
     private void awaitInactivity() {
         if (!sessions.isActive() && !daemon.isReplacingPrimary()) {
             endService();
-        } else if (clock.nowNanos() - schedule.endOfServiceNanos() < 0) {
+        } else if (!serviceEnded) {
             var unused = eventLoop.schedule(this::awaitInactivity, POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-        } else {
-            afterReading(this::endService);
         }
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/operation/ListeningChannel.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/operation/ListeningChannel.java
@@ -14,12 +14,13 @@
     /** The port is closed when no caller has connected for this many polls. */
     private static final int QUIET_POLLS = 10;
 
-    /** The port is closed after this many polls even if callers go on to connect. */
-    private static final int MAXIMUM_POLLS = 200;
+    /** The port is closed after this time even if callers go on to connect. */
+    private static final long TIMEOUT_MILLIS = 200;
 
     private final CompletableFuture<Void> closed = new CompletableFuture<>();
     private final List<Object> connections = new ArrayList<>();
-    private int polls;
+    private long deadlineNanos;
+    private boolean closing;
     private int quietPolls;
 
     /** Creates a channel that is not bound yet. */
@@ -28,21 +29,24 @@
     /**
      * Accepts connections until callers make a short pause, closes the port in the pause, and serves the connections
      * then. A caller who was answered before could connect again between the last call of accept and the close. Later
-     * connections are refused by the kernel. May be called once.
+     * connections are refused by the kernel. Must be called on the event loop.
      *
      * @return a future that completes on the event loop when the port is closed and the connections are registered
      */
     public CompletableFuture<Void> closeAfterAccepting() {
-        deregister().addListener(done -> poll());
+        if (!closing) {
+            closing = true;
+            deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
+            var unused = deregister().addListener(done -> poll());
+        }
         return closed;
     }
 
     private void poll() {
-        polls++;
         // The kernel keeps the port of a registered channel open, even if it is closed, until the next selection.
         quietPolls = javaChannel().isRegistered() || acceptAll() ? 0 : quietPolls + 1;
-        if (quietPolls >= QUIET_POLLS || polls >= MAXIMUM_POLLS) {
-            close();
+        if (quietPolls >= QUIET_POLLS || System.nanoTime() - deadlineNanos >= 0) {
+            var unused = close();
             connections.forEach(pipeline()::fireChannelRead);
             closed.complete(null);
         } else {
@@ -57,7 +61,8 @@
                 // Each call accepts one connection.
             }
         } catch (Exception exception) {
-            pipeline().fireExceptionCaught(exception);
+            // Too many open files, for example: the connections wait until the next poll.
+            return isOpen();
         }
         return connections.size() > before;
     }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
@@ -46,8 +46,8 @@
     /** A task with any delay runs after the connections have been read once more. */
     private static final long READ_PASS_MILLIS = 1;
 
-    /** How long a stop leaves a session open that has received nothing yet. */
-    private static final long FIRST_REQUEST_TIMEOUT_MILLIS = 200;
+    /** How long a stop leaves a session open that has received no statement yet. */
+    private static final long FIRST_STATEMENT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
     private final SessionContext context;
     private final SessionRegistry registry;
@@ -61,13 +61,15 @@
     private @Nullable Channel channel;
     private String databaseName = "";
     private String key = "";
-    private boolean received;
+    private boolean statementReceived;
     private boolean opened;
     private long configurationWaitStartNanos;
     private boolean requestInProgress;
     private @Nullable ClientRequest currentRequest;
     private boolean draining;
-    private boolean unread;
+    private boolean awaitingStatement;
+    private long statementWaitNumber;
+    private long beganNanos;
     private boolean concluded;
     private long admissionNumber;
     private @Nullable OpenTransaction transaction;
@@ -92,6 +94,7 @@
     @Override
     public void channelActive(ChannelHandlerContext handlerContext) {
         channel = handlerContext.channel();
+        beganNanos = context.clock().nowNanos();
         registry.add(this);
     }
 
@@ -131,7 +134,6 @@
             // Sent after the session was closed; nothing of it runs and no answer can reach the caller.
             return;
         }
-        received = true;
         if (request instanceof ClientRequest.Open open) {
             open(open);
         } else if (request instanceof ClientRequest.Run run) {
@@ -148,36 +150,46 @@
     }
 
     /**
-     * Closes the session as soon as no transaction or statement is in progress. A session without a request so far is
-     * closed a little later.
+     * Refuses statements that may not be answered before the process ends.
      *
      * @param schedule decides which statements still run
      */
-    void drain(ShutdownSchedule schedule) {
+    void beginShutdown(ShutdownSchedule schedule) {
         guard.beginShutdown(schedule);
+    }
+
+    /**
+     * Closes the session as soon as no transaction or statement is in progress. A caller who has just connected or
+     * opened the session has some time to send the first statement, which is then answered.
+     */
+    void drain() {
         draining = true;
-        if (received) {
+        long remainingNanos =
+                beganNanos + FIRST_STATEMENT_TIMEOUT_NANOS - context.clock().nowNanos();
+        if (statementReceived || remainingNanos <= 0) {
             closeIfIdle();
         } else {
-            awaitFirstRequest();
+            awaitFirstStatement(remainingNanos);
         }
     }
 
-    /** Leaves a caller who has just connected the time to send a request, which is then answered. */
-    private void awaitFirstRequest() {
-        unread = true;
+    private void awaitFirstStatement(long timeoutNanos) {
+        awaitingStatement = true;
+        long number = ++statementWaitNumber;
         // Tasks that are due run before the next reading, so the last delay begins in a task of its own.
         context.eventLoop()
                 .schedule(
                         () -> context.eventLoop()
-                                .schedule(this::closeIfReadAndIdle, READ_PASS_MILLIS, TimeUnit.MILLISECONDS),
-                        FIRST_REQUEST_TIMEOUT_MILLIS,
-                        TimeUnit.MILLISECONDS);
+                                .schedule(() -> endWait(number), READ_PASS_MILLIS, TimeUnit.MILLISECONDS),
+                        timeoutNanos,
+                        TimeUnit.NANOSECONDS);
     }
 
-    private void closeIfReadAndIdle() {
-        unread = false;
-        closeIfIdle();
+    private void endWait(long number) {
+        if (number == statementWaitNumber) {
+            awaitingStatement = false;
+            closeIfIdle();
+        }
     }
 
     /** Refuses the statement that waits for a connection, if there is one, because the process ends. */
@@ -193,7 +205,8 @@
     /** Answers every request that has no answer yet and closes the session, because the process ends. */
     void conclude() {
         concluded = true;
-        unread = false;
+        draining = true;
+        awaitingStatement = false;
         // A token that is granted later must not let the request run.
         admissionNumber++;
         closeOnError(() -> {
@@ -251,7 +264,7 @@
 
     /** Returns whether a transaction or statement is in progress, or an answer has not been sent completely. */
     public boolean isActive() {
-        return unread || isBusy() || closing.isInProgress();
+        return awaitingStatement || isBusy() || closing.isInProgress();
     }
 
     private boolean isBusy() {
@@ -299,6 +312,10 @@
         } else {
             opened = true;
             sendAnswer(new ClientAnswer.Opened());
+            beganNanos = context.clock().nowNanos();
+            if (draining && !concluded) {
+                awaitFirstStatement(FIRST_STATEMENT_TIMEOUT_NANOS);
+            }
             closeIfIdle();
         }
     }
@@ -348,6 +365,7 @@
 
     private void handleRequest(ClientRequest request) {
         requestInProgress = true;
+        statementReceived = true;
         currentRequest = request;
         if (request instanceof ClientRequest.Run run) {
             handleStatement(run);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/SessionRegistry.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/SessionRegistry.java
@@ -17,7 +17,8 @@
         sessions.add(session);
         ShutdownSchedule begun = shutdown;
         if (begun != null) {
-            session.drain(begun);
+            session.beginShutdown(begun);
+            session.drain();
         }
     }
 
@@ -35,14 +36,24 @@
         return sessions.stream().anyMatch(Session::isActive);
     }
 
+    /**
+     * Refuses statements that may not be answered in time from now on. Future sessions are closed when inactive.
+     *
+     * @param schedule decides which statements still run
+     */
+    public void beginShutdown(ShutdownSchedule schedule) {
+        shutdown = schedule;
+        sessions.forEach(session -> session.beginShutdown(schedule));
+    }
+
     /**
      * Closes every present and future session as soon as it is inactive.
      *
      * @param schedule decides which statements still run
      */
     public void drain(ShutdownSchedule schedule) {
-        shutdown = schedule;
-        List.copyOf(sessions).forEach(session -> session.drain(schedule));
+        beginShutdown(schedule);
+        List.copyOf(sessions).forEach(Session::drain);
     }
 
     /** Answers every request that has no answer yet and closes all sessions, because the process ends. */
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GracefulShutdownTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GracefulShutdownTest.java
@@ -25,6 +25,7 @@
     private boolean failWithdrawal;
     private boolean replacing;
     private boolean portClosed;
+    private CompletableFuture<Void> clientPort = CompletableFuture.completedFuture(null);
 
     @AfterEach
     void close() {
@@ -105,6 +106,21 @@
         assertThat(millisUntil(stop(0))).isLessThan(GatewayFixture.GRACE_MILLIS);
     }
 
+    /** The sessions are drained once the port is closed, which must not be awaited for ever. */
+    @Test
+    void callersAreAnsweredThoughThePortIsNeverClosed() {
+        clientPort = new CompletableFuture<>();
+        EmbeddedChannel silent = openTransaction();
+        CompletableFuture<Void> stopped = stop(0);
+        advance(GatewayFixture.GRACE_MILLIS * 5 / 6 - GatewayFixture.STATEMENT_TIMEOUT_MILLIS / 2);
+        GatewayFixture.send(silent, "3", WRITE);
+        ClientAnswer.Failed refused = silent.readOutbound();
+        assertThat(refused.error()).isEqualTo(SessionError.TRANSACTION_ABORTED);
+        withdrawn.complete(null);
+        assertThat(millisUntil(stopped)).isLessThan(GatewayFixture.GRACE_MILLIS / 6);
+        assertThat(silent.isActive()).isFalse();
+    }
+
     @Test
     void stepsAreLoggedWithTheTimeSinceTheRequest() {
         CompletableFuture<Void> unused = stop(900);
@@ -132,7 +148,7 @@
     @Override
     public CompletableFuture<Void> closeClientPort() {
         portClosed = true;
-        return CompletableFuture.completedFuture(null);
+        return clientPort;
     }
 
     @Override
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/operation/ListeningChannelTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/operation/ListeningChannelTest.java
@@ -9,6 +9,8 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -17,6 +19,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -25,13 +29,17 @@
 final class ListeningChannelTest {
 
     private static final int WAITING_CONNECTIONS = 100;
+    private static final int PERSISTENT_CALLERS = 12;
     private static final int TIMEOUT_MILLIS = 5_000;
 
     private final MultiThreadIoEventLoopGroup eventLoops =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+
     @AfterEach
     void stop() throws Exception {
+        threads.shutdownNow();
         eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -47,7 +55,7 @@
             socket.getOutputStream().write(caller);
             callers.add(socket);
         }
-        CompletableFuture<Void> closed = port.closeAfterAccepting();
+        CompletableFuture<Void> closed = close(port);
         heldUp.countDown();
         closed.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         for (int caller = 0; caller < WAITING_CONNECTIONS; caller++) {
@@ -62,15 +70,49 @@
     void connectionsAreRefusedOnceThePortIsClosed() throws Exception {
         ListeningChannel port = listen();
         InetSocketAddress address = port.localAddress();
-        port.closeAfterAccepting().get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        close(port).get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         assertThrows(ConnectException.class, () -> new Socket(address.getAddress(), address.getPort()));
     }
 
     @Test
     void portThatIsClosedAlreadyCompletes() throws Exception {
         ListeningChannel port = listen();
-        port.close().await(TIMEOUT_MILLIS);
-        port.closeAfterAccepting().get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        close(port).get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        close(port).get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** A caller who was refused at once connected again before the port was closed, and was reset. */
+    @Test
+    void callersWhoConnectAgainAfterEachAnswerAreServedOrRefused() throws Exception {
+        ListeningChannel port = listen();
+        InetSocketAddress address = port.localAddress();
+        List<CompletableFuture<Integer>> callers = new ArrayList<>();
+        for (int caller = 0; caller < PERSISTENT_CALLERS; caller++) {
+            callers.add(CompletableFuture.supplyAsync(() -> exchangeUntilRefused(address), threads));
+        }
+        Thread.sleep(100);
+        close(port).get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        for (CompletableFuture<Integer> caller : callers) {
+            assertThat(caller.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isGreaterThan(0);
+        }
+    }
+
+    private static int exchangeUntilRefused(InetSocketAddress address) {
+        int exchanges = 0;
+        while (true) {
+            try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+                socket.setSoTimeout(TIMEOUT_MILLIS);
+                socket.getOutputStream().write(1);
+                if (socket.getInputStream().read() != 1) {
+                    throw new IllegalStateException("not answered after " + exchanges + " exchanges");
+                }
+                exchanges++;
+            } catch (ConnectException exception) {
+                return exchanges;
+            } catch (IOException exception) {
+                throw new UncheckedIOException(exception);
+            }
+        }
     }
 
     private ListeningChannel listen() {
@@ -95,6 +137,11 @@
         };
     }
 
+    private CompletableFuture<Void> close(ListeningChannel port) {
+        return CompletableFuture.supplyAsync(port::closeAfterAccepting, eventLoops.next())
+                .thenCompose(closed -> closed);
+    }
+
     private static Socket connect(ListeningChannel port) throws Exception {
         InetSocketAddress address = port.localAddress();
         return new Socket(address.getAddress(), address.getPort());
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/SessionTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/SessionTest.java
@@ -56,6 +56,7 @@
     @Test
     void requestThatArrivesWhileTheLastAnswerIsWrittenIsAnsweredBeforeTheClose() {
         EmbeddedChannel session = openSession();
+        gateway.advanceMillis(1_000);
         gateway.registry().drain(gateway.shutdownSchedule());
         GatewayFixture.send(session, "1", new SessionStatement.Read("item"));
         network.writeHeld();
@@ -72,6 +73,7 @@
     @Test
     void answerGivenWhileTheLastOneIsWrittenIsSentBeforeTheClose() {
         EmbeddedChannel session = openSession();
+        gateway.advanceMillis(1_000);
         gateway.registry().drain(gateway.shutdownSchedule());
         GatewayFixture.send(session, "1", new SessionStatement.SetValue("name", "value"));
         network.writeHeld();
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/ShutdownSessionTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/ShutdownSessionTest.java
@@ -162,7 +162,35 @@
         assertThat(caller.<Object>readOutbound()).isInstanceOf(ClientAnswer.Opened.class);
         GatewayFixture.send(caller, "1", WRITE);
         member.answerAll();
-        assertThat(caller.<Object>readOutbound()).isNotNull();
+        assertThat(caller.<Object>readOutbound()).isInstanceOf(ClientAnswer.Completed.class);
+    }
+
+    /** Its session was closed between the answer to its opening and its first statement. */
+    @Test
+    void callerWhoWaitsForTheOpeningDuringAStopHasTimeForItsFirstStatement() {
+        EmbeddedChannel caller = new EmbeddedChannel(gateway.newSession());
+        gateway.registry().drain(gateway.shutdownSchedule());
+        gateway.advanceMillis(199);
+        caller.writeInbound(new ClientRequest.Open(GatewayFixture.DATABASE, ""));
+        caller.readOutbound();
+        gateway.advanceMillis(199);
+        GatewayFixture.send(caller, "1", WRITE);
+        member.answerAll();
+        assertThat(caller.<Object>readOutbound()).isInstanceOf(ClientAnswer.Completed.class);
+    }
+
+    /** What was sent ahead ran without an answer when the event loop was held up until the process ended. */
+    @Test
+    void statementsSentAheadDoNotRunThoughTheSessionWasNeverDrained() {
+        openMemberConnection();
+        GatewayFixture.send(session, "1", WRITE);
+        GatewayFixture.send(session, "2", WRITE);
+        long requestedNanos = gateway.nowNanos() - TimeUnit.MILLISECONDS.toNanos(GatewayFixture.GRACE_MILLIS * 5 / 6);
+        gateway.registry().beginShutdown(ShutdownSchedule.startingAt(requestedNanos, GatewayFixture.GRACE_MILLIS));
+        gateway.registry().conclude();
+        assertThat(refusal()).isEqualTo(SessionError.OUTCOME_UNKNOWN);
+        assertThat(refusal()).isEqualTo(SessionError.OVERLOADED);
+        assertThat(session.isActive()).isFalse();
     }
 
     @Test
