Find the ports of the HTTP daemon taken before it acts

What operators could see: a second daemon under the name of one that runs marked the rate allotment of the first for reclaim, and announced the shutdown of the first when it ended itself. Cause: the controllers were started before the ports were opened, and a start that failed was closed like a daemon in service. Change: the three ports are checked before anything is started; a daemon that has not joined the fleet announces and releases nothing. Two daemons that start in the same moment may both find the ports free; the later one then ends as before. Measured: DaemonAssemblyTest failed without the change (calls to the platform were made), and passes with it.

--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/DaemonAssembly.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/DaemonAssembly.java
@@ -4,6 +4,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
+import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Optional;
@@ -58,6 +59,7 @@
     private final AllotmentController allotments;
     private final DaemonReadiness readiness;
     private @Nullable CallerPipeline callerPipeline;
+    private boolean joinedFleet;
 
     private DaemonAssembly(DaemonSettings settings) throws IOException {
         this.settings = settings;
@@ -107,10 +109,12 @@
     /** Drains requests in progress and closes all components. Further calls have no effect. */
     @Override
     public void close() {
-        readiness.withdraw();
-        membership.announceShutdown();
-        drainCallers();
-        releaseAllotment();
+        if (joinedFleet) {
+            readiness.withdraw();
+            membership.announceShutdown();
+            drainCallers();
+            releaseAllotment();
+        }
         try {
             closer.close();
         } catch (IOException exception) {
@@ -149,9 +153,14 @@
     }
 
     private void startComponents() throws Exception {
+        registerForClosing(messenger);
+        // A second daemon under the same name must not act for the first before it finds the ports taken.
+        checkFree(settings.callers().address());
+        checkFree(settings.peers().address());
+        checkFree(settings.administration().address());
+        joinedFleet = true;
         platform.start();
         closer.register(platform::close);
-        registerForClosing(messenger);
         configuration.start();
         closer.register(configuration::close);
         membership.start();
@@ -165,6 +174,13 @@
         startAdministration();
     }
 
+    private static void checkFree(String address) throws IOException {
+        try (ServerSocket socket = new ServerSocket()) {
+            socket.setReuseAddress(true);
+            socket.bind(Addresses.parse(address));
+        }
+    }
+
     private CallerPipeline createCallerPipeline() throws Exception {
         CallerPipeline pipeline = CallerPipeline.builder()
                 .settings(settings)
