--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionLease.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DutyLease.java
@@ -1,25 +1,20 @@
-package org.banyanhook.gateway.primary;
+package org.banyanhook.gateway.fleet;
 
 import java.time.Duration;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import org.banyanhook.core.primary.GrantedVotes;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.MonotonicClock;
 import org.banyanhook.gateway.port.RecordStore;
 import org.banyanhook.gateway.port.StoreException;
 
 /**
- * The lease that allows a daemon to promote members of one database group, held by one daemon at a time: a record in
- * the store under a store lease. The revision of the record grows whenever the holder changes, so it serves as the
- * fencing token. Used on the event loop only.
+ * The lease of a duty that one daemon performs at a time: a record in the store under a store lease. The revision of
+ * the record grows whenever the holder changes, so it serves as the fencing token. Used on the event loop only.
  */
-public final class PromotionLease {
-
-    /** How long the lease lasts without renewal. */
-    private static final Duration TIME_TO_LIVE = GrantedVotes.PROMOTION_LEASE_DURATION;
+public final class DutyLease {
 
     /** How long before its expiry in the store the lease is considered expired here. */
     private static final long EXPIRY_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
@@ -27,7 +22,9 @@
     private final RecordStore store;
     private final String key;
     private final byte[] value;
-    private final String group;
+    private final String event;
+    private final String subject;
+    private final Duration timeToLive;
     private final Supplier<OptionalLong> formerLease;
     private final MonotonicClock clock;
     private final DecisionLog log;
@@ -42,23 +39,29 @@
      * @param store the store
      * @param key the key of the lease record
      * @param value the lease record with the name of this daemon
-     * @param group the database group
-     * @param formerLease returns the lease of this group that this daemon holds according to the store, or empty
+     * @param event the event of the log lines
+     * @param subject the subject of the duty, for the log
+     * @param timeToLive how long the lease lasts without renewal
+     * @param formerLease returns the lease of this duty that this daemon holds according to the store, or empty
      * @param clock the monotonic clock
      * @param log receives a line when the lease is acquired
      */
-    public PromotionLease(
+    public DutyLease(
             RecordStore store,
             String key,
             byte[] value,
-            String group,
+            String event,
+            String subject,
+            Duration timeToLive,
             Supplier<OptionalLong> formerLease,
             MonotonicClock clock,
             DecisionLog log) {
         this.store = store;
         this.key = key;
         this.value = value.clone();
-        this.group = group;
+        this.event = event;
+        this.subject = subject;
+        this.timeToLive = timeToLive;
         this.formerLease = formerLease;
         this.clock = clock;
         this.log = log;
@@ -74,21 +77,21 @@
         long sentNanos = clock.nowNanos();
         if (isHeld()) {
             return store.renewLease(leaseId).thenApply(done -> {
-                expiresAtNanos = sentNanos + TIME_TO_LIVE.toNanos() - EXPIRY_MARGIN_NANOS;
+                expiresAtNanos = sentNanos + timeToLive.toNanos() - EXPIRY_MARGIN_NANOS;
                 return fencingToken;
             });
         }
         return endFormerLease()
-                .thenCompose(done -> store.openLease(TIME_TO_LIVE))
+                .thenCompose(done -> store.openLease(timeToLive))
                 .thenCompose(opened -> store.put(key, value, OptionalLong.of(0), opened)
                         .exceptionallyCompose(failure -> endUnconfirmedLease(opened, failure))
                         .thenApply(revision -> {
                             leaseId = opened;
                             fencingToken = revision;
                             held = !clock.jumpedSince(sentNanos);
-                            expiresAtNanos = sentNanos + TIME_TO_LIVE.toNanos() - EXPIRY_MARGIN_NANOS;
-                            log.line("promotion-duty")
-                                    .with("group", group)
+                            expiresAtNanos = sentNanos + timeToLive.toNanos() - EXPIRY_MARGIN_NANOS;
+                            log.line(event)
+                                    .with("group", subject)
                                     .with("token", revision)
                                     .with("change", "taken")
                                     .write();
@@ -104,19 +107,23 @@
         OptionalLong former = formerLease.get();
         return former.isEmpty()
                 ? CompletableFuture.completedFuture(null)
-                : store.endLease(former.getAsLong()).exceptionallyCompose(PromotionLease::ignoreEndedLease);
+                : store.endLease(former.getAsLong()).exceptionallyCompose(DutyLease::ignoreEndedLease);
     }
 
     /** Ends a lease whose record may still be written although no answer came, so that a late write has no effect. */
     private CompletableFuture<Long> endUnconfirmedLease(long opened, Throwable failure) {
         if (StoreException.kind(failure) == StoreException.Kind.NO_ANSWER) {
-            var unused = store.endLease(opened).exceptionallyCompose(PromotionLease::ignoreEndedLease);
+            var unused = store.endLease(opened).exceptionallyCompose(DutyLease::ignoreEndedLease);
         }
         return CompletableFuture.failedFuture(failure);
     }
 
-    /** Returns success if the failure says that the lease has ended already, else the failure. */
-    static CompletableFuture<Void> ignoreEndedLease(Throwable failure) {
+    /**
+     * Returns success if the failure says that the lease has ended already, else the failure.
+     *
+     * @param failure why the lease could not be ended
+     */
+    public static CompletableFuture<Void> ignoreEndedLease(Throwable failure) {
         return StoreException.kind(failure) == StoreException.Kind.LEASE_ENDED
                 ? CompletableFuture.completedFuture(null)
                 : CompletableFuture.failedFuture(failure);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionLeases.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionLeases.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
+import org.banyanhook.core.primary.GrantedVotes;
+import org.banyanhook.gateway.fleet.DutyLease;
 import org.banyanhook.gateway.fleet.FleetDirectory;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.MonotonicClock;
@@ -22,7 +24,7 @@
     private final FleetDirectory directory;
     private final MonotonicClock clock;
     private final DecisionLog log;
-    private final Map<String, PromotionLease> leases = new HashMap<>();
+    private final Map<String, DutyLease> leases = new HashMap<>();
 
     /**
      * Creates a set of leases, none of which is held.
@@ -50,14 +52,16 @@
     }
 
     /** Returns the lease of a group. */
-    PromotionLease lease(String group) {
+    DutyLease lease(String group) {
         return leases.computeIfAbsent(
                 group,
-                name -> new PromotionLease(
+                name -> new DutyLease(
                         store,
                         recordCodec.promotionLeaseKey(name),
                         recordCodec.encode(new FleetRecord.PromotionLeaseHolder(name, entryVm)),
+                        "promotion-duty",
                         name,
+                        GrantedVotes.PROMOTION_LEASE_DURATION,
                         () -> formerLease(name),
                         clock,
                         log));
@@ -74,7 +78,7 @@
                     .with("lease", lease)
                     .with("change", "ended-after-restart")
                     .write();
-            var unused = store.endLease(lease).exceptionallyCompose(PromotionLease::ignoreEndedLease);
+            var unused = store.endLease(lease).exceptionallyCompose(DutyLease::ignoreEndedLease);
         });
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
@@ -21,6 +21,7 @@
 import org.banyanhook.gateway.backend.DatabaseGroup;
 import org.banyanhook.gateway.backend.MemberProbe;
 import org.banyanhook.gateway.backend.MemberServer;
+import org.banyanhook.gateway.fleet.DutyLease;
 import org.banyanhook.gateway.fleet.FleetDirectory;
 import org.banyanhook.gateway.message.MemberCommand;
 import org.banyanhook.gateway.message.MemberReport;
@@ -374,8 +375,7 @@
                         .with("daemon", daemon)
                         .with("lease", lease.getAsLong())
                         .write();
-                revocations.add(
-                        store.endLease(lease.getAsLong()).exceptionallyCompose(PromotionLease::ignoreEndedLease));
+                revocations.add(store.endLease(lease.getAsLong()).exceptionallyCompose(DutyLease::ignoreEndedLease));
             }
         }
         return CompletableFuture.allOf(revocations.toArray(new CompletableFuture<?>[0]));
@@ -426,7 +426,7 @@
 
     /** Waits and renews the promotion lease, which lasts little longer than the wait. */
     private CompletableFuture<Long> awaitHoldingLease(DatabaseGroup group, long nanos) {
-        PromotionLease promotionLease = promotionLeases.lease(group.name());
+        DutyLease promotionLease = promotionLeases.lease(group.name());
         return delay(nanos / 2)
                 .thenCompose(done -> promotionLease.acquire())
                 .thenCompose(token -> delay(nanos / 2))
