Give accounts of a small burst fewer token holders

Cause: the rate of an account was divided among a holder in each failure domain. With 6 domains a burst of 2 tokens left a third of a token at each holder, so that no holder could lend a whole one. Change: an account with less than 2 tokens of burst for each failure domain has one holder for each 2 tokens, spread over regions first. Tokens are requested in the own failure domain, then in the own region, then elsewhere.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -152,7 +152,14 @@
         registration.entryLease(() -> directory.daemonLease(settings.entryVm()));
         PeerTokenTransfers tokenTransfers = new PeerTokenTransfers(messenger, directory, eventLoop);
         this.rateLimiter = new AccountRateLimiter(
-                settings.entryVm(), settings.failureDomain(), directory, tokenTransfers, clock, log, metrics);
+                settings.entryVm(),
+                settings.failureDomain(),
+                settings::regionOf,
+                directory,
+                tokenTransfers,
+                clock,
+                log,
+                metrics);
         tokenTransfers.serve(rateLimiter);
         ConnectionProbe probe = new ConnectionProbe(groupContext);
         PromotionVoter promotionVoter = new PromotionVoter(
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/rate/AccountRateLimiter.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/rate/AccountRateLimiter.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import org.banyanhook.core.configuration.ClientAccount;
 import org.banyanhook.core.configuration.SessionConfiguration;
 import org.banyanhook.core.rate.AccountLimit;
@@ -45,6 +46,7 @@
     private final FleetDirectory directory;
     private final String entryVm;
     private final String failureDomain;
+    private final UnaryOperator<String> regionOf;
     private final TokenLender tokenLender;
     private final MonotonicClock clock;
     private final DecisionLog log;
@@ -83,6 +85,7 @@
      *
      * @param entryVm the name of this entry VM
      * @param failureDomain its failure domain
+     * @param regionOf returns the region of a failure domain
      * @param directory provides the configured rates and the daemons
      * @param tokenLender requests tokens from other daemons
      * @param clock the monotonic clock
@@ -92,6 +95,7 @@
     public AccountRateLimiter(
             String entryVm,
             String failureDomain,
+            UnaryOperator<String> regionOf,
             FleetDirectory directory,
             TokenLender tokenLender,
             MonotonicClock clock,
@@ -99,6 +103,7 @@
             GatewayMetrics metrics) {
         this.entryVm = entryVm;
         this.failureDomain = failureDomain;
+        this.regionOf = regionOf;
         this.directory = directory;
         this.tokenLender = tokenLender;
         this.clock = clock;
@@ -156,7 +161,7 @@
             return;
         }
         exchange.accrueAll(now, accrualEndNanos(now));
-        TokenHolders tokenHolders = new TokenHolders(daemons);
+        TokenHolders tokenHolders = new TokenHolders(daemons, regionOf);
         holders.clear();
         Map<String, AccountLimit> limits = new HashMap<>();
         for (ClientAccount account : configuration.accounts()) {
@@ -184,7 +189,7 @@
 
     private List<String> lendersNearestFirst(String account) {
         TokenHolders.Holders accountHolders = holders.get(account);
-        return accountHolders == null ? List.of() : accountHolders.nearestFirst(entryVm, failureDomain);
+        return accountHolders == null ? List.of() : accountHolders.nearestFirst(entryVm, failureDomain, regionOf);
     }
 
     private void perform(List<TokenAction> actions) {
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
@@ -117,6 +117,7 @@
         rateLimiter = new AccountRateLimiter(
                 "vm",
                 "east",
+                settings::regionOf,
                 directory,
                 (request, timeout, listener) -> listener.onTransfer(0, 0),
                 clock,
