Refuse requests for which no token is expected; ask holders again as soon as their backoff ends

Cause: a request of an account over its rate waited 250 ms although all holders had just answered that they have no token; others waited for the next periodic check, every 200 ms, after the backoff of a holder had ended. Change: a request is refused at once while every holder backs off for longer than it may wait and too little accrues here. Waiting requests are looked at every 40 ms.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/rate/AccountTokenState.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/rate/AccountTokenState.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -95,6 +96,10 @@
         return waitingRequests.remove().number();
     }
 
+    void removeNewest() {
+        waitingRequests.removeLast();
+    }
+
     long requestedMicros() {
         return requestedMicros;
     }
@@ -166,6 +171,27 @@
         return remainingMicros > 0 ? List.of() : amounts;
     }
 
+    /**
+     * Returns when the first peer without a pending token request may be asked again.
+     *
+     * @param peers the peers that have tokens of the account
+     * @param nowNanos the time on this entry VM's monotonic clock
+     * @return the time, at the earliest now; empty if there is no such peer
+     */
+    OptionalLong nextPeerNanos(List<String> peers, long nowNanos) {
+        long earliest = Long.MAX_VALUE;
+        boolean found = false;
+        for (String peer : peers) {
+            if (!pendingPeers.contains(peer)) {
+                PeerBackoff backoff = backoffs.get(peer);
+                long waitNanos = backoff == null ? 0 : Math.max(0, backoff.untilNanos() - nowNanos);
+                earliest = Math.min(earliest, waitNanos);
+                found = true;
+            }
+        }
+        return found ? OptionalLong.of(nowNanos + earliest) : OptionalLong.empty();
+    }
+
     /** Returns the first peer that has neither a pending token request nor a running backoff. */
     Optional<String> choosePeer(List<String> peers, long nowNanos) {
         return peers.stream().filter(peer -> isAvailable(peer, nowNanos)).findFirst();
--- a/banyanhook-core/src/main/java/org/banyanhook/core/rate/TokenBucket.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/rate/TokenBucket.java
@@ -112,6 +112,11 @@
         return borrowedMicros() + (ownUsable ? ownMicros : 0);
     }
 
+    /** Returns the millionths of tokens that accrue within a time, if the capacity does not limit them. */
+    long accruingMicros(long durationNanos) {
+        return (long) (durationNanos * microsPerNano);
+    }
+
     /** Returns the capacity in millionths of a token. */
     public long capacityMicros() {
         return capacityMicros;
--- a/banyanhook-core/src/main/java/org/banyanhook/core/rate/TokenExchange.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/rate/TokenExchange.java
@@ -88,7 +88,31 @@
             return serveWithoutWaiting(state, requestNumber, leaseExpiryNanos, nowNanos);
         }
         state.addWaiting(requestNumber, requestDeadlineNanos);
-        return serve(state, leaseExpiryNanos, nowNanos);
+        List<TokenAction> actions = serve(state, leaseExpiryNanos, nowNanos);
+        if (state.waitingCount() > 0 && isExhausted(state, requestDeadlineNanos, leaseExpiryNanos, nowNanos)) {
+            state.removeNewest();
+            actions.add(refusal(account, requestNumber, "no token expected within the time to wait", NANOS_PER_SECOND));
+        }
+        return actions;
+    }
+
+    /**
+     * Returns whether the newest waiting request cannot get a token in time, as far as is known: no peer has been asked
+     * or will be asked by then, and too little accrues here for it and those that wait before it.
+     */
+    private boolean isExhausted(
+            AccountTokenState state, long requestDeadlineNanos, long leaseExpiryNanos, long nowNanos) {
+        if (state.pendingPeerCount() > 0) {
+            return false;
+        }
+        long nextPeerNanos = state.nextPeerNanos(peersOfAccount.apply(state.account()), nowNanos)
+                .orElse(Long.MAX_VALUE);
+        if (nextPeerNanos - requestDeadlineNanos < 0) {
+            return false;
+        }
+        boolean ownUsable = nowNanos - leaseExpiryNanos < 0;
+        long accruing = ownUsable ? state.bucket().accruingMicros(requestDeadlineNanos - nowNanos) : 0;
+        return state.bucket().availableMicros(ownUsable) + accruing < state.waitingCount() * Tokens.MICROS_PER_TOKEN;
     }
 
     /** Decides on a request that may not wait. No peer is asked, as its answer would come too late. */
--- a/banyanhook-core/src/test/java/org/banyanhook/core/rate/TokenExchangeTest.java
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/rate/TokenExchangeTest.java
@@ -40,6 +40,27 @@
         assertThat(exchange.onTick(FOREVER, 101 * MILLI).get(0)).isInstanceOf(Refuse.class);
     }
 
+    /** Guards against requests of an account over its rate that wait although no holder will be asked in their time. */
+    @Test
+    void requestIsRefusedAtOnceWhileAllPeersBackOffForLongerThanItMayWait() {
+        exchange.setLimits(Map.of("hanbit", AccountLimit.NONE), 0);
+        long now = 0;
+        for (int round = 0; round < 5; round++) {
+            List<TokenAction> actions = exchange.acquire("hanbit", round, now + 250 * MILLI, FOREVER, now);
+            while (!actions.isEmpty() && actions.get(0) instanceof RequestTokens asked) {
+                actions = exchange.onTokenRequestFailed(asked.request().sequence(), FOREVER, now);
+            }
+            now += 900 * MILLI;
+            exchange.onTick(FOREVER, now);
+        }
+        long during = now - 850 * MILLI;
+        List<TokenAction> refused = exchange.acquire("hanbit", 100, during + 250 * MILLI, FOREVER, during);
+        assertThat(refused).hasSize(1);
+        assertThat(((Refuse) refused.get(0)).requestNumber()).isEqualTo(100);
+        List<TokenAction> patient = exchange.acquire("hanbit", 101, during + 2_000 * MILLI, FOREVER, during);
+        assertThat(patient).isEmpty();
+    }
+
     /** A busy process looks at a waiting request only after its time, when enough tokens have accrued for it. */
     @Test
     void tokensAccruedInTheMeantimeAreGivenOutBeforeRequestsAreRefused() {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -157,6 +157,7 @@
                 settings::regionOf,
                 directory,
                 tokenTransfers,
+                (task, delayNanos) -> eventLoop.schedule(task, delayNanos, TimeUnit.NANOSECONDS),
                 clock,
                 log,
                 metrics);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/rate/AccountRateLimiter.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/rate/AccountRateLimiter.java
@@ -41,6 +41,12 @@
      */
     private static final long ACCRUAL_HORIZON_NANOS = TimeUnit.DAYS.toNanos(1);
 
+    /**
+     * How often waiting requests are looked at. A holder that had no token is asked again as soon as its backoff ends;
+     * at the interval of the other periodic checks most of the waiting time would pass before.
+     */
+    private static final long WAITING_CHECK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+
     private static final Duration PEER_REQUEST_TIMEOUT = Duration.ofMillis(200);
 
     private final FleetDirectory directory;
@@ -56,7 +62,9 @@
     private final Map<String, TokenHolders.Holders> holders = new HashMap<>();
     private SessionConfiguration appliedConfiguration = SessionConfiguration.EMPTY;
     private Map<String, String> appliedFailureDomains = Map.of();
+    private final DelayedExecutor delayedExecutor;
     private long lastRequestNumber;
+    private boolean checkScheduled;
 
     private record WaitingRequest(String requestId, Consumer<Boolean> result) {}
 
@@ -73,6 +81,18 @@
         void requestTokens(PendingTokenRequests.Request request, Duration timeout, TransferListener listener);
     }
 
+    /** Runs a task on the event loop after a delay. */
+    @FunctionalInterface
+    public interface DelayedExecutor {
+        /**
+         * Schedules a task.
+         *
+         * @param task the task
+         * @param delayNanos the delay in nanoseconds
+         */
+        void schedule(Runnable task, long delayNanos);
+    }
+
     /** Receives the answer of another daemon. */
     @FunctionalInterface
     public interface TransferListener {
@@ -88,6 +108,7 @@
      * @param regionOf returns the region of a failure domain
      * @param directory provides the configured rates and the daemons
      * @param tokenLender requests tokens from other daemons
+     * @param delayedExecutor runs tasks on the event loop
      * @param clock the monotonic clock
      * @param log receives a line for each refusal and for each change of the limits
      * @param metrics counts tokens granted and refused
@@ -98,6 +119,7 @@
             UnaryOperator<String> regionOf,
             FleetDirectory directory,
             TokenLender tokenLender,
+            DelayedExecutor delayedExecutor,
             MonotonicClock clock,
             DecisionLog log,
             GatewayMetrics metrics) {
@@ -106,6 +128,7 @@
         this.regionOf = regionOf;
         this.directory = directory;
         this.tokenLender = tokenLender;
+        this.delayedExecutor = delayedExecutor;
         this.clock = clock;
         this.log = log;
         this.metrics = metrics;
@@ -205,6 +228,15 @@
                 refuse(refused);
             }
         }
+        if (!waitingRequests.isEmpty() && !checkScheduled) {
+            checkScheduled = true;
+            delayedExecutor.schedule(this::checkWaiting, WAITING_CHECK_INTERVAL_NANOS);
+        }
+    }
+
+    private void checkWaiting() {
+        checkScheduled = false;
+        tick();
     }
 
     private void refuse(TokenAction.Refuse refused) {
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
@@ -120,6 +120,7 @@
                 settings::regionOf,
                 directory,
                 (request, timeout, listener) -> listener.onTransfer(0, 0),
+                (task, delayNanos) -> eventLoop().schedule(task, delayNanos, TimeUnit.NANOSECONDS),
                 clock,
                 log,
                 metrics);
