Ask another holder of tokens when one does not answer

The nearest holder was asked first for each account, for 200 of the 250 ms that a request waits, also while it was cut off. A late answer still counts. Result: new case in TokenExchangeTest; the tests of tokens, sessions and fleet rates pass.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/rate/PendingTokenRequests.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/rate/PendingTokenRequests.java
@@ -1,8 +1,12 @@
 package org.banyanhook.core.rate;
 
-import java.util.HashMap;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * The token requests of one process that are not answered yet. Each transfer is applied at most once, and never after
@@ -10,7 +14,8 @@
  */
 public final class PendingTokenRequests {
 
-    private final Map<Long, Request> requests = new HashMap<>();
+    private final Map<Long, Request> requests = new LinkedHashMap<>();
+    private final Set<Long> overdue = new HashSet<>();
     private long lastSequence;
 
     /**
@@ -31,6 +36,37 @@
         return request;
     }
 
+    /**
+     * Marks the requests without an answer that were sent at least a time ago, each once. An answer that arrives later
+     * still counts.
+     *
+     * @param ageNanos the time
+     * @param nowNanos the time on this entry VM's monotonic clock
+     * @return the requests that are overdue since this call, oldest first
+     */
+    public List<Request> markOverdue(long ageNanos, long nowNanos) {
+        List<Request> marked = new ArrayList<>();
+        for (Request request : requests.values()) {
+            if (nowNanos - request.sentNanos() < ageNanos) {
+                break;
+            }
+            if (overdue.add(request.sequence())) {
+                marked.add(request);
+            }
+        }
+        return marked;
+    }
+
+    /**
+     * Forgets that a request is overdue.
+     *
+     * @param sequence the number of the request
+     * @return whether it was overdue
+     */
+    public boolean clearOverdue(long sequence) {
+        return overdue.remove(sequence);
+    }
+
     /**
      * Ends a request.
      *
--- a/banyanhook-core/src/main/java/org/banyanhook/core/rate/TokenExchange.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/rate/TokenExchange.java
@@ -20,10 +20,17 @@
     private static final int MAXIMUM_PENDING_PEERS_PER_ACCOUNT = 3;
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
 
+    /**
+     * When a token request counts as overdue, and another peer is asked: some round trips between regions, and less
+     * than a third of the time that a request waits for a token.
+     */
+    private static final long OVERDUE_NANOS = 70_000_000L;
+
     private final RateTimings timings;
     private final Function<String, List<String>> peersOfAccount;
     private final TokenRequestLimiter tokenRequestLimiter;
     private final PendingTokenRequests pendingRequests = new PendingTokenRequests();
+    private final UnansweredPeers unansweredPeers = new UnansweredPeers();
     private final Map<String, AccountTokenState> accounts = new TreeMap<>();
 
     /**
@@ -148,9 +155,22 @@
         if (state == null) {
             return List.of();
         }
+        unansweredPeers.remove(request.peer());
+        return applyTransfer(request, state, micros, lendableMicros, leaseExpiryNanos, nowNanos);
+    }
+
+    private List<TokenAction> applyTransfer(
+            PendingTokenRequests.Request request,
+            AccountTokenState state,
+            long micros,
+            long lendableMicros,
+            long leaseExpiryNanos,
+            long nowNanos) {
         long accepted = Math.min(micros, request.micros());
         state.bucket().borrow(accepted, request.sentNanos() + timings.borrowedTokenLifetimeNanos());
-        state.addRequestedMicros(-request.micros());
+        if (!pendingRequests.clearOverdue(request.sequence())) {
+            state.addRequestedMicros(-request.micros());
+        }
         state.onTransfer(request.peer(), accepted, request.micros(), nowNanos);
         state.recordHint(request.peer(), lendableMicros, nowNanos);
         return serve(state, leaseExpiryNanos, nowNanos);
@@ -158,7 +178,13 @@
 
     /** Handles a token request that was not answered; tokens in a lost answer are lost. */
     public List<TokenAction> onTokenRequestFailed(long sequence, long leaseExpiryNanos, long nowNanos) {
-        return onTransfer(sequence, 0, 0, leaseExpiryNanos, nowNanos);
+        PendingTokenRequests.Request request = pendingRequests.close(sequence).orElse(null);
+        AccountTokenState state = request == null ? null : accounts.get(request.clientAccount());
+        if (request == null || state == null) {
+            return List.of();
+        }
+        unansweredPeers.add(request.peer(), nowNanos);
+        return applyTransfer(request, state, 0, 0, leaseExpiryNanos, nowNanos);
     }
 
     /**
@@ -194,6 +220,7 @@
 
     /** Advances the time: accepts and refuses waiting requests, and requests missing tokens from peers. */
     public List<TokenAction> onTick(long leaseExpiryNanos, long nowNanos) {
+        markOverdueRequests(nowNanos);
         List<TokenAction> actions = new ArrayList<>();
         for (AccountTokenState state : accounts.values()) {
             if (state.waitingCount() > 0) {
@@ -203,6 +230,17 @@
         return actions;
     }
 
+    /** Lets other peers be asked for what a peer has not answered; a late answer still counts. */
+    private void markOverdueRequests(long nowNanos) {
+        for (PendingTokenRequests.Request request : pendingRequests.markOverdue(OVERDUE_NANOS, nowNanos)) {
+            unansweredPeers.add(request.peer(), nowNanos);
+            AccountTokenState state = accounts.get(request.clientAccount());
+            if (state != null) {
+                state.addRequestedMicros(-request.micros());
+            }
+        }
+    }
+
     /** Returns the millionths of an account's tokens that this process owns or has borrowed, as last accrued. */
     public long availableMicros(String account) {
         AccountTokenState state = accounts.get(account);
@@ -232,7 +270,11 @@
         if (missingMicros <= 0 || state.pendingPeerCount() >= MAXIMUM_PENDING_PEERS_PER_ACCOUNT) {
             return;
         }
-        Optional<String> peer = state.choosePeer(peersOfAccount.apply(state.account()), nowNanos);
+        List<String> peers = peersOfAccount.apply(state.account());
+        List<String> answering = peers.stream()
+                .filter(candidate -> !unansweredPeers.contains(candidate, nowNanos))
+                .toList();
+        Optional<String> peer = state.choosePeer(answering, nowNanos).or(() -> state.choosePeer(peers, nowNanos));
         if (peer.isPresent()) {
             sendTokenRequest(state, peer.get(), missingMicros, nowNanos, actions);
         } else {
--- a/banyanhook-core/src/test/java/org/banyanhook/core/rate/TokenExchangeTest.java
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/rate/TokenExchangeTest.java
@@ -40,6 +40,28 @@
         assertThat(exchange.onTick(FOREVER, 101 * MILLI).get(0)).isInstanceOf(Refuse.class);
     }
 
+    /** Guards against requests that wait for the nearest holder for most of their time while it is cut off. */
+    @Test
+    void anotherPeerIsAskedIfOneDoesNotAnswerAndFirstForOtherAccounts() {
+        exchange.setLimits(Map.of("hanbit", AccountLimit.NONE, "vossberg", AccountLimit.NONE), 0);
+        RequestTokens first = (RequestTokens)
+                exchange.acquire("hanbit", 1, 250 * MILLI, FOREVER, 0).get(0);
+        assertThat(exchange.onTick(FOREVER, 40 * MILLI)).isEmpty();
+        RequestTokens second =
+                (RequestTokens) exchange.onTick(FOREVER, 80 * MILLI).get(0);
+        assertThat(second.request().peer()).isEqualTo("far");
+        assertThat(exchange.onTransfer(second.request().sequence(), TOKEN, 0, FOREVER, 90 * MILLI))
+                .containsExactly(new Accept(1));
+        RequestTokens other = (RequestTokens) exchange.acquire("vossberg", 2, 350 * MILLI, FOREVER, 100 * MILLI)
+                .get(0);
+        assertThat(other.request().peer()).isEqualTo("far");
+
+        exchange.onTransfer(first.request().sequence(), 0, 0, FOREVER, 120 * MILLI);
+        RequestTokens nearAgain = (RequestTokens)
+                exchange.acquire("hanbit", 3, 500 * MILLI, FOREVER, 250 * MILLI).get(0);
+        assertThat(nearAgain.request().peer()).isEqualTo("near");
+    }
+
     /** Guards against requests of an account over its rate that wait although no holder will be asked in their time. */
     @Test
     void requestIsRefusedAtOnceWhileAllPeersBackOffForLongerThanItMayWait() {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/rate/AccountRateLimiter.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/rate/AccountRateLimiter.java
@@ -76,7 +76,7 @@
          *
          * @param request the daemon, the client account and the number of tokens
          * @param timeout how long to wait for the answer
-         * @param listener receives the answer on the event loop, or 0 and 0 if there was none
+         * @param listener receives the answer on the event loop
          */
         void requestTokens(PendingTokenRequests.Request request, Duration timeout, TransferListener listener);
     }
@@ -94,10 +94,12 @@
     }
 
     /** Receives the answer of another daemon. */
-    @FunctionalInterface
     public interface TransferListener {
         /** Handles the tokens that were lent and those that could still be lent, in millionths of a token. */
         void onTransfer(long micros, long lendableMicros);
+
+        /** Handles that the daemon has not answered. */
+        void onNoAnswer();
     }
 
     /**
@@ -220,10 +222,7 @@
             if (action instanceof TokenAction.Accept accepted) {
                 complete(accepted.requestNumber(), true);
             } else if (action instanceof TokenAction.RequestTokens ask) {
-                tokenLender.requestTokens(ask.request(), PEER_REQUEST_TIMEOUT, (micros, lendable) -> {
-                    long now = clock.nowNanos();
-                    perform(exchange.onTransfer(ask.request().sequence(), micros, lendable, accrualEndNanos(now), now));
-                });
+                tokenLender.requestTokens(ask.request(), PEER_REQUEST_TIMEOUT, listener(ask.request()));
             } else if (action instanceof TokenAction.Refuse refused) {
                 refuse(refused);
             }
@@ -234,6 +233,22 @@
         }
     }
 
+    private TransferListener listener(PendingTokenRequests.Request request) {
+        return new TransferListener() {
+            @Override
+            public void onTransfer(long micros, long lendableMicros) {
+                long now = clock.nowNanos();
+                perform(exchange.onTransfer(request.sequence(), micros, lendableMicros, accrualEndNanos(now), now));
+            }
+
+            @Override
+            public void onNoAnswer() {
+                long now = clock.nowNanos();
+                perform(exchange.onTokenRequestFailed(request.sequence(), accrualEndNanos(now), now));
+            }
+        };
+    }
+
     private void checkWaiting() {
         checkScheduled = false;
         tick();
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/rate/PeerTokenTransfers.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/rate/PeerTokenTransfers.java
@@ -50,7 +50,7 @@
             PendingTokenRequests.Request request, Duration timeout, AccountRateLimiter.TransferListener listener) {
         DaemonEntry peer = directory.daemons().get(request.peer());
         if (peer == null) {
-            eventLoop.execute(() -> listener.onTransfer(0, 0));
+            eventLoop.execute(listener::onNoAnswer);
             return;
         }
         PeerEnvelope body = PeerEnvelope.newBuilder()
@@ -64,7 +64,7 @@
                 .whenCompleteAsync(
                         (reply, failure) -> {
                             if (reply == null) {
-                                listener.onTransfer(0, 0);
+                                listener.onNoAnswer();
                                 return;
                             }
                             TokenTransfer transfer = reply.getTokenTransfer();
