--- a/banyanhook-core/src/main/java/org/banyanhook/core/admission/AdmissionDecision.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/admission/AdmissionDecision.java
@@ -18,6 +18,10 @@
         ROOM,
         /** The queue was full; the newest item of the account with the longest queue was displaced. */
         DISPLACED_LONGEST_QUEUE,
+        /** The queue was full; an item of a lower priority was displaced. */
+        DISPLACED_LOWER_PRIORITY,
+        /** The queue was full of items of higher priorities. */
+        HIGHER_PRIORITIES_WAIT,
         /** The queue was full; the offering account itself has the longest queue, or would have with this item. */
         OWN_QUEUE_LONGEST,
         /** The account already has the maximum number of waiting items. */
@@ -38,13 +42,17 @@
         return new AdmissionDecision<>(reason, null);
     }
 
+    static <T> AdmissionDecision<T> displacingLowerPriority(T displaced) {
+        return new AdmissionDecision<>(Reason.DISPLACED_LOWER_PRIORITY, displaced);
+    }
+
     static <T> AdmissionDecision<T> displacing(T displaced) {
         return new AdmissionDecision<>(Reason.DISPLACED_LONGEST_QUEUE, displaced);
     }
 
     /** Returns whether the offered item was queued. */
     public boolean isQueued() {
-        return reason == Reason.ROOM || reason == Reason.DISPLACED_LONGEST_QUEUE;
+        return reason == Reason.ROOM || displaced != null;
     }
 
     /** Returns the reason for the decision. */
--- a/banyanhook-core/src/main/java/org/banyanhook/core/admission/FairQueue.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/admission/FairQueue.java
@@ -146,6 +146,59 @@
         return removed;
     }
 
+    /**
+     * Adds an item without a limit, before the items of the same account whose order is later.
+     *
+     * @param account the client account
+     * @param weight the weight of the account, greater than 0
+     * @param item the item to queue
+     * @param deadlineNanos when the item expires
+     * @param orderNanos the position among the items of the account, as a time
+     */
+    void addInOrder(String account, int weight, T item, long deadlineNanos, long orderNanos) {
+        AccountQueue<T> queue = queues.computeIfAbsent(account, AccountQueue::new);
+        boolean wasIdle = queue.isEmpty();
+        queue.addInOrder(weight, new Entry<>(item, deadlineNanos, orderNanos));
+        size++;
+        if (wasIdle) {
+            queue.startTurn();
+            active.addLast(queue);
+        }
+    }
+
+    /** Puts back an item that was polled and not served: it is the next one again. */
+    void restore(String account, int weight, T item, long deadlineNanos, long orderNanos) {
+        AccountQueue<T> queue = queues.computeIfAbsent(account, AccountQueue::new);
+        queue.restore(weight, new Entry<>(item, deadlineNanos, orderNanos));
+        size++;
+        active.remove(queue);
+        active.addFirst(queue);
+    }
+
+    /** Removes and returns the last item of an account that has one. */
+    T removeNewest(String account) {
+        AccountQueue<T> queue = requireNonNull(queues.get(account), account);
+        T removed = queue.removeNewest();
+        size--;
+        if (queue.isEmpty()) {
+            removeQueue(queue);
+        }
+        return removed;
+    }
+
+    /** Calls a visitor for each account with waiting items, in the order of their turns. */
+    void forEachAccount(AccountVisitor visitor) {
+        for (AccountQueue<T> queue : active) {
+            visitor.visit(queue.account(), queue.weight, queue.size());
+        }
+    }
+
+    /** Receives the accounts with waiting items. */
+    @FunctionalInterface
+    interface AccountVisitor {
+        void visit(String account, int weight, int waiting);
+    }
+
     /** Returns the number of waiting items of an account. */
     public int waitingCount(String account) {
         AccountQueue<T> queue = queues.get(account);
@@ -241,7 +294,23 @@
 
         void add(int newWeight, T item, long deadlineNanos) {
             weight = newWeight;
-            entries.addLast(new Entry<>(item, deadlineNanos));
+            entries.addLast(new Entry<>(item, deadlineNanos, 0));
+        }
+
+        void addInOrder(int newWeight, Entry<T> entry) {
+            weight = newWeight;
+            ArrayDeque<Entry<T>> later = new ArrayDeque<>(0);
+            while (!entries.isEmpty() && entries.getLast().orderNanos() - entry.orderNanos() > 0) {
+                later.addFirst(entries.removeLast());
+            }
+            entries.addLast(entry);
+            entries.addAll(later);
+        }
+
+        void restore(int newWeight, Entry<T> entry) {
+            weight = newWeight;
+            entries.addFirst(entry);
+            deficit = Math.min(weight, Math.max(0, deficit) + 1);
         }
 
         T removeNewest() {
@@ -272,7 +341,7 @@
         }
     }
 
-    private record Entry<T>(T item, long deadlineNanos) {
+    private record Entry<T>(T item, long deadlineNanos, long orderNanos) {
         boolean isExpired(long nowNanos) {
             return deadlineNanos - nowNanos <= 0;
         }
