Serve waiting requests by priority, and no longer stop at one that cannot be placed

Cause: a dispatch ended at the first waiting request that no member could serve, for example a read that only the primary's position satisfies, and put it behind the others of its account; a request that arrived while others waited was not tried. Priorities and objectives of routes were unused. Change: a dispatch passes over up to 16 requests that cannot be placed, which keep their places. Where the routes of the configuration differ in priority, the queue is ordered by priority and objective, refuses what cannot be served in time, retries at a busy primary back off within a budget of the group, and writers that waited for a primary are released at the pace of its answers (WaitingRequests, BusyRetries). Elsewhere order, limits and retries are as before. Measured: requestThatCannotBePlacedDoesNotBlockTheNext failed on the former queue and passes now.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionRequest.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import org.banyanhook.core.admission.ServiceClass;
 import org.banyanhook.core.replication.LogPosition;
 import org.jspecify.annotations.Nullable;
 
@@ -15,6 +16,9 @@
     private final long deadlineNanos;
     private final ConnectionRequestListener listener;
     private final Set<String> excluded = new HashSet<>();
+    private int priority;
+    private long targetLatencyNanos;
+    private boolean heldInTime;
     private boolean cancelled;
 
     /**
@@ -65,6 +69,32 @@
         excluded.add(member);
     }
 
+    /**
+     * Sets what decides the order of service where routes differ in priority.
+     *
+     * @param routePriority the priority of the route; 0 is the highest
+     * @param targetNanos the latency objective of the route, 0 for none
+     */
+    public void objective(int routePriority, long targetNanos) {
+        priority = routePriority;
+        targetLatencyNanos = targetNanos;
+    }
+
+    /** Returns the class in the order of service, given how long a connection is used. */
+    ServiceClass serviceClass(long expectedHoldNanos) {
+        long dueNanos = targetLatencyNanos > 0 ? arrivedNanos + targetLatencyNanos : deadlineNanos;
+        return ServiceClass.of(priority, dueNanos - expectedHoldNanos);
+    }
+
+    /** Sets whether it was held because an estimate said that it can be served in time. */
+    void heldInTime(boolean value) {
+        heldInTime = value;
+    }
+
+    boolean isHeldInTime() {
+        return heldInTime;
+    }
+
     /** Cancels the request; its listener is not called any more. */
     public void cancel() {
         cancelled = true;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
@@ -34,8 +34,8 @@
     private final GroupContext context;
     private final ConnectionAllocator allocator;
     private final Map<String, MemberServer> servers = new HashMap<>();
-    private final ConnectionRequestQueue primaryQueue = new ConnectionRequestQueue("the primary");
-    private final ConnectionRequestQueue readQueue = new ConnectionRequestQueue("a member");
+    private final WaitingRequests waiting;
+    private final BusyRetries busyRetries;
     private final PositionHistory positionHistory = new PositionHistory();
     private final GroupTerms terms = new GroupTerms();
     private final MemberSelection memberSelection;
@@ -43,11 +43,12 @@
     private long primaryPausedUntilNanos;
     private boolean primaryPaused;
     private boolean primaryUsable = true;
-    private boolean dispatching;
 
     DatabaseGroup(String name, GroupContext context) {
         this.name = name;
         this.context = context;
+        this.waiting = new WaitingRequests(context);
+        this.busyRetries = new BusyRetries(name, waiting::isPrioritised, context.metrics());
         this.allocator = new ConnectionAllocator(context, new ConnectionEvents());
         this.memberSelection = new MemberSelection(context, allocator, positionHistory, this::connectionLimit);
     }
@@ -83,15 +84,25 @@
         return terms;
     }
 
+    /** Returns the retries at the overloaded primary. */
+    public BusyRetries busyRetries() {
+        return busyRetries;
+    }
+
     /**
      * Serves a connection request now, or queues it until a connection is available.
      *
      * @param request the request
      */
     public void submit(ConnectionRequest request) {
-        ConnectionRequestQueue queue = request.requirements().primaryOnly() ? primaryQueue : readQueue;
-        if (!queue.isEmpty() || !place(request)) {
-            queue.add(request, context.clock().nowNanos());
+        long now = context.clock().nowNanos();
+        boolean othersWait = waiting.hasWaiting(request);
+        if (othersWait || !waiting.isReleased(request, now) || !place(request)) {
+            waiting.add(request, members(), now);
+        }
+        if (othersWait) {
+            // Those before it may be unable to use the connection that this request can use.
+            dispatch();
         }
     }
 
@@ -102,9 +113,11 @@
      */
     public void release(ConnectionLease lease) {
         MemberConnection connection = lease.connection();
+        long now = context.clock().nowNanos();
         if (!connection.endLease(lease)) {
             return;
         }
+        waiting.recordHold(isPrimary(connection.server()), now - connection.lastLeasedNanos());
         if (!isAvailable(connection.server())) {
             connection.close("the member accepts no new requests");
         } else {
@@ -140,22 +153,14 @@
 
     /** Reuses a connection for a queued request of the same account, which saves the member a new connection. */
     private void reuseForSameAccount(MemberConnection connection) {
-        if (!connection.isIdle() || !connection.mayServeSameAccountAgain()) {
-            return;
-        }
-        long now = context.clock().nowNanos();
-        Optional<ConnectionRequest> next = Optional.empty();
-        if (isPrimary(connection.server())) {
-            next = primaryQueue.poll(connection.account(), now);
-        }
-        if (next.isEmpty()) {
-            next = readQueue.poll(connection.account(), now);
+        if (connection.isIdle() && connection.mayServeSameAccountAgain()) {
+            waiting.pollForAccount(
+                            connection,
+                            isPrimary(connection.server()),
+                            context.clock().nowNanos())
+                    .filter(request -> !place(request))
+                    .ifPresent(this::submit);
         }
-        next.ifPresent(request -> {
-            if (!place(request)) {
-                submit(request);
-            }
-        });
     }
 
     /** Handles that a replica's log has not reached a required position. */
@@ -240,7 +245,7 @@
 
     /** Ends a pause and dispatches queued requests. */
     public void resumePrimary() {
-        primaryPaused = false;
+        endPause();
         dispatch();
     }
 
@@ -285,11 +290,10 @@
     void tick() {
         long now = context.clock().nowNanos();
         if (primaryPaused && now - primaryPausedUntilNanos >= 0) {
-            primaryPaused = false;
+            endPause();
         }
         checkPrimaryAccess();
-        primaryQueue.refuseExpired(now);
-        readQueue.refuseExpired(now);
+        waiting.refuseExpired(now);
         dispatch();
     }
 
@@ -307,7 +311,9 @@
                 .with("member", primary == null ? null : primary.name())
                 .with("change", usable ? "regained" : "lost")
                 .write();
-        if (!usable) {
+        if (usable) {
+            releaseWriters(primary);
+        } else {
             stopUsingPrimary("the primary may have been replaced without this daemon learning of it");
         }
     }
@@ -379,22 +385,39 @@
         primary = selected;
         if (selected != null) {
             primaryPaused = false;
+            releaseWriters(selected);
+        }
+    }
+
+    private void endPause() {
+        primaryPaused = false;
+        releaseWriters(primary);
+    }
+
+    /** Sends the writers that waited for a primary to it, at a limited pace. */
+    private void releaseWriters(@Nullable MemberServer serving) {
+        if (serving != null) {
+            int connections = allocator.connectionShare(serving, true, this::connectionLimit);
+            waiting.beginRelease(connections, context.clock().nowNanos(), this::dispatch);
         }
     }
 
     /** Serves queued requests as long as connections are available. */
     private void dispatch() {
-        if (dispatching) {
-            return;
-        }
-        dispatching = true;
-        try {
-            long now = context.clock().nowNanos();
-            primaryQueue.dispatch(this::place, now);
-            readQueue.dispatch(this::place, now);
-        } finally {
-            dispatching = false;
-        }
+        waiting.dispatch(
+                this::place, members(), this::isConnectable, context.clock().nowNanos());
+    }
+
+    private WaitingRequests.Members members() {
+        return new WaitingRequests.Members(servers.values(), primary, mayUsePrimary());
+    }
+
+    /** Returns whether a connection to a member can be obtained, whichever account it is for. */
+    private boolean isConnectable(MemberServer server) {
+        long now = context.clock().nowNanos();
+        return isAvailable(server)
+                && server.isRetryDue(now)
+                && allocator.access(server, "", isPrimary(server), this::connectionLimit, now) != null;
     }
 
     private boolean place(ConnectionRequest request) {
@@ -404,6 +427,7 @@
                 memberSelection.select(request, new MemberSelection.GroupState(available, primary, mayUsePrimary()));
         selection.ifPresent(selected -> {
             recordWarmUpRequest(selected.server());
+            waiting.recordSent(request, context.clock().nowNanos());
             allocator.leaseOrOpen(selected.server(), request, selected.placement());
         });
         return selection.isPresent();
@@ -431,6 +455,12 @@
         @Override
         public void onAnswer(MemberConnection connection, MemberAnswer answer, long sentNanos) {
             MemberServer server = connection.server();
+            if (isPrimary(server)) {
+                if (server.unreachableNanos(context.clock().nowNanos()) >= 0) {
+                    releaseWriters(server);
+                }
+                waiting.recordPrimaryAnswer(connection, answer, context.clock().nowNanos());
+            }
             LogPosition position = answer.position();
             server.recordAnswer(position, context.clock().nowNanos());
             if (position == null) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.core.configuration.DatabaseRoute;
@@ -39,9 +40,6 @@
     /** A typical group has no more members than this, so that further attempts would not help. */
     private static final int MAXIMUM_ATTEMPTS = 5;
 
-    /** The delay before a statement is retried on a primary that reported an overload. */
-    private static final long PRIMARY_OVERLOAD_RETRY_DELAY_MILLIS = 40;
-
     /** When a statement times out, a member that has sent no answer for this long counts as unreachable. */
     private static final long UNRESPONSIVE_MEMBER_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
@@ -205,6 +203,9 @@
         lease = newLease;
         placement = newPlacement;
         attempts++;
+        if (attempts == 1 && requiresPrimary()) {
+            group.busyRetries().recordFirstAttempt();
+        }
         LogPosition minimumPosition = newPlacement.minimumPosition() == null
                 ? null
                 : newPlacement.minimumPosition().position();
@@ -249,6 +250,7 @@
                 allowedRegions);
         ConnectionRequest newRequest =
                 new ConnectionRequest(account, weight, requirements, arrivedNanos, deadlineNanos, this);
+        newRequest.objective(route.priority(), TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMillis()));
         laggingMembers.forEach(newRequest::exclude);
         if (!failedMember.isEmpty()) {
             newRequest.exclude(failedMember);
@@ -429,7 +431,8 @@
     /** Retries the statement if the error guarantees that it had no effect and attempts are left; otherwise fails. */
     private void retryOrFail(ConnectionLease source, SessionError error, String detail) {
         boolean rowsPassed = phase == ExecutionPhase.PASSING_ROWS;
-        if (rowsPassed || attempts >= MAXIMUM_ATTEMPTS || !error.guaranteesNoEffect()) {
+        boolean primaryOverloaded = error == SessionError.OVERLOADED && requiresPrimary();
+        if (rowsPassed || (attempts >= MAXIMUM_ATTEMPTS && !primaryOverloaded) || !error.guaranteesNoEffect()) {
             fail(error, detail);
             return;
         }
@@ -441,8 +444,8 @@
             }
             case NOT_PRIMARY, PREPARED_UNKNOWN -> requestConnection();
             case OVERLOADED -> {
-                if (requiresPrimary()) {
-                    retryLater();
+                if (primaryOverloaded) {
+                    retryLater(detail);
                 } else {
                     retryOnAnotherMember(source, detail);
                 }
@@ -451,7 +454,13 @@
         }
     }
 
-    private void retryLater() {
+    private void retryLater(String detail) {
+        OptionalLong delayNanos = group.busyRetries()
+                .delayNanos(attempts, deadlineNanos - context.clock().nowNanos());
+        if (delayNanos.isEmpty()) {
+            fail(SessionError.OVERLOADED, detail);
+            return;
+        }
         phase = ExecutionPhase.WAITING_FOR_RETRY;
         lease = null;
         var unused = context.eventLoop()
@@ -462,8 +471,8 @@
                                 requestConnection();
                             }
                         },
-                        PRIMARY_OVERLOAD_RETRY_DELAY_MILLIS,
-                        TimeUnit.MILLISECONDS);
+                        delayNanos.getAsLong(),
+                        TimeUnit.NANOSECONDS);
     }
 
     private void onConnectionLost(ConnectionLease source) {
