--- a/banyanhook-core/src/main/java/org/banyanhook/core/routing/ConnectionShare.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/routing/ConnectionShare.java
@@ -30,12 +30,23 @@
      */
     public static int perEntryVm(int connectionLimit, boolean primary, int fleetEntryVms, int nearbyEntryVms) {
         checkArgument(fleetEntryVms > 0, "fleetEntryVms must be positive, was %s", fleetEntryVms);
-        if (primary && connectionLimit >= fleetEntryVms) {
+        if (primary && !fleetExceedsLimit(connectionLimit, fleetEntryVms)) {
             return connectionLimit / fleetEntryVms;
         }
         return nearbyEntryVms == 0 ? 0 : connectionLimit * LOCAL_QUARTERS / QUARTERS / nearbyEntryVms;
     }
 
+    /**
+     * Returns whether a fleet has more entry VMs than a member accepts connections, so that most of them open a
+     * connection for each use and see few answers of the member.
+     *
+     * @param connectionLimit the maximum number of connections of the whole fleet to the member
+     * @param fleetEntryVms the number of entry VMs in the fleet
+     */
+    public static boolean fleetExceedsLimit(int connectionLimit, int fleetEntryVms) {
+        return connectionLimit < fleetEntryVms;
+    }
+
     /**
      * Computes the number of connections of one home.
      *
