Share what daemons learn of members, and choose members by it in large fleets

Cause: each of 63 or 120 daemons chose members by its own few answers, in which the waiting caused by others looks like a slow member, and an answered error like a quick one.

In force only where the fleet has more daemons than a member accepts connections; otherwise the choice is made by LatencyEstimate as before, and nothing is recorded or sent.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/scheduling/CapacityEstimator.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/scheduling/CapacityEstimator.java
@@ -23,6 +23,9 @@
      */
     static final double FAILURE_MILLIS = 200;
 
+    /** The least latency that is recorded, since estimates change by factors and could not rise again from 0. */
+    static final double MINIMUM_MILLIS = 0.1;
+
     /** The time constant with which answers lose weight; load and speed of a member change within seconds. */
     static final double ANSWER_WEIGHT_SECONDS = 2;
 
@@ -90,7 +93,7 @@
      * @param nowNanos the time
      */
     public void recordAnswer(long latencyNanos, double inFlight, long nowNanos) {
-        double millis = latencyNanos / NANOS_PER_MILLI;
+        double millis = Math.max(MINIMUM_MILLIS, latencyNanos / NANOS_PER_MILLI);
         recordArrival(nowNanos);
         latencyMillis += Math.max(LATENCY_WEIGHT, 1 / answers) * (millis - latencyMillis);
         updateKnee(millis, inFlight);
--- a/banyanhook-core/src/test/java/org/banyanhook/core/scheduling/CapacityEstimatorTest.java
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/scheduling/CapacityEstimatorTest.java
@@ -94,6 +94,19 @@
         assertThat(estimator.serviceMillis()).isLessThan(20.0);
     }
 
+    /** An estimate of 0 would never rise again. */
+    @Test
+    void answersWithoutMeasurableLatencyAreFollowedByOthers() {
+        CapacityEstimator estimator = new CapacityEstimator(SLOTS, 0);
+        for (int answer = 0; answer < 40; answer++) {
+            estimator.recordAnswer(0, 1, answer * 1_000 * MILLI);
+        }
+        for (int answer = 40; answer < 60; answer++) {
+            estimator.recordAnswer(14 * MILLI, 1, answer * 1_000 * MILLI);
+        }
+        assertThat(estimator.serviceMillis()).isWithin(2.0).of(14);
+    }
+
     private static double[] run(Load load, Random random) {
         CapacityEstimator estimator = new CapacityEstimator(SLOTS, 0);
         double mean = WORK_MILLIS * (1 + 6 * load.tail);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -22,6 +22,7 @@
 import org.banyanhook.gateway.backend.DatabaseGroups;
 import org.banyanhook.gateway.backend.GroupContext;
 import org.banyanhook.gateway.backend.NettyMemberConnector;
+import org.banyanhook.gateway.capacity.CapacityExchange;
 import org.banyanhook.gateway.fleet.DaemonRegistration;
 import org.banyanhook.gateway.fleet.FleetDirectory;
 import org.banyanhook.gateway.fleet.StoreMirror;
@@ -150,6 +151,8 @@
         directory.addListener(databaseGroups);
         registration.onContact(databaseGroups::tick);
         registration.entryLease(() -> directory.daemonLease(settings.entryVm()));
+        CapacityExchange capacityExchange = new CapacityExchange(self, messenger, directory, databaseGroups, clock);
+        capacityExchange.serve(eventLoop);
         PeerTokenTransfers tokenTransfers = new PeerTokenTransfers(messenger, directory, eventLoop);
         this.rateLimiter = new AccountRateLimiter(
                 settings.entryVm(), settings.failureDomain(), directory, tokenTransfers, clock, log, metrics);
@@ -171,6 +174,7 @@
                         pauses::read,
                         directory::tick,
                         databaseGroups::tick,
+                        capacityExchange::tick,
                         rateLimiter::tick,
                         primaryAccess::tick,
                         promotionController::tick,
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.core.configuration.GroupLimits;
 import org.banyanhook.core.primary.GroupTerms;
@@ -16,6 +17,7 @@
 import org.banyanhook.gateway.fleet.FleetDirectory.MemberRecord;
 import org.banyanhook.gateway.message.MemberAnswer;
 import org.banyanhook.gateway.message.MemberReport;
+import org.banyanhook.gateway.message.SessionError;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -39,6 +41,7 @@
     private final PositionHistory positionHistory = new PositionHistory();
     private final GroupTerms terms = new GroupTerms();
     private final MemberSelection memberSelection;
+    private final GroupCapacity capacity;
     private @Nullable MemberServer primary;
     private long primaryPausedUntilNanos;
     private boolean primaryPaused;
@@ -49,7 +52,14 @@
         this.name = name;
         this.context = context;
         this.allocator = new ConnectionAllocator(context, new ConnectionEvents());
-        this.memberSelection = new MemberSelection(context, allocator, positionHistory, this::connectionLimit);
+        this.capacity = new GroupCapacity(name, context);
+        this.memberSelection = new MemberSelection(
+                context,
+                allocator,
+                positionHistory,
+                this::connectionLimit,
+                capacity,
+                () -> ThreadLocalRandom.current().nextDouble());
     }
 
     /** Returns the name of the group. */
@@ -174,14 +184,24 @@
 
     /** Handles that a member did not answer in time; it may never answer the other commands of this daemon either. */
     public void onTimeout(ConnectionLease lease) {
+        capacity.recordAnswer(
+                lease.server(),
+                SessionError.TIMED_OUT,
+                context.clock().nowNanos() - lease.connection().lastLeasedNanos());
         lease.server()
                 .recordFailure(
                         lease.connection().lastLeasedNanos(), context.clock().nowNanos());
     }
 
-    /** Records how long a member took to run a statement. */
-    public void recordLatency(MemberServer server, long latencyNanos) {
+    /** Records how long a member took to answer a statement, and with which error, or null for none. */
+    public void recordAnswer(MemberServer server, @Nullable SessionError error, long latencyNanos) {
         server.latency().recordLatency(latencyNanos, context.clock().nowNanos());
+        capacity.recordAnswer(server, error, latencyNanos);
+    }
+
+    /** Returns whether the daemons share what they learn of the speed of the members. */
+    public boolean sharesCapacity() {
+        return capacity.isInForce();
     }
 
     /** Stops sending requests to the primary until a given time, because it is being replaced. */
@@ -277,6 +297,7 @@
         }
         closeUnavailableConnections();
         reselectPrimary("the entries of the members changed");
+        capacity.refresh(servers.values(), primary);
         endWorkAtFormerPrimaries();
         dispatch();
     }
@@ -288,6 +309,7 @@
             primaryPaused = false;
         }
         checkPrimaryAccess();
+        capacity.refresh(servers.values(), primary);
         primaryQueue.refuseExpired(now);
         readQueue.refuseExpired(now);
         dispatch();
@@ -424,6 +446,11 @@
 
         @Override
         public void onOpened(MemberConnection connection, MemberAnswer answer) {
+            if (answer.error() == null) {
+                // Opening a connection occupies the member like a statement.
+                capacity.recordAnswer(
+                        connection.server(), null, context.clock().nowNanos() - connection.lastLeasedNanos());
+            }
             allocator.onOpened(connection, answer, DatabaseGroup.this::submit);
             dispatch();
         }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberConnection.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberConnection.java
@@ -115,6 +115,11 @@
         return currentLease != null;
     }
 
+    /** Returns whether the member has not answered all commands yet, or the connection is being opened. */
+    boolean isBusy() {
+        return !closed && (!open || !pendingCommands.isEmpty());
+    }
+
     boolean isIdle() {
         return open && !closed && currentLease == null && pendingCommands.isEmpty();
     }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberSelection.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberSelection.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.DoubleSupplier;
 import java.util.function.IntSupplier;
 import org.banyanhook.core.replication.LogPosition;
 import org.banyanhook.core.replication.PositionHistory;
@@ -24,6 +25,8 @@
     private final ConnectionAllocator allocator;
     private final PositionHistory positionHistory;
     private final IntSupplier connectionLimit;
+    private final GroupCapacity capacity;
+    private final DoubleSupplier draws;
 
     /**
      * The state of the group at the time of a selection.
@@ -47,11 +50,15 @@
             GroupContext context,
             ConnectionAllocator allocator,
             PositionHistory positionHistory,
-            IntSupplier connectionLimit) {
+            IntSupplier connectionLimit,
+            GroupCapacity capacity,
+            DoubleSupplier draws) {
         this.context = context;
         this.allocator = allocator;
         this.positionHistory = positionHistory;
         this.connectionLimit = connectionLimit;
+        this.capacity = capacity;
+        this.draws = draws;
     }
 
     /** Selects a member, or returns empty if none can run the request now. */
@@ -73,7 +80,10 @@
                 });
             }
         }
-        return MemberChoice.choose(candidates).map(choice -> {
+        Optional<MemberChoice.Candidate> chosen = capacity.isInForce()
+                ? MemberChoice.choose(candidates, draws.getAsDouble())
+                : MemberChoice.choose(candidates);
+        return chosen.map(choice -> {
             MemberServer server = Objects.requireNonNull(serversByName.get(choice.member()), choice.member());
             boolean atPrimary = server == group.primary();
             return new Selection(
@@ -102,12 +112,15 @@
             return Optional.empty();
         }
         String ownRegion = context.settings().regionOf(context.settings().failureDomain());
+        boolean otherRegion = !region.equals(ownRegion);
+        if (capacity.isInForce()) {
+            boolean reserved = atPrimary && !request.requirements().primaryOnly() && capacity.isReserved(server, now);
+            double expectedMillis = server.capacity().expectedMillis(server.running(), now);
+            return Optional.of(
+                    new MemberChoice.Candidate(server.name(), access, expectedMillis, otherRegion, reserved));
+        }
         return Optional.of(new MemberChoice.Candidate(
-                server.name(),
-                access,
-                server.latency().expectedMillis(now),
-                server.inFlight(),
-                !region.equals(ownRegion)));
+                server.name(), access, server.latency().expectedMillis(now), server.inFlight(), otherRegion));
     }
 
     /** Returns the position that a replica's log must have reached, or empty if only the primary qualifies. */
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
@@ -6,6 +6,7 @@
 import org.banyanhook.core.replication.LogPosition;
 import org.banyanhook.core.routing.LatencyEstimate;
 import org.banyanhook.core.routing.WarmUpLimiter;
+import org.banyanhook.core.scheduling.LearnedCapacity;
 import org.banyanhook.gateway.port.MemberEntry;
 import org.jspecify.annotations.Nullable;
 
@@ -27,6 +28,7 @@
 
     private final List<MemberConnection> connections = new ArrayList<>();
     private final LatencyEstimate latency;
+    private final LearnedCapacity capacity;
     private final WarmUpLimiter warmUp;
     private MemberEntry entry;
     private long primarySinceRevision;
@@ -48,6 +50,7 @@
         this.primarySinceRevision = primarySinceRevision;
         this.primaryReportedNanos = nowNanos;
         this.latency = new LatencyEstimate(INITIAL_LATENCY_NANOS, nowNanos);
+        this.capacity = new LearnedCapacity(entry.slots(), nowNanos);
         this.warmUp = new WarmUpLimiter(nowNanos);
         this.warmUp.recordRemainingWarmUp(entry.warmUpMillis(), nowNanos);
         this.retryAtNanos = nowNanos;
@@ -95,6 +98,23 @@
         return sum;
     }
 
+    /**
+     * Returns how many commands of this daemon it is running or has queued, counted as connections; those of idle
+     * transactions do not count.
+     */
+    public int running() {
+        int sum = 0;
+        for (MemberConnection connection : connections) {
+            sum += connection.isBusy() ? 1 : 0;
+        }
+        return sum;
+    }
+
+    /** Returns what is known of its speed, where the daemons share it. */
+    public LearnedCapacity capacity() {
+        return capacity;
+    }
+
     /** Returns whether it is listed and accepts new requests. */
     public boolean acceptsRequests() {
         return listed && !entry.leaving();
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
@@ -346,7 +346,7 @@
             }
             return;
         }
-        group.recordLatency(source.server(), context.clock().nowNanos() - sentNanos);
+        group.recordAnswer(source.server(), answer.error(), context.clock().nowNanos() - sentNanos);
         if (decide(source, ExecutionEvent.STATEMENT_ANSWERED) != ExecutionAction.EVALUATE_ANSWER) {
             settle(source, answer);
         } else if (answer.error() != null) {
