Explain which member a gateway would choose

Cause: operators could not see why a statement runs at a member.

Change: MemberSelection evaluates members by one method for selections and explanations; RouteExplanation answers GET /explain on the address for metrics; the tool prints the answer or a saved one. StatementRequirements holds what StatementExecution required before.

--- a/banyanhook-cli/src/main/java/org/banyanhook/cli/BanyanhookTool.java
+++ b/banyanhook-cli/src/main/java/org/banyanhook/cli/BanyanhookTool.java
@@ -1,6 +1,7 @@
 package org.banyanhook.cli;
 
 import java.io.PrintWriter;
+import java.util.List;
 import java.util.function.UnaryOperator;
 import org.jspecify.annotations.Nullable;
 import picocli.AutoComplete;
@@ -21,7 +22,8 @@
             "2:invalid usage of the tool",
             "3:no entry VM answered, or the outcome is unknown"
         },
-        subcommands = {RunCommand.class, StoryCommand.class, AutoComplete.GenerateCompletion.class})
+        subcommands = {RunCommand.class, StoryCommand.class, ExplainCommand.class, AutoComplete.GenerateCompletion.class
+        })
 public final class BanyanhookTool {
 
     private final UnaryOperator<@Nullable String> environment;
@@ -54,10 +56,6 @@
                 "show",
                 "Lists accounts, services, routes, databases, failure-domains, entry-vms, configuration"
                         + " or withdrawals.");
-        addVerb(
-                line,
-                "explain",
-                "Explains how a request would be handled: <service> <route> [database=..] [account=..].");
         addVerb(
                 line,
                 "set",
@@ -73,6 +71,10 @@
         return line;
     }
 
+    List<String> addresses() {
+        return options.addresses();
+    }
+
     CommandRunner newRunner(PrintWriter out) throws ToolException {
         return new CommandRunner(
                 options, options.readOperatorKey(environment.apply(ConnectionOptions.OPERATOR_KEY_VARIABLE)), out);
--- a/banyanhook-cli/src/test/java/org/banyanhook/cli/BanyanhookToolTest.java
+++ b/banyanhook-cli/src/test/java/org/banyanhook/cli/BanyanhookToolTest.java
@@ -30,6 +30,9 @@
     private static final String ROWS =
             "{\"command\":\"c\",\"version\":7,\"rows\":[{\"account\":\"plant\",\"keys\":[\"k1\",\"k2\"],\"rate\":10.0},"
                     + "{\"account\":\"lab\",\"keys\":[],\"rate\":2.5}]}";
+    private static final String EXPLANATION = "{\"choice\":\"m1\",\"random\":false,\"draw\":0.5,\"members\":["
+            + "{\"member\":\"m1\",\"role\":\"primary\",\"access\":\"IDLE_CONNECTION\",\"costMillis\":15,\"exclusion\":\"\"},"
+            + "{\"member\":\"m2\",\"role\":\"replica\",\"access\":null,\"exclusion\":\"could not be reached\"}]}";
     private static final String REFUSAL =
             "{\"kind\":\"%s\",\"execution\":\"%s\",\"detail\":\"It is so.\"," + "\"remedy\":\"Do this.\"}";
 
@@ -160,6 +163,32 @@
         assertThat(out.toString()).contains("take-out");
     }
 
+    /** Operators of gateways have no administration port, and no operator key. */
+    @Test
+    void explainsAChoiceAndReadsItAgainFromASnapshot() throws Exception {
+        environment = Map.of();
+        answers.add(new Answer(200, EXPLANATION));
+        assertThat(run("explain", "--database=tickets read", "--account=gozi510", "--json"))
+                .isEqualTo(ExitCodes.DONE);
+        assertThat(receivedRequests.get(0)).startsWith("/explain ");
+        Path snapshot = Files.writeString(directory.resolve("snapshot.json"), out.toString());
+        out.getBuffer().setLength(0);
+        assertThat(run("explain", "--snapshot=" + snapshot)).isEqualTo(ExitCodes.DONE);
+        assertThat(out.toString()).contains("could not be reached");
+        assertThat(out.toString()).contains("choice: m1, the lowest cost");
+        assertThat(receivedRequests).hasSize(1);
+    }
+
+    /** A refusal or a file of another kind would be printed as an explanation without members. */
+    @Test
+    void refusedAndInvalidExplanationsAreErrors() throws Exception {
+        answers.add(new Answer(400, "no database 'x'; name one of the configuration"));
+        assertThat(run("explain", "--database=x", "--account=a")).isEqualTo(ExitCodes.REFUSED);
+        assertThat(err.toString()).contains("name one of the configuration");
+        Path other = Files.writeString(directory.resolve("other.json"), "{}");
+        assertThat(run("explain", "--snapshot=" + other)).isEqualTo(ExitCodes.USAGE);
+    }
+
     private int run(String... arguments) {
         List<String> all = new ArrayList<>(List.of(arguments));
         if (!arguments[0].startsWith("--help") && !arguments[0].equals("generate-completion")) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -11,11 +11,13 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
+import java.util.function.Function;
 import org.banyanhook.core.execution.ShutdownSchedule;
 import org.banyanhook.daemon.peer.NettyPeerMessenger;
 import org.banyanhook.gateway.backend.ConnectionProbe;
@@ -48,6 +50,7 @@
 import org.banyanhook.gateway.primary.StoreOrQuorumPolicy;
 import org.banyanhook.gateway.rate.AccountRateLimiter;
 import org.banyanhook.gateway.rate.PeerTokenTransfers;
+import org.banyanhook.gateway.session.RouteExplanation;
 import org.banyanhook.gateway.session.Session;
 import org.banyanhook.gateway.session.SessionContext;
 import org.banyanhook.gateway.session.SessionRegistry;
@@ -62,6 +65,9 @@
     /** How long the end of the process waits for the store to remove the entry of this daemon. */
     private static final long REGISTRATION_END_TIMEOUT_MILLIS = 350;
 
+    /** The path, on the address for metrics, that explains where a statement would run. */
+    private static final String EXPLAIN_PATH = "/explain";
+
     private final GatewaySettings settings;
     private final Ports ports;
     private final EventLoopGroup eventLoops;
@@ -212,15 +218,21 @@
      */
     public void start() throws IOException {
         messenger.start();
-        Map<String, Supplier<HttpEndpoint.Response>> responses = Map.of(
+        Map<String, Function<Map<String, List<String>>, HttpEndpoint.Response>> responses = Map.of(
                 ports.paths().readiness(),
-                this::readiness,
+                parameters -> readiness(),
                 ports.paths().metrics(),
-                () -> new HttpEndpoint.Response(true, metrics.scrape()));
-        HttpEndpoint endpoint = new HttpEndpoint(responses);
-        ChannelHandler http = initializer(channel -> channel.pipeline().addLast(new HttpServerCodec(), endpoint));
-        listen(settings.readinessAddress(), http);
-        listen(settings.metricsAddress(), http);
+                parameters -> new HttpEndpoint.Response(true, metrics.scrape()));
+        listen(settings.readinessAddress(), httpServer(responses));
+        RouteExplanation explanation = new RouteExplanation(
+                directory,
+                databaseGroups,
+                clock,
+                () -> ThreadLocalRandom.current().nextDouble());
+        Map<String, Function<Map<String, List<String>>, HttpEndpoint.Response>> operatorResponses =
+                new HashMap<>(responses);
+        operatorResponses.put(EXPLAIN_PATH, explanation::respond);
+        listen(settings.metricsAddress(), httpServer(operatorResponses));
         ListeningChannel port = listen(
                 settings.clientAddress(),
                 initializer(channel -> channel.pipeline()
@@ -299,6 +311,12 @@
         return new HttpEndpoint.Response(ready, ready ? "ready" : draining ? "draining" : "configuration not read yet");
     }
 
+    private static ChannelHandler httpServer(
+            Map<String, Function<Map<String, List<String>>, HttpEndpoint.Response>> responses) {
+        HttpEndpoint endpoint = new HttpEndpoint(responses);
+        return initializer(channel -> channel.pipeline().addLast(new HttpServerCodec(), endpoint));
+    }
+
     private ListeningChannel listen(InetSocketAddress address, ChannelHandler initializer) throws IOException {
         var bindFuture = NettyBootstraps.serverBootstrap(eventLoops, initializer)
                 .bind(address)
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
@@ -419,6 +419,12 @@
         }
     }
 
+    /** Returns which member a request would be placed at, and why; the request is not placed. */
+    public SelectionReport explain(ConnectionRequest request, double draw) {
+        var state = new MemberSelection.GroupState(servers.values(), primary, mayUsePrimary());
+        return memberSelection.explain(request, state, this::isAvailable, draw);
+    }
+
     private boolean place(ConnectionRequest request) {
         List<MemberServer> available =
                 servers.values().stream().filter(this::isAvailable).toList();
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberSelection.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberSelection.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import org.banyanhook.core.replication.LogPosition;
 import org.banyanhook.core.replication.PositionHistory;
 import org.banyanhook.core.scheduling.MemberChoice;
@@ -61,29 +62,32 @@
         this.draws = draws;
     }
 
+    /** Receives whether a member qualifies. */
+    @FunctionalInterface
+    private interface Evaluation {
+        /**
+         * Handles the result for one member.
+         *
+         * @param server the member
+         * @param candidate the candidate, or null if the member does not qualify
+         * @param exclusion why it does not, or an empty text
+         */
+        void onMember(MemberServer server, MemberChoice.@Nullable Candidate candidate, String exclusion);
+    }
+
     /** Selects a member, or returns empty if none can run the request now. */
     Optional<Selection> select(ConnectionRequest request, GroupState group) {
         long now = context.clock().nowNanos();
-        Optional<PositionHistory.Entry> minimumPosition = request.requirements().primaryOnly()
-                ? Optional.empty()
-                : minimumPosition(request.requirements(), request.arrivedNanos());
+        Optional<PositionHistory.Entry> minimumPosition = requiredPosition(request);
         Map<String, MemberServer> serversByName = new HashMap<>();
         List<MemberChoice.Candidate> candidates = new ArrayList<>();
-        for (MemberServer server : group.servers()) {
-            boolean atPrimary = server == group.primary();
-            boolean eligible =
-                    atPrimary ? group.primaryUsable() : minimumPosition.isPresent() && !server.isLagging(now);
-            if (eligible && server.isRetryDue(now) && !request.excludes(server.name())) {
-                candidate(server, request, atPrimary, now).ifPresent(candidate -> {
-                    candidates.add(candidate);
-                    serversByName.put(server.name(), server);
-                });
+        evaluate(request, group, minimumPosition.isPresent(), now, (server, candidate, exclusion) -> {
+            if (candidate != null) {
+                candidates.add(candidate);
+                serversByName.put(server.name(), server);
             }
-        }
-        Optional<MemberChoice.Candidate> chosen = capacity.isInForce()
-                ? MemberChoice.choose(candidates, draws.getAsDouble())
-                : MemberChoice.choose(candidates);
-        return chosen.map(choice -> {
+        });
+        return choose(candidates, draws).map(choice -> {
             MemberServer server = Objects.requireNonNull(serversByName.get(choice.member()), choice.member());
             boolean atPrimary = server == group.primary();
             return new Selection(
@@ -97,30 +101,130 @@
         });
     }
 
-    private Optional<MemberChoice.Candidate> candidate(
-            MemberServer server, ConnectionRequest request, boolean atPrimary, long now) {
+    /**
+     * Returns the state that a selection would be based on, and its result. Sends nothing and changes nothing.
+     *
+     * @param request the request, which is not placed
+     * @param group the state of the group, with all of its members
+     * @param available whether a member accepts requests
+     * @param draw the random value that the choice is made with, if it is made at random
+     */
+    SelectionReport explain(
+            ConnectionRequest request, GroupState group, Predicate<MemberServer> available, double draw) {
+        long now = context.clock().nowNanos();
+        List<MemberChoice.Candidate> candidates = new ArrayList<>();
+        List<SelectionReport.Member> members = new ArrayList<>();
+        evaluate(request, group, requiredPosition(request).isPresent(), now, (server, candidate, exclusion) -> {
+            boolean accepts = available.test(server);
+            if (accepts && candidate != null) {
+                candidates.add(candidate);
+            }
+            members.add(report(
+                    server, group, accepts ? candidate : null, accepts ? exclusion : "accepts no requests", now));
+        });
+        Optional<MemberChoice.Candidate> choice = choose(candidates, () -> draw);
+        return new SelectionReport(
+                members,
+                choice.map(MemberChoice.Candidate::member).orElse(null),
+                capacity.isInForce(),
+                draw,
+                request.requirements().primaryOnly());
+    }
+
+    private Optional<MemberChoice.Candidate> choose(List<MemberChoice.Candidate> candidates, DoubleSupplier draw) {
+        return capacity.isInForce()
+                ? MemberChoice.choose(candidates, draw.getAsDouble())
+                : MemberChoice.choose(candidates);
+    }
+
+    private SelectionReport.Member report(
+            MemberServer server,
+            GroupState group,
+            MemberChoice.@Nullable Candidate candidate,
+            String exclusion,
+            long now) {
+        boolean shared = capacity.isInForce();
+        return new SelectionReport.Member(
+                server.name(),
+                server == group.primary(),
+                context.settings().regionOf(server.entry().failureDomain()),
+                server.position(),
+                server.entry().slots(),
+                shared ? server.running() : server.inFlight(),
+                shared ? server.capacity().inFlight(server.running(), now) : server.inFlight(),
+                shared ? server.capacity().knee() : server.entry().slots(),
+                shared ? server.capacity().serviceMillis() : server.latency().expectedMillis(now),
+                candidate == null ? null : candidate.access(),
+                candidate == null ? 0 : candidate.costMillis(),
+                exclusion);
+    }
+
+    private void evaluate(
+            ConnectionRequest request, GroupState group, boolean replicasQualify, long now, Evaluation evaluation) {
+        for (MemberServer server : group.servers()) {
+            boolean atPrimary = server == group.primary();
+            String exclusion = exclusion(server, request, group, replicasQualify, now);
+            MemberChoice.Candidate candidate = null;
+            if (exclusion.isEmpty()) {
+                Access access = allocator.access(server, request.account(), atPrimary, connectionLimit, now);
+                if (access == null) {
+                    exclusion = "no connection is available";
+                } else {
+                    candidate = candidate(server, access, request, atPrimary, now);
+                }
+            }
+            evaluation.onMember(server, candidate, exclusion);
+        }
+    }
+
+    /** Returns why a member does not qualify, or an empty text. */
+    private String exclusion(
+            MemberServer server, ConnectionRequest request, GroupState group, boolean replicasQualify, long now) {
+        boolean atPrimary = server == group.primary();
         Set<String> regions = request.requirements().regions();
-        String region = context.settings().regionOf(server.entry().failureDomain());
-        boolean regionAllowed = regions.isEmpty() || regions.contains(region);
-        if (!regionAllowed
-                || (request.requirements().primaryOnly() && !atPrimary)
-                || !server.warmUp().allowsRequest(now)) {
-            return Optional.empty();
+        if (atPrimary && !group.primaryUsable()) {
+            return "the primary may be in replacement";
+        }
+        if (!atPrimary && request.requirements().primaryOnly()) {
+            return "is not the primary";
+        }
+        if (!atPrimary && !replicasQualify) {
+            return "no position is known that is recent enough";
         }
-        Access access = allocator.access(server, request.account(), atPrimary, connectionLimit, now);
-        if (access == null) {
-            return Optional.empty();
+        if (!atPrimary && server.isLagging(now)) {
+            return "had not reached a required position";
         }
+        if (!server.isRetryDue(now)) {
+            return "could not be reached";
+        }
+        if (request.excludes(server.name())) {
+            return "could not run the statement before";
+        }
+        if (!regions.isEmpty()
+                && !regions.contains(context.settings().regionOf(server.entry().failureDomain()))) {
+            return "is outside of the home regions";
+        }
+        return server.warmUp().allowsRequest(now) ? "" : "is warming up";
+    }
+
+    private MemberChoice.Candidate candidate(
+            MemberServer server, Access access, ConnectionRequest request, boolean atPrimary, long now) {
+        String region = context.settings().regionOf(server.entry().failureDomain());
         String ownRegion = context.settings().regionOf(context.settings().failureDomain());
         boolean otherRegion = !region.equals(ownRegion);
-        if (capacity.isInForce()) {
-            boolean reserved = atPrimary && !request.requirements().primaryOnly() && capacity.isReserved(server, now);
-            double expectedMillis = server.capacity().expectedMillis(server.running(), now);
-            return Optional.of(
-                    new MemberChoice.Candidate(server.name(), access, expectedMillis, otherRegion, reserved));
+        if (!capacity.isInForce()) {
+            return new MemberChoice.Candidate(
+                    server.name(), access, server.latency().expectedMillis(now), server.inFlight(), otherRegion);
         }
-        return Optional.of(new MemberChoice.Candidate(
-                server.name(), access, server.latency().expectedMillis(now), server.inFlight(), otherRegion));
+        boolean reserved = atPrimary && !request.requirements().primaryOnly() && capacity.isReserved(server, now);
+        return new MemberChoice.Candidate(
+                server.name(), access, server.capacity().expectedMillis(server.running(), now), otherRegion, reserved);
+    }
+
+    private Optional<PositionHistory.Entry> requiredPosition(ConnectionRequest request) {
+        return request.requirements().primaryOnly()
+                ? Optional.empty()
+                : minimumPosition(request.requirements(), request.arrivedNanos());
     }
 
     /** Returns the position that a replica's log must have reached, or empty if only the primary qualifies. */
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/operation/HttpEndpoint.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/operation/HttpEndpoint.java
@@ -15,8 +15,9 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
-import java.util.function.Supplier;
+import java.util.function.Function;
 
 /** Serves the readiness and the metrics of the daemon over HTTP. */
 @Sharable
@@ -25,31 +26,49 @@
     /**
      * A response.
      *
-     * @param ready true for status 200, false for status 503
+     * @param status the status
      * @param text the body
      */
-    public record Response(boolean ready, String text) {}
+    public record Response(HttpResponseStatus status, String text) {
 
-    private final Map<String, Supplier<Response>> responses;
+        /**
+         * Creates a response.
+         *
+         * @param ready true for status 200, false for status 503
+         * @param text the body
+         */
+        public Response(boolean ready, String text) {
+            this(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, text);
+        }
+
+        /** Creates a response to a request that is not valid. */
+        public static Response badRequest(String text) {
+            return new Response(HttpResponseStatus.BAD_REQUEST, text);
+        }
+    }
+
+    private final Map<String, Function<Map<String, List<String>>, Response>> responses;
 
     /**
      * Creates an endpoint.
      *
-     * @param responses the suppliers of the responses, by path; other paths get status 404
+     * @param responses the functions from the parameters of a request to the response, by path; other paths get status
+     *     404
      */
-    public HttpEndpoint(Map<String, Supplier<Response>> responses) {
+    public HttpEndpoint(Map<String, Function<Map<String, List<String>>, Response>> responses) {
         super(HttpRequest.class);
         this.responses = Map.copyOf(responses);
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpRequest request) {
-        Supplier<Response> supplier = responses.get(new QueryStringDecoder(request.uri()).path());
+        QueryStringDecoder uri = new QueryStringDecoder(request.uri());
+        Function<Map<String, List<String>>, Response> responder = responses.get(uri.path());
         HttpResponseStatus status = HttpResponseStatus.NOT_FOUND;
         String text = "";
-        if (supplier != null) {
-            Response content = supplier.get();
-            status = content.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+        if (responder != null) {
+            Response content = responder.apply(uri.parameters());
+            status = content.status();
             text = content.text();
         }
         ByteBuf body = Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.core.configuration.DatabaseRoute;
-import org.banyanhook.core.configuration.ReadFreshness;
 import org.banyanhook.core.execution.ExecutionAction;
 import org.banyanhook.core.execution.ExecutionEvent;
 import org.banyanhook.core.execution.ExecutionPhase;
@@ -240,13 +239,8 @@
                     "a replacement of the primary might not be detected here; retry on a new connection");
             return;
         }
-        Set<String> allowedRegions = HomeRegions.intersect(
-                route.homeRegions(), context.directory().configuration().regionsOf(account));
-        ConnectionRequest.Requirements requirements = new ConnectionRequest.Requirements(
-                requiresPrimary,
-                TimeUnit.MILLISECONDS.toNanos(route.maximumAgeMillis()),
-                sessionPosition,
-                allowedRegions);
+        ConnectionRequest.Requirements requirements = StatementRequirements.of(
+                context.directory().configuration(), route, account, requiresPrimary, sessionPosition);
         ConnectionRequest newRequest =
                 new ConnectionRequest(account, weight, requirements, arrivedNanos, deadlineNanos, this);
         laggingMembers.forEach(newRequest::exclude);
@@ -258,10 +252,7 @@
     }
 
     private boolean requiresPrimary() {
-        if (route.freshness() == ReadFreshness.CURRENT) {
-            return true;
-        }
-        return transaction == null ? isWrite() : !transaction.readOnly();
+        return StatementRequirements.requiresPrimary(route, transaction == null ? isWrite() : !transaction.readOnly());
     }
 
     private boolean isWrite() {
