Use no concurrency class in the core's capacity decisions

Cause: LearnedCapacity imported TimeUnit, which DecisionPurityTest refuses.

Change: the constant is given in nanoseconds.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/scheduling/LearnedCapacity.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/scheduling/LearnedCapacity.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 
 /**
  * What is known of a member's speed: the answers of this daemon, combined with the reports of other daemons by their
@@ -14,7 +13,7 @@
 public final class LearnedCapacity {
 
     /** Reports older than this are dropped; each neighbour with new answers reports several times within it. */
-    static final long MAXIMUM_REPORT_AGE_NANOS = TimeUnit.SECONDS.toNanos(10);
+    static final long MAXIMUM_REPORT_AGE_NANOS = 10_000_000_000L;
 
     /** Exceeds the daemons of a failure domain; further senders are ignored. */
     static final int MAXIMUM_SENDERS = 64;
