Combine what is known of members on the periodic check only

Cause: each heartbeat of a member also combined all reports, 15 times a second in a large fleet.

Change: DatabaseGroup refreshes the capacities every 200 ms, not with each change of the fleet.

Measured: the gateway tests of this part and five cases of GatewayIT passed.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
@@ -297,7 +297,6 @@
         }
         closeUnavailableConnections();
         reselectPrimary("the entries of the members changed");
-        capacity.refresh(servers.values(), primary);
         endWorkAtFormerPrimaries();
         dispatch();
     }
