--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.core.configuration.DatabaseRoute;
-import org.banyanhook.core.configuration.ReadFreshness;
 import org.banyanhook.core.execution.ExecutionAction;
 import org.banyanhook.core.execution.ExecutionEvent;
 import org.banyanhook.core.execution.ExecutionPhase;
@@ -241,13 +240,8 @@
                     "a replacement of the primary might not be detected here; retry on a new connection");
             return;
         }
-        Set<String> allowedRegions = HomeRegions.intersect(
-                route.homeRegions(), context.directory().configuration().regionsOf(account));
-        ConnectionRequest.Requirements requirements = new ConnectionRequest.Requirements(
-                requiresPrimary,
-                TimeUnit.MILLISECONDS.toNanos(route.maximumAgeMillis()),
-                sessionPosition,
-                allowedRegions);
+        ConnectionRequest.Requirements requirements = StatementRequirements.of(
+                context.directory().configuration(), route, account, requiresPrimary, sessionPosition);
         ConnectionRequest newRequest =
                 new ConnectionRequest(account, weight, requirements, arrivedNanos, deadlineNanos, this);
         newRequest.objective(route.priority(), TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMillis()));
@@ -260,10 +254,7 @@
     }
 
     private boolean requiresPrimary() {
-        if (route.freshness() == ReadFreshness.CURRENT) {
-            return true;
-        }
-        return transaction == null ? isWrite() : !transaction.readOnly();
+        return StatementRequirements.requiresPrimary(route, transaction == null ? isWrite() : !transaction.readOnly());
     }
 
     private boolean isWrite() {
@@ -348,7 +339,7 @@
             }
             return;
         }
-        group.recordLatency(source.server(), context.clock().nowNanos() - sentNanos);
+        group.recordAnswer(source.server(), answer.error(), context.clock().nowNanos() - sentNanos);
         if (decide(source, ExecutionEvent.STATEMENT_ANSWERED) != ExecutionAction.EVALUATE_ANSWER) {
             settle(source, answer);
         } else if (answer.error() != null) {
