Stand-in of the store: take a copy and return to it in a new era

Cause: a store that is restored from an older copy loses acknowledged writes and issues revisions and lease identifiers again; no test could show this. Change: StoreStandIn takes a copy, returns to it (503 before, 410 for watches, reissued revisions and leases, header Store-Era), and repeats the writes of operators and members.

--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/http/JsonHttpServer.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/http/JsonHttpServer.java
@@ -191,6 +191,7 @@
                 return;
             }
             response.setStatus(reply.status());
+            reply.headers().forEach(response.getHeaders()::put);
             if (reply.closesConnection()) {
                 response.getHeaders().put(HttpHeader.CONNECTION, "close");
             }
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/http/JsonReply.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/http/JsonReply.java
@@ -1,5 +1,7 @@
 package org.banyanhook.testbed.http;
 
+import com.google.common.collect.ImmutableMap;
+import java.util.Map;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -8,8 +10,18 @@
  * @param status the HTTP status
  * @param body a value that Jackson writes as JSON, or null for an empty body
  * @param closesConnection true if the connection is closed after the answer
+ * @param headers additional headers
  */
-public record JsonReply(int status, @Nullable Object body, boolean closesConnection) {
+public record JsonReply(int status, @Nullable Object body, boolean closesConnection, Map<String, String> headers) {
+
+    public JsonReply {
+        headers = Map.copyOf(headers);
+    }
+
+    /** Creates a reply without additional headers. */
+    public JsonReply(int status, @Nullable Object body, boolean closesConnection) {
+        this(status, body, closesConnection, Map.of());
+    }
 
     /** Closes the connection without an answer. */
     public static final JsonReply DROPPED = new JsonReply(0, null, true);
@@ -28,4 +40,11 @@
     public static JsonReply of(int status, Object body) {
         return new JsonReply(status, body, false);
     }
+
+    /** Returns the same reply with one more header. */
+    public JsonReply withHeader(String name, String value) {
+        ImmutableMap.Builder<String, String> extended =
+                ImmutableMap.<String, String>builder().putAll(headers).put(name, value);
+        return new JsonReply(status, body, closesConnection, extended.buildOrThrow());
+    }
 }
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/StoreStandIn.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/StoreStandIn.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -18,6 +19,7 @@
 import org.banyanhook.testbed.http.JsonReply;
 import org.banyanhook.testbed.http.JsonRequest;
 import org.banyanhook.testbed.http.MalformedRequestException;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A stand-in for the platform's key-value store, with revisions, conditional writes, leases and watches. Thread-safe.
@@ -37,6 +39,11 @@
     private long oldestWatchableRevision;
     private long lastLeaseId;
     private volatile boolean unavailable;
+    private long era;
+    private @Nullable Copy copy;
+    private final List<Runnable> outsideWrites = new ArrayList<>();
+
+    private record Copy(TreeMap<String, Item> items, Map<Long, Long> leaseExpiryNanos, long revision, long leaseId) {}
 
     private record Item(byte[] value, long revision, long leaseId) {}
 
@@ -76,12 +83,14 @@
 
     /** Writes a record without a lease, as operators and members do. */
     public synchronized void put(String key, String value) {
+        outsideWrites.add(() -> put(key, value));
         writeItem(key, value.getBytes(StandardCharsets.UTF_8), 0);
         completeWatches();
     }
 
     /** Removes a record. */
     public synchronized void remove(String key) {
+        outsideWrites.add(() -> remove(key));
         removeItem(key);
         completeWatches();
     }
@@ -97,6 +106,42 @@
         pendingWatches.clear();
     }
 
+    /** Sends the header with the era in every answer from now on, beginning with era 1. */
+    public synchronized void startEras() {
+        era = 1;
+    }
+
+    /** Takes a copy of all records and leases. */
+    public synchronized void takeCopy() {
+        expireLeases();
+        copy = new Copy(new TreeMap<>(items), new HashMap<>(leaseExpiryNanos), revision, lastLeaseId);
+        outsideWrites.clear();
+    }
+
+    /**
+     * Returns to the copy in a new era: all later writes and leases are lost, and their revisions and lease identifiers
+     * are issued again. Pending watches are answered with status 410. What operators and members wrote since the copy
+     * is lost until {@link #repeatOutsideWrites()}.
+     */
+    public synchronized void restoreCopy() {
+        Copy restored = Objects.requireNonNull(copy, "no copy was taken");
+        era++;
+        items.clear();
+        items.putAll(restored.items());
+        leaseExpiryNanos.clear();
+        leaseExpiryNanos.putAll(restored.leaseExpiryNanos());
+        revision = restored.revision();
+        lastLeaseId = restored.leaseId();
+        discardHistory();
+    }
+
+    /** Makes the writes of operators and members again that were made since the copy. */
+    public synchronized void repeatOutsideWrites() {
+        List<Runnable> repeated = List.copyOf(outsideWrites);
+        outsideWrites.clear();
+        repeated.forEach(Runnable::run);
+    }
+
     /** Returns the text of a record, or an empty string if there is none. */
     public synchronized String text(String key) {
         Item item = items.get(key);
@@ -111,6 +156,15 @@
 
     private CompletableFuture<JsonReply> handle(JsonRequest request, UnaryOperator<String> rewrite)
             throws MalformedRequestException {
+        return answer(request, rewrite).thenApply(this::withEra);
+    }
+
+    private synchronized JsonReply withEra(JsonReply reply) {
+        return era == 0 ? reply : reply.withHeader("Store-Era", Long.toString(era));
+    }
+
+    private CompletableFuture<JsonReply> answer(JsonRequest request, UnaryOperator<String> rewrite)
+            throws MalformedRequestException {
         if (unavailable) {
             return CompletableFuture.completedFuture(JsonReply.empty(503));
         }
@@ -159,7 +213,7 @@
 
     private CompletableFuture<JsonReply> startWatch(
             long afterRevision, long waitMillis, UnaryOperator<String> rewrite) {
-        if (afterRevision < oldestWatchableRevision) {
+        if (afterRevision < oldestWatchableRevision || afterRevision > revision) {
             return completed(JsonReply.empty(410));
         }
         PendingWatch watch = new PendingWatch(afterRevision, rewrite, new CompletableFuture<>());
