--- a/banyanhook-core/src/main/java/org/banyanhook/core/primary/GrantedVotes.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/GrantedVotes.java
@@ -5,7 +5,8 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.ToLongFunction;
+import java.util.function.Function;
+import org.banyanhook.core.store.StoreRevision;
 
 /**
  * The votes of this daemon for the replacement of primaries, each until the daemon knows its outcome.
@@ -32,31 +33,30 @@
 
     private final Map<String, Vote> votes = new HashMap<>();
 
-    private record Vote(long votedNanos, long promotionRevision) {}
+    private record Vote(long votedNanos, StoreRevision promotionRevision) {}
 
     /**
      * Records that this daemon voted for the replacement of a primary.
      *
      * @param group the database group
-     * @param promotionRevision the revision of the group's latest promotion known to this daemon, 0 if none is known
+     * @param promotionRevision the revision of the group's latest promotion known to this daemon, or none
      * @param nowNanos the reading of this entry VM's monotonic clock
      */
-    public void recordVote(String group, long promotionRevision, long nowNanos) {
+    public void recordVote(String group, StoreRevision promotionRevision, long nowNanos) {
         votes.put(group, new Vote(nowNanos, promotionRevision));
     }
 
     /**
      * Returns the groups whose primary may have been replaced without the knowledge of this daemon.
      *
-     * @param promotionRevision returns the revision of a group's latest promotion known to this daemon, 0 if none is
-     *     known
+     * @param promotionRevision returns the revision of a group's latest promotion known to this daemon, or none
      * @param lastStoreContactNanos the time at which the last call that the store answered was sent
      * @return the groups
      */
-    public Set<String> groupsInDoubt(ToLongFunction<String> promotionRevision, long lastStoreContactNanos) {
+    public Set<String> groupsInDoubt(Function<String, StoreRevision> promotionRevision, long lastStoreContactNanos) {
         votes.entrySet().removeIf(entry -> {
             Vote vote = entry.getValue();
-            return promotionRevision.applyAsLong(entry.getKey()) > vote.promotionRevision()
+            return promotionRevision.apply(entry.getKey()).isAfter(vote.promotionRevision())
                     || isExpired(vote.votedNanos(), lastStoreContactNanos);
         });
         return new HashSet<>(votes.keySet());
--- a/banyanhook-core/src/main/java/org/banyanhook/core/primary/PrimaryReport.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/PrimaryReport.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.Optional;
+import org.banyanhook.core.store.StoreRevision;
 
 /**
  * A member's report that it is the primary of its group.
@@ -11,10 +12,10 @@
  * @param observedTerm the term in the member's last answer since it began to report this role, 0 if it has not answered
  * @param reportRevision the revision of the report in the store
  */
-public record PrimaryReport(String member, long observedTerm, long reportRevision) {
+public record PrimaryReport(String member, long observedTerm, StoreRevision reportRevision) {
 
     private static final Comparator<PrimaryReport> BY_REVISION =
-            Comparator.comparingLong(PrimaryReport::reportRevision).thenComparing(PrimaryReport::member);
+            Comparator.comparing(PrimaryReport::reportRevision).thenComparing(PrimaryReport::member);
 
     /**
      * Selects the current primary among the members that report to be primary.
--- a/banyanhook-core/src/main/java/org/banyanhook/core/primary/UnresolvedPromotions.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/UnresolvedPromotions.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.banyanhook.core.store.StoreRevision;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -24,18 +25,18 @@
     public static final long RECORD_RELEVANCE_NANOS = Duration.ofSeconds(10).toNanos();
 
     private final Map<String, UnansweredRequest> unansweredRequests = new HashMap<>();
-    private final Map<String, Long> completedRevisions = new HashMap<>();
+    private final Map<String, StoreRevision> completedRevisions = new HashMap<>();
 
     /**
      * A promotion recorded in the store.
      *
      * @param member the member to be promoted
-     * @param revision the revision of the record
+     * @param revision the revision at which the promotion was recorded first
      * @param learnedNanos when this daemon learned of the record
      */
-    public record RecordedPromotion(String member, long revision, long learnedNanos) {}
+    public record RecordedPromotion(String member, StoreRevision revision, long learnedNanos) {}
 
-    private record UnansweredRequest(String member, long revision) {}
+    private record UnansweredRequest(String member, StoreRevision revision) {}
 
     /**
      * Records that this daemon sent a request to promote a member and received no answer.
@@ -44,7 +45,7 @@
      * @param member the member
      * @param revision the revision of the record of this promotion
      */
-    public void recordUnanswered(String group, String member, long revision) {
+    public void recordUnanswered(String group, String member, StoreRevision revision) {
         unansweredRequests.put(group, new UnansweredRequest(member, revision));
     }
 
@@ -65,12 +66,13 @@
      * @param recorded the last recorded promotion, or null if there is none
      */
     public void observePrimary(String group, String primary, @Nullable RecordedPromotion recorded) {
-        long ledRevision = recorded != null && recorded.member().equals(primary) ? recorded.revision() : 0;
+        StoreRevision ledRevision =
+                recorded != null && recorded.member().equals(primary) ? recorded.revision() : StoreRevision.NONE;
         UnansweredRequest unanswered = unansweredRequests.get(group);
-        if (unanswered != null && (unanswered.member().equals(primary) || ledRevision > unanswered.revision())) {
+        if (unanswered != null && (unanswered.member().equals(primary) || ledRevision.isAfter(unanswered.revision()))) {
             unansweredRequests.remove(group);
         }
-        if (ledRevision > 0) {
+        if (ledRevision.isAfter(StoreRevision.NONE)) {
             completedRevisions.put(group, ledRevision);
         }
     }
@@ -91,7 +93,7 @@
             return Optional.of(unanswered.member());
         }
         if (recorded == null
-                || completedRevisions.getOrDefault(group, 0L) >= recorded.revision()
+                || !recorded.revision().isAfter(completedRevisions.getOrDefault(group, StoreRevision.NONE))
                 || nowNanos - recorded.learnedNanos() >= RECORD_RELEVANCE_NANOS) {
             return Optional.empty();
         }
--- a/banyanhook-core/src/main/java/org/banyanhook/core/store/StoreRevision.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/store/StoreRevision.java
@@ -1,4 +1,4 @@
-package org.banyanhook.gateway.port;
+package org.banyanhook.core.store;
 
 import static com.google.common.base.Preconditions.checkArgument;
 
@@ -39,6 +39,20 @@
         return (era << NUMBER_BITS) + number;
     }
 
+    /**
+     * Returns the revision of a fencing token.
+     *
+     * @param token the token, at least 0
+     */
+    public static StoreRevision ofFencingToken(long token) {
+        return new StoreRevision(token >>> NUMBER_BITS, token & ((1L << NUMBER_BITS) - 1));
+    }
+
+    /** Returns whether this revision is of a later change than another one. */
+    public boolean isAfter(StoreRevision other) {
+        return compareTo(other) > 0;
+    }
+
     @Override
     public int compareTo(StoreRevision other) {
         int byEra = Long.compare(era, other.era);
--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/store/package-info.java
@@ -0,0 +1,5 @@
+/** The order of changes of the platform's record store. */
+@NullMarked
+package org.banyanhook.core.store;
+
+import org.jspecify.annotations.NullMarked;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -23,7 +23,9 @@
 import org.banyanhook.gateway.backend.GroupContext;
 import org.banyanhook.gateway.backend.NettyMemberConnector;
 import org.banyanhook.gateway.fleet.DaemonRegistration;
+import org.banyanhook.gateway.fleet.EraCheckedStore;
 import org.banyanhook.gateway.fleet.FleetDirectory;
+import org.banyanhook.gateway.fleet.StoreEras;
 import org.banyanhook.gateway.fleet.StoreMirror;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.GatewayMetrics;
@@ -39,6 +41,7 @@
 import org.banyanhook.gateway.port.PromotionAuthority;
 import org.banyanhook.gateway.port.RecordStore;
 import org.banyanhook.gateway.port.SessionCodec;
+import org.banyanhook.gateway.primary.LostPromotionWriter;
 import org.banyanhook.gateway.primary.PeerVoteExchange;
 import org.banyanhook.gateway.primary.PromotionController;
 import org.banyanhook.gateway.primary.PromotionLeases;
@@ -61,6 +64,12 @@
     /** How long the end of the process waits for the store to remove the entry of this daemon. */
     private static final long REGISTRATION_END_TIMEOUT_MILLIS = 350;
 
+    /**
+     * The part of each daemon in the random delay before it registers again after the store was restored. Two calls of
+     * each of 120 daemons within 0.6 s are a third of what the store accepts.
+     */
+    private static final long RESTORE_DELAY_MILLIS_PER_DAEMON = 5;
+
     private final GatewaySettings settings;
     private final Ports ports;
     private final EventLoopGroup eventLoops;
@@ -69,6 +78,7 @@
     private final MonotonicClock clock = MonotonicClock.ofSystem();
     private final PauseDetector pauses = new PauseDetector(System::nanoTime, TICK_INTERVAL_MILLIS);
     private final GatewayMetrics metrics = new GatewayMetrics();
+    private final StoreEras eras;
     private final FleetDirectory directory;
     private final StoreMirror storeMirror;
     private final DaemonRegistration registration;
@@ -114,9 +124,11 @@
         this.eventLoops = requireNonNull(eventLoops, "eventLoops");
         this.eventLoop = eventLoops.next();
         this.log = new DecisionLog(settings.entryVm(), output, clock::nowNanos);
+        this.eras = new StoreEras(log);
+        RecordStore store = new EraCheckedStore(ports.store(), eras);
         this.directory = new FleetDirectory(ports.recordCodec(), log, clock);
         this.storeMirror =
-                new StoreMirror(ports.store(), ports.recordCodec().keyPrefix(), directory, eventLoop, log, metrics);
+                new StoreMirror(store, ports.recordCodec().keyPrefix(), directory, eras, eventLoop, log, metrics);
         this.messenger = NettyPeerMessenger.builder(settings.entryVm(), settings.failureDomain())
                 .listenAddress(settings.peerAddress())
                 .eventLoops(eventLoops)
@@ -124,7 +136,7 @@
         DaemonEntry self =
                 new DaemonEntry(settings.entryVm(), settings.failureDomain(), hostAndPort(settings.peerAddress()));
         this.registration = new DaemonRegistration(
-                ports.store(),
+                store,
                 ports.recordCodec().daemonKey(settings.entryVm()),
                 ports.recordCodec().encode(self),
                 storeMirror,
@@ -133,7 +145,7 @@
                 log,
                 metrics);
         PeerVoteExchange voteExchange =
-                new PeerVoteExchange(settings.entryVm(), messenger, directory, eventLoop, clock);
+                new PeerVoteExchange(settings.entryVm(), messenger, directory, eras, eventLoop, clock);
         this.primaryAccess = new StoreOrQuorumPolicy(
                 registration::nanosSinceContact, registration::contact, voteExchange, clock, eventLoop, log);
         GroupContext groupContext = new GroupContext(
@@ -148,7 +160,6 @@
                 metrics);
         this.databaseGroups = new DatabaseGroups(groupContext);
         directory.addListener(databaseGroups);
-        registration.onContact(databaseGroups::tick);
         registration.entryLease(() -> directory.daemonLease(settings.entryVm()));
         PeerTokenTransfers tokenTransfers = new PeerTokenTransfers(messenger, directory, eventLoop);
         this.rateLimiter = new AccountRateLimiter(
@@ -160,9 +171,10 @@
         voteExchange.serve(promotionVoter);
         primaryAccess.groupsWithUnresolvedVotes(promotionVoter::groupsWithUnresolvedVotes);
         PromotionLeases promotionLeases =
-                new PromotionLeases(settings.entryVm(), ports.store(), ports.recordCodec(), directory, clock, log);
+                new PromotionLeases(settings.entryVm(), store, ports.recordCodec(), directory, clock, log);
+        handleRestoredStore(store, promotionLeases);
         storeMirror.onFirstReading(promotionLeases::endFormerLeases);
-        this.promotionController = newPromotionController(promotionLeases, voteExchange, promotionVoter, probe);
+        this.promotionController = newPromotionController(store, promotionLeases, voteExchange, promotionVoter, probe);
         directory.addListener(promotionController);
         this.sessionContext = new SessionContext(
                 settings, directory, databaseGroups, rateLimiter, primaryAccess, eventLoop, clock, log, metrics);
@@ -179,16 +191,33 @@
                 log);
     }
 
+    /** Arranges what happens when the store has been restored from a copy, and when its new era has been read. */
+    private void handleRestoredStore(RecordStore store, PromotionLeases promotionLeases) {
+        eras.addListener(promotionLeases::dropAll);
+        eras.addListener(primaryAccess::onStoreRestored);
+        eras.addListener(registration::onStoreRestored);
+        primaryAccess.storeRead(() -> eras.mayDecideIn(eras.newest()));
+        registration.restoreDelayLimitMillis(() -> RESTORE_DELAY_MILLIS_PER_DAEMON * directory.daemonsSharingLimits());
+        LostPromotionWriter lostPromotions =
+                new LostPromotionWriter(settings.entryVm(), store, ports.recordCodec(), directory, eras, log);
+        registration.onContact(() -> {
+            databaseGroups.tick();
+            lostPromotions.writeAgain();
+        });
+    }
+
     private PromotionController newPromotionController(
+            RecordStore store,
             PromotionLeases promotionLeases,
             PeerVoteExchange voteExchange,
             PromotionVoter promotionVoter,
             ConnectionProbe probe) {
         PromotionWorkflow workflow = new PromotionWorkflow(
                 settings.entryVm(),
-                ports.store(),
+                store,
                 ports.recordCodec(),
                 directory,
+                eras,
                 promotionLeases,
                 voteExchange,
                 promotionVoter,
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
@@ -356,7 +356,7 @@
     private void reselectPrimary(String reason) {
         List<PrimaryReport> reports = new ArrayList<>();
         for (MemberServer server : servers.values()) {
-            if (server.primarySinceRevision() > 0) {
+            if (server.reportsPrimary()) {
                 reports.add(new PrimaryReport(server.name(), server.termSinceReport(), server.primarySinceRevision()));
             }
         }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
@@ -6,6 +6,7 @@
 import org.banyanhook.core.replication.LogPosition;
 import org.banyanhook.core.routing.LatencyEstimate;
 import org.banyanhook.core.routing.WarmUpLimiter;
+import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.gateway.port.MemberEntry;
 import org.jspecify.annotations.Nullable;
 
@@ -29,7 +30,7 @@
     private final LatencyEstimate latency;
     private final WarmUpLimiter warmUp;
     private MemberEntry entry;
-    private long primarySinceRevision;
+    private StoreRevision primarySinceRevision;
     private long primaryReportedNanos;
     private boolean listed = true;
     private LogPosition position = LogPosition.START;
@@ -43,7 +44,7 @@
     private long termSinceReport;
     private long lastAnswerNanos;
 
-    MemberServer(MemberEntry entry, long primarySinceRevision, long nowNanos) {
+    MemberServer(MemberEntry entry, StoreRevision primarySinceRevision, long nowNanos) {
         this.entry = entry;
         this.primarySinceRevision = primarySinceRevision;
         this.primaryReportedNanos = nowNanos;
@@ -71,9 +72,14 @@
         return position;
     }
 
-    /** Returns the revision at which it began to report that it is the primary, or 0 if it does not. */
-    public long primarySinceRevision() {
-        return primaryReportRejected ? 0 : primarySinceRevision;
+    /** Returns whether it reports that it is the primary, and none of its answers has contradicted the report. */
+    public boolean reportsPrimary() {
+        return primarySinceRevision().isAfter(StoreRevision.NONE);
+    }
+
+    /** Returns the revision at which it began to report that it is the primary, or none if it does not. */
+    StoreRevision primarySinceRevision() {
+        return primaryReportRejected ? StoreRevision.NONE : primarySinceRevision;
     }
 
     /** Returns the term of its last answer since it began to report that it is the primary, or 0 without an answer. */
@@ -145,11 +151,11 @@
         return warmUp;
     }
 
-    void update(MemberEntry newEntry, long revision, long nowNanos) {
+    void update(MemberEntry newEntry, StoreRevision revision, long nowNanos) {
         if (!newEntry.equals(entry)) {
             warmUp.recordRemainingWarmUp(newEntry.warmUpMillis(), nowNanos);
         }
-        boolean reportsAgain = revision > primarySinceRevision;
+        boolean reportsAgain = revision.isAfter(primarySinceRevision);
         if (reportsAgain) {
             primaryReportedNanos = nowNanos;
         }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DaemonRegistration.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DaemonRegistration.java
@@ -2,15 +2,18 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.GatewayMetrics;
 import org.banyanhook.gateway.operation.MonotonicClock;
 import org.banyanhook.gateway.port.RecordStore;
 import org.banyanhook.gateway.port.StoreException;
+import org.banyanhook.gateway.port.StoreLease;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -36,12 +39,15 @@
     private final MonotonicClock clock;
     private final DecisionLog log;
     private final GatewayMetrics metrics;
-    private long lease;
+    private StoreLease lease = StoreLease.NONE;
     private long lastContactNanos;
     private boolean contactEstablished;
     private boolean lastCallFailed;
     private Runnable contactListener = () -> {};
-    private Supplier<OptionalLong> entryLease = () -> OptionalLong.of(lease);
+    private Supplier<Optional<StoreLease>> entryLease = () -> Optional.of(lease);
+    private LongSupplier restoreDelayLimitMillis = () -> 0;
+    private boolean restored;
+    private long generation;
     private int renewalsWithoutEntry;
     private boolean stopped;
 
@@ -96,32 +102,73 @@
     }
 
     /** Sets the supplier of the lease of this daemon's entry as it was read from the store; empty without an entry. */
-    public void entryLease(Supplier<OptionalLong> supplier) {
+    public void entryLease(Supplier<Optional<StoreLease>> supplier) {
         entryLease = supplier;
     }
 
+    /**
+     * Sets the supplier of the maximum random delay before the entry is written again in a new era, in milliseconds.
+     */
+    public void restoreDelayLimitMillis(LongSupplier supplier) {
+        restoreDelayLimitMillis = supplier;
+    }
+
+    /**
+     * Reads all records again after the store was restored from a copy, and then writes the entry under a new lease.
+     * The former lease is neither renewed nor ended, since its identifier may stand for another one now. Until the
+     * entry is written, this daemon has no contact: other daemons can only shut out a daemon that has a lease. The
+     * delay of the write is random, so that the daemons of a large fleet do not write at the same time.
+     */
+    public void onStoreRestored() {
+        if (stopped) {
+            return;
+        }
+        boolean started = generation > 0;
+        generation++;
+        lease = StoreLease.NONE;
+        renewalsWithoutEntry = 0;
+        restored = true;
+        contactEstablished = false;
+        lastCallFailed = false;
+        long current = generation;
+        recordReader.reloadAll().thenRun(() -> {
+            if (started && isCurrent(current)) {
+                long limitMillis = restoreDelayLimitMillis.getAsLong();
+                schedule(ThreadLocalRandom.current().nextLong(limitMillis + 1), () -> start(current));
+            }
+        });
+    }
+
     /** Opens a lease and writes the entry; retries until it succeeds. */
     public void start() {
-        if (stopped) {
+        generation++;
+        start(generation);
+    }
+
+    private void start(long current) {
+        if (!isCurrent(current)) {
             return;
         }
         long sentNanos = clock.nowNanos();
         openLease()
-                .thenCompose(opened -> store.put(key, value, OptionalLong.empty(), opened))
+                .thenCompose(opened -> store.put(key, value, Optional.empty(), opened))
                 .whenComplete((revision, failure) -> {
+                    if (!isCurrent(current)) {
+                        return;
+                    }
                     if (failure != null) {
                         if (StoreException.kind(failure) == StoreException.Kind.LEASE_ENDED) {
-                            lease = 0;
+                            lease = StoreLease.NONE;
                         }
-                        retryAfterFailure(failure, this::start);
+                        retryAfterFailure(failure, () -> start(current));
                         return;
                     }
                     recordContact(sentNanos);
                     log.line("registration")
-                            .with("lease", lease)
-                            .with("revision", revision)
+                            .with("lease", lease.id())
+                            .with("revision", revision.number())
                             .write();
-                    schedule(RENEWAL_INTERVAL_MILLIS, this::renew);
+                    schedule(RENEWAL_INTERVAL_MILLIS, () -> renew(current));
                 });
     }
 
@@ -129,8 +176,8 @@
      * Opens a lease unless one is open from an earlier attempt. A write that got no answer may be executed later; if it
      * named another lease, the entry would end with that lease while this daemon renews its own.
      */
-    private CompletableFuture<Long> openLease() {
-        if (lease != 0) {
+    private CompletableFuture<StoreLease> openLease() {
+        if (!lease.isNone()) {
             return CompletableFuture.completedFuture(lease);
         }
         return store.openLease(LEASE_TIME_TO_LIVE).thenApply(opened -> {
@@ -142,7 +189,7 @@
     /** Ends the lease, so that the entry disappears at once instead of expiring. */
     public CompletableFuture<Void> stop() {
         stopped = true;
-        return lease == 0 ? CompletableFuture.completedFuture(null) : store.endLease(lease);
+        return lease.isNone() ? CompletableFuture.completedFuture(null) : store.endLease(lease);
     }
 
     /** Returns the time since the last call that the store answered, in nanoseconds; very large if it never did. */
@@ -153,7 +200,7 @@
     /** Returns what is known of the time since the last call that the store answered. */
     public StoreContact contact() {
         if (!contactEstablished) {
-            return StoreContact.NONE_SINCE_START;
+            return restored ? StoreContact.NOT_REGISTERED_SINCE_RESTORE : StoreContact.NONE_SINCE_START;
         }
         // The clock does not count a suspension, in which a primary may have been replaced.
         return clock.jumpedSince(lastContactNanos) ? StoreContact.SUSPENDED : StoreContact.MEASURED;
@@ -164,30 +211,33 @@
         return clock.nowNanos() - nanosSinceContact();
     }
 
-    private void renew() {
-        if (stopped) {
+    private void renew(long current) {
+        if (!isCurrent(current)) {
             return;
         }
         long sentNanos = clock.nowNanos();
         store.renewLease(lease).whenComplete((done, failure) -> {
+            if (!isCurrent(current)) {
+                return;
+            }
             if (failure == null) {
                 recordContact(sentNanos);
-                schedule(RENEWAL_INTERVAL_MILLIS, this::renew);
+                schedule(RENEWAL_INTERVAL_MILLIS, () -> renew(current));
                 if (hasLostEntry()) {
                     rewriteEntry();
                 }
             } else if (StoreException.kind(failure) == StoreException.Kind.LEASE_ENDED) {
                 log.line("registration")
-                        .with("lease", lease)
+                        .with("lease", lease.id())
                         .with("change", "lapsed")
                         .write();
-                lease = 0;
+                lease = StoreLease.NONE;
                 // The lease may have been revoked because a primary is being replaced, so read the records before
                 // registering.
                 lastCallFailed = false;
-                recordReader.reloadAll().thenRun(this::start);
+                recordReader.reloadAll().thenRun(() -> start(current));
             } else {
-                retryAfterFailure(failure, this::renew);
+                retryAfterFailure(failure, () -> renew(current));
             }
         });
     }
@@ -197,8 +247,7 @@
      * the predecessor of this process that the store executes late replaces the entry, which then ends with that lease.
      */
     private boolean hasLostEntry() {
-        OptionalLong found = entryLease.get();
-        if (found.isPresent() && found.getAsLong() == lease) {
+        if (entryLease.get().filter(lease::equals).isPresent()) {
             renewalsWithoutEntry = 0;
             return false;
         }
@@ -213,28 +262,34 @@
     /** Writes the entry again. If that fails, it is tried again after as many renewals. */
     private void rewriteEntry() {
         log.line("registration")
-                .with("lease", lease)
+                .with("lease", lease.id())
                 .with("change", "entry-lost")
                 .write();
-        store.put(key, value, OptionalLong.empty(), lease)
+        store.put(key, value, Optional.empty(), lease)
                 .whenComplete((revision, failure) ->
                         metrics.count("store.calls", "result", failure == null ? "entry-answered" : "entry-failed"));
     }
 
     /** Renews the lease at once, since primaries are not used until the store has answered after the suspension. */
     private void renewAfterSuspension() {
-        if (stopped || lease == 0) {
+        if (stopped || lease.isNone() || contact() == StoreContact.NOT_REGISTERED_SINCE_RESTORE) {
             return;
         }
+        long current = generation;
         long sentNanos = clock.nowNanos();
         store.renewLease(lease).whenComplete((done, failure) -> {
-            if (failure == null) {
+            if (failure == null && isCurrent(current)) {
                 recordContact(sentNanos);
                 notifyContactListener();
             }
         });
     }
 
+    /** Returns whether a call belongs to the newest start of this registration, so that its answer counts. */
+    private boolean isCurrent(long current) {
+        return !stopped && generation == current;
+    }
+
     private void recordContact(long sentNanos) {
         metrics.count("store.calls", "result", "lease-answered");
         boolean regained = lastCallFailed;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DutyLease.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DutyLease.java
@@ -1,14 +1,16 @@
 package org.banyanhook.gateway.fleet;
 
 import java.time.Duration;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.MonotonicClock;
 import org.banyanhook.gateway.port.RecordStore;
 import org.banyanhook.gateway.port.StoreException;
+import org.banyanhook.gateway.port.StoreLease;
 
 /**
  * The lease of a duty that one daemon performs at a time: a record in the store under a store lease. The revision of
@@ -25,11 +27,11 @@
     private final String event;
     private final String subject;
     private final Duration timeToLive;
-    private final Supplier<OptionalLong> formerLease;
+    private final Supplier<Optional<StoreLease>> formerLease;
     private final MonotonicClock clock;
     private final DecisionLog log;
-    private long leaseId;
-    private long fencingToken;
+    private StoreLease lease = StoreLease.NONE;
+    private StoreRevision recordRevision = StoreRevision.NONE;
     private long expiresAtNanos;
     private boolean held;
 
@@ -53,7 +55,7 @@
             String event,
             String subject,
             Duration timeToLive,
-            Supplier<OptionalLong> formerLease,
+            Supplier<Optional<StoreLease>> formerLease,
             MonotonicClock clock,
             DecisionLog log) {
         this.store = store;
@@ -71,28 +73,29 @@
     /**
      * Acquires or renews the lease.
      *
-     * @return the fencing token; fails if another daemon holds the lease or the store does not answer
+     * @return the revision of the lease record, whose fencing token the holder uses; fails if another daemon holds the
+     *     lease or the store does not answer
      */
-    public CompletableFuture<Long> acquire() {
+    public CompletableFuture<StoreRevision> acquire() {
         long sentNanos = clock.nowNanos();
         if (isHeld()) {
-            return store.renewLease(leaseId).thenApply(done -> {
+            return store.renewLease(lease).thenApply(done -> {
                 expiresAtNanos = sentNanos + timeToLive.toNanos() - EXPIRY_MARGIN_NANOS;
-                return fencingToken;
+                return recordRevision;
             });
         }
         return endFormerLease()
                 .thenCompose(done -> store.openLease(timeToLive))
-                .thenCompose(opened -> store.put(key, value, OptionalLong.of(0), opened)
+                .thenCompose(opened -> store.put(key, value, Optional.of(StoreRevision.NONE), opened)
                         .exceptionallyCompose(failure -> endUnconfirmedLease(opened, failure))
                         .thenApply(revision -> {
-                            leaseId = opened;
-                            fencingToken = revision;
+                            lease = opened;
+                            recordRevision = revision;
                             held = !clock.jumpedSince(sentNanos);
                             expiresAtNanos = sentNanos + timeToLive.toNanos() - EXPIRY_MARGIN_NANOS;
                             log.line(event)
                                     .with("group", subject)
-                                    .with("token", revision)
+                                    .with("token", revision.fencingToken())
                                     .with("change", "taken")
                                     .write();
                             return revision;
@@ -104,14 +107,14 @@
      * was written although the answer was lost. It would otherwise block every daemon until it expires.
      */
     private CompletableFuture<Void> endFormerLease() {
-        OptionalLong former = formerLease.get();
+        Optional<StoreLease> former = formerLease.get();
         return former.isEmpty()
                 ? CompletableFuture.completedFuture(null)
-                : store.endLease(former.getAsLong()).exceptionallyCompose(DutyLease::ignoreEndedLease);
+                : store.endLease(former.get()).exceptionallyCompose(DutyLease::ignoreEndedLease);
     }
 
     /** Ends a lease whose record may still be written although no answer came, so that a late write has no effect. */
-    private CompletableFuture<Long> endUnconfirmedLease(long opened, Throwable failure) {
+    private CompletableFuture<StoreRevision> endUnconfirmedLease(StoreLease opened, Throwable failure) {
         if (StoreException.kind(failure) == StoreException.Kind.NO_ANSWER) {
             var unused = store.endLease(opened).exceptionallyCompose(DutyLease::ignoreEndedLease);
         }
@@ -129,6 +132,11 @@
                 : CompletableFuture.failedFuture(failure);
     }
 
+    /** Stops holding the lease without a call: the store has lost it, and may issue its identifier again. */
+    public void drop() {
+        held = false;
+    }
+
     /** Returns whether this daemon holds the lease and it cannot have expired yet. */
     public boolean isHeld() {
         // Reading the clock may reveal a suspension, which ends the lease.
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.core.configuration.ClientAccount;
@@ -20,12 +19,14 @@
 import org.banyanhook.core.error.RefusalException;
 import org.banyanhook.core.key.KeyRegistry;
 import org.banyanhook.core.primary.UnresolvedPromotions.RecordedPromotion;
+import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.MonotonicClock;
 import org.banyanhook.gateway.port.DaemonEntry;
 import org.banyanhook.gateway.port.FleetRecord;
 import org.banyanhook.gateway.port.FleetRecordCodec;
 import org.banyanhook.gateway.port.MemberEntry;
+import org.banyanhook.gateway.port.StoreLease;
 import org.banyanhook.gateway.port.StoreRecord;
 import org.jspecify.annotations.Nullable;
 
@@ -51,14 +52,14 @@
     private final DecisionLog log;
     private final MonotonicClock clock;
     private final List<FleetListener> listeners = new ArrayList<>();
-    private final Map<String, Long> revisions = new HashMap<>();
+    private final Map<String, StoreRevision> revisions = new HashMap<>();
     private final Map<String, FleetRecord> recordsByKey = new HashMap<>();
     private final Map<String, MemberRecord> members = new HashMap<>();
     private final Map<String, Long> memberRemovalNanos = new HashMap<>();
     private final Map<String, DaemonEntry> daemons = new HashMap<>();
-    private final Map<String, Long> daemonLeases = new HashMap<>();
+    private final Map<String, StoreLease> daemonLeases = new HashMap<>();
     private final Map<String, EndedDaemon> endedDaemons = new HashMap<>();
-    private final Map<String, RecordedPromotion> promotions = new HashMap<>();
+    private final RecordedPromotions promotions = new RecordedPromotions();
     private final Map<String, HeldPromotionLease> promotionLeases = new HashMap<>();
     private final Map<String, Long> takenOutSinceNanos = new HashMap<>();
     private final Deque<DaemonCount> daemonCounts = new ArrayDeque<>();
@@ -73,15 +74,16 @@
 
     private record EndedDaemon(long endedNanos, DaemonEntry entry) {}
 
-    private record HeldPromotionLease(String entryVm, long lease) {}
+    private record HeldPromotionLease(String entryVm, StoreLease lease) {}
 
     /**
      * A member's entry, with the revision of its report to be primary.
      *
      * @param entry the member's own entry
-     * @param primarySinceRevision the revision at which it began to report that it is the primary, or 0 if it does not
+     * @param primarySinceRevision the revision at which it began to report that it is the primary, or none if it does
+     *     not
      */
-    public record MemberRecord(MemberEntry entry, long primarySinceRevision) {}
+    public record MemberRecord(MemberEntry entry, StoreRevision primarySinceRevision) {}
 
     /**
      * Creates an empty directory.
@@ -142,9 +144,8 @@
     }
 
     /** Returns the lease of a daemon's entry, or empty if it has none. */
-    public OptionalLong daemonLease(String entryVm) {
-        Long lease = daemonLeases.get(entryVm);
-        return lease == null || lease == 0 ? OptionalLong.empty() : OptionalLong.of(lease);
+    public Optional<StoreLease> daemonLease(String entryVm) {
+        return Optional.ofNullable(daemonLeases.get(entryVm)).filter(lease -> !lease.isNone());
     }
 
     /** Returns the time since a daemon's entry was seen to end, in nanoseconds; 0 if that is not known. */
@@ -175,42 +176,43 @@
 
     /** Returns the member of the last recorded promotion of a group, or empty if none is recorded. */
     public Optional<String> recordedPrimary(String group) {
-        return Optional.ofNullable(promotions.get(group)).map(RecordedPromotion::member);
+        return promotions.of(group).map(RecordedPromotion::member);
     }
 
     /** Returns the last recorded promotion of a group, or empty if none is recorded. */
     public Optional<RecordedPromotion> recordedPromotion(String group) {
-        return Optional.ofNullable(promotions.get(group));
+        return promotions.of(group);
     }
 
-    /** Returns the revision of the newest recorded promotion, or 0 if there is none. */
-    public long newestPromotionRevision() {
-        return promotions.values().stream()
-                .mapToLong(RecordedPromotion::revision)
-                .max()
-                .orElse(0);
+    /** Returns the revision at which the newest known promotion was recorded, or none. */
+    public StoreRevision newestPromotionRevision() {
+        return promotions.newestRevision();
     }
 
-    /** Returns the revision of the newest recorded promotion of a group, or 0 if there is none. */
-    public long promotionRevision(String group) {
-        RecordedPromotion recorded = promotions.get(group);
-        return recorded == null ? 0 : recorded.revision();
+    /** Returns the revision at which the newest known promotion of a group was recorded, or none. */
+    public StoreRevision promotionRevision(String group) {
+        return promotions.revision(group);
+    }
+
+    /** Returns the revision of a group's promotion record that the store holds, or none; the condition of a write. */
+    public StoreRevision storedPromotionRevision(String group) {
+        String key = recordCodec.promotionKey(group);
+        return recordsByKey.containsKey(key) ? revisions.getOrDefault(key, StoreRevision.NONE) : StoreRevision.NONE;
     }
 
     /** Returns the groups with a promotion that was recorded after a revision. */
-    public Set<String> groupsPromotedSince(long revision) {
-        Set<String> groups = new HashSet<>();
-        promotions.forEach((group, recorded) -> {
-            if (recorded.revision() > revision) {
-                groups.add(group);
-            }
-        });
-        return groups;
+    public Set<String> groupsPromotedSince(StoreRevision revision) {
+        return promotions.groupsSince(revision);
+    }
+
+    /** Returns the known promotions of earlier eras of the store that it does not hold in an era. */
+    public Set<FleetRecord.Promotion> lostPromotions(long era) {
+        return promotions.lostSince(era);
     }
 
     /** Returns the promotion leases that a daemon holds according to the store, by database group. */
-    public Map<String, Long> promotionLeasesOf(String entryVm) {
-        Map<String, Long> leases = new HashMap<>();
+    public Map<String, StoreLease> promotionLeasesOf(String entryVm) {
+        Map<String, StoreLease> leases = new HashMap<>();
         promotionLeases.forEach((group, held) -> {
             if (held.entryVm().equals(entryVm)) {
                 leases.put(group, held.lease());
@@ -251,8 +253,9 @@
      * @param promotion the promotion
      * @param revision the revision of its record
      */
-    public void applyPromotion(FleetRecord.Promotion promotion, long revision) {
-        apply(new StoreRecord(recordCodec.promotionKey(promotion.group()), revision, recordCodec.encode(promotion), 0));
+    public void applyPromotion(FleetRecord.Promotion promotion, StoreRevision revision) {
+        apply(new StoreRecord(
+                recordCodec.promotionKey(promotion.group()), revision, recordCodec.encode(promotion), StoreLease.NONE));
     }
 
     /** Applies a change. */
@@ -299,15 +302,16 @@
      * @param all the records
      * @param revision the revision of the store before the first of them was read
      */
-    public void replaceAll(List<StoreRecord> all, long revision) {
+    public void replaceAll(List<StoreRecord> all, StoreRevision revision) {
         Set<String> present = new HashSet<>();
         for (StoreRecord found : all) {
             present.add(found.key());
             applyOrLog(found);
         }
         for (String key : ImmutableSet.copyOf(recordsByKey.keySet())) {
-            if (!present.contains(key) && revisions.getOrDefault(key, 0L) <= revision) {
-                applyOrLog(new StoreRecord(key, revision, null, 0));
+            if (!present.contains(key)
+                    && !revisions.getOrDefault(key, StoreRevision.NONE).isAfter(revision)) {
+                applyOrLog(new StoreRecord(key, revision, null, StoreLease.NONE));
             }
         }
         notifyListeners();
@@ -345,7 +349,7 @@
         } catch (RuntimeException | StackOverflowError exception) {
             log.line("fault")
                     .with("key", change.key())
-                    .with("revision", change.revision())
+                    .with("revision", change.revision().number())
                     .with("reason", exception.toString())
                     .write();
             return false;
@@ -353,7 +357,7 @@
     }
 
     private boolean applyRecord(StoreRecord change) {
-        if (change.revision() < revisions.getOrDefault(change.key(), 0L)) {
+        if (revisions.getOrDefault(change.key(), StoreRevision.NONE).isAfter(change.revision())) {
             return false;
         }
         revisions.put(change.key(), change.revision());
@@ -389,18 +393,19 @@
             log.line("evacuation")
                     .with("failureDomain", found.failureDomain())
                     .with("change", "taken-out")
-                    .with("revision", change.revision())
+                    .with("revision", change.revision().number())
                     .write();
         } else if (record instanceof FleetRecord.Daemon found) {
             daemons.put(found.entry().entryVm(), found.entry());
             daemonLeases.put(found.entry().entryVm(), change.lease());
             endedDaemons.remove(found.entry().entryVm());
         } else if (record instanceof FleetRecord.Promotion found) {
-            promotions.put(found.group(), new RecordedPromotion(found.member(), change.revision(), clock.nowNanos()));
+            boolean applied = promotions.apply(found, change.revision(), clock.nowNanos());
             log.line("promotion-record")
                     .with("group", found.group())
                     .with("member", found.member())
-                    .with("revision", change.revision())
+                    .with("change", applied ? null : "older-than-known")
+                    .with("revision", change.revision().number())
                     .write();
         } else if (record instanceof FleetRecord.PromotionLeaseHolder found) {
             promotionLeases.put(found.group(), new HeldPromotionLease(found.entryVm(), change.lease()));
@@ -421,8 +426,10 @@
             log.line("evacuation")
                     .with("failureDomain", found.failureDomain())
                     .with("change", "back")
-                    .with("revision", change.revision())
+                    .with("revision", change.revision().number())
                     .write();
+        } else if (record instanceof FleetRecord.Promotion found) {
+            promotions.recordRemoval(found.group());
         } else if (record instanceof FleetRecord.PromotionLeaseHolder found) {
             promotionLeases.remove(found.group());
         } else if (record instanceof FleetRecord.Daemon found) {
@@ -433,7 +440,7 @@
         }
     }
 
-    private void applyConfiguration(SessionConfiguration found, long revision) {
+    private void applyConfiguration(SessionConfiguration found, StoreRevision revision) {
         if (found.version() < configuration.version()) {
             log.line("configuration")
                     .with("version", found.version())
@@ -448,16 +455,16 @@
                 FleetConfiguration.EMPTY.toBuilder().accounts(found.accounts()).build());
         log.line("configuration")
                 .with("version", found.version())
-                .with("revision", revision)
+                .with("revision", revision.number())
                 .with("routes", found.routes().size())
                 .with("accounts", found.accounts().size())
                 .write();
     }
 
-    private void addMember(MemberEntry entry, long revision) {
+    private void addMember(MemberEntry entry, StoreRevision revision) {
         MemberRecord before = members.get(entry.member());
         boolean restarted = before != null && before.entry().startedAtMillis() != entry.startedAtMillis();
-        long primarySince = 0;
+        StoreRevision primarySince = StoreRevision.NONE;
         if (entry.primary()) {
             boolean alreadyPrimary =
                     before != null && !restarted && before.entry().primary();
@@ -472,11 +479,11 @@
                 .with("leaving", entry.leaving())
                 .with("failureDomain", entry.failureDomain())
                 .with("reborn", restarted)
-                .with("revision", revision)
+                .with("revision", revision.number())
                 .write();
     }
 
-    private void removeMember(MemberEntry entry, long revision) {
+    private void removeMember(MemberEntry entry, StoreRevision revision) {
         @Nullable MemberRecord known = members.get(entry.member());
         if (known == null) {
             return;
@@ -489,7 +496,7 @@
         log.line("member")
                 .with("member", entry.member())
                 .with("change", known.entry().leaving() ? "left" : "entry-ended")
-                .with("revision", revision)
+                .with("revision", revision.number())
                 .write();
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreMirror.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreMirror.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.GatewayMetrics;
 import org.banyanhook.gateway.port.RecordStore;
@@ -58,10 +59,11 @@
     private final DecisionLog log;
     private final GatewayMetrics metrics;
     private final String prefix;
+    private final StoreEras eras;
     private long backoffMillis = MINIMUM_BACKOFF_MILLIS;
     private final List<CompletableFuture<Void>> pendingReloads = new ArrayList<>();
     private long readGeneration;
-    private long watchedRevision;
+    private StoreRevision watchedRevision = StoreRevision.NONE;
     private boolean watching;
     private Runnable firstReadingListener = () -> {};
     private boolean complete;
@@ -74,6 +76,7 @@
      * @param store the store
      * @param prefix the common key prefix of the records to read
      * @param directory the directory to update
+     * @param eras learns which era has been read
      * @param eventLoop the event loop on which everything runs
      * @param log receives a line when contact to the store is lost or regained, and when the history is lost
      * @param metrics counts the calls
@@ -82,12 +85,14 @@
             RecordStore store,
             String prefix,
             FleetDirectory directory,
+            StoreEras eras,
             EventLoop eventLoop,
             DecisionLog log,
             GatewayMetrics metrics) {
         this.store = store;
         this.prefix = prefix;
         this.directory = directory;
+        this.eras = eras;
         this.eventLoop = eventLoop;
         this.log = log;
         this.metrics = metrics;
@@ -102,7 +107,7 @@
     public void start() {
         watching = false;
         readGeneration++;
-        readPage(readGeneration, new ArrayList<>(), Optional.empty(), -1);
+        readPage(readGeneration, new ArrayList<>(), Optional.empty(), Optional.empty());
     }
 
     @Override
@@ -136,7 +141,8 @@
     }
 
     /** Reads a page; the result is discarded if a newer reading has been started. */
-    private void readPage(long generation, List<StoreRecord> records, Optional<String> after, long firstRevision) {
+    private void readPage(
+            long generation, List<StoreRecord> records, Optional<String> after, Optional<StoreRevision> firstRevision) {
         store.list(prefix, after).whenComplete((page, failure) -> {
             if (isObsolete(generation)) {
                 return;
@@ -145,7 +151,7 @@
                 retryAfterFailure(
                         "list",
                         failure,
-                        () -> readPage(generation, new ArrayList<>(), Optional.empty(), -1),
+                        () -> readPage(generation, new ArrayList<>(), Optional.empty(), Optional.empty()),
                         generation);
                 return;
             }
@@ -154,22 +160,23 @@
                 retryAfterFailure(
                         "list",
                         new StoreException(StoreException.Kind.NO_ANSWER, "a truncated page contains no records"),
-                        () -> readPage(generation, new ArrayList<>(), Optional.empty(), -1),
+                        () -> readPage(generation, new ArrayList<>(), Optional.empty(), Optional.empty()),
                         generation);
                 return;
             }
             recordSuccess("list");
             records.addAll(page.records());
-            long revision = firstRevision < 0 ? page.revision() : firstRevision;
+            StoreRevision revision = firstRevision.orElse(page.revision());
             if (page.truncated()) {
                 String last = page.records().get(page.records().size() - 1).key();
-                readPage(generation, records, Optional.of(last), revision);
+                readPage(generation, records, Optional.of(last), Optional.of(revision));
                 return;
             }
             applyOrLog("all", () -> {
                 directory.replaceAll(records, revision);
                 return true;
             });
+            eras.recordReading(revision.era());
             if (!complete) {
                 complete = true;
                 applyOrLog("first reading", () -> {
@@ -183,7 +190,7 @@
         });
     }
 
-    private void watch(long generation, long revision) {
+    private void watch(long generation, StoreRevision revision) {
         watching = true;
         watchedRevision = revision;
         store.watch(prefix, revision, watchWait()).whenComplete((page, failure) -> {
@@ -197,7 +204,7 @@
                 recordSuccess("watch");
                 log.line("store")
                         .with("change", "history-lost")
-                        .with("revision", revision)
+                        .with("revision", revision.toString())
                         .write();
                 start();
             } else {
@@ -216,9 +223,9 @@
         return atLeast.compareTo(MAXIMUM_WATCH_WAIT) > 0 ? MAXIMUM_WATCH_WAIT : atLeast;
     }
 
-    private void onChanges(long generation, StorePage page, long revision) {
+    private void onChanges(long generation, StorePage page, StoreRevision revision) {
         boolean othersChanged = applyOrLog("changes", () -> directory.apply(page.records()));
-        long next = Math.max(revision, page.revision());
+        StoreRevision next = page.revision().isAfter(revision) ? page.revision() : revision;
         if (page.records().isEmpty()) {
             watch(generation, next);
         } else {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/FleetRecord.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/FleetRecord.java
@@ -1,6 +1,7 @@
 package org.banyanhook.gateway.port;
 
 import org.banyanhook.core.configuration.SessionConfiguration;
+import org.banyanhook.core.store.StoreRevision;
 
 /** A decoded record of the store. */
 public sealed interface FleetRecord {
@@ -38,8 +39,29 @@
      *
      * @param group the database group
      * @param member the member that is to become primary
+     * @param origin the era in which the promotion was recorded first, and the number of that change; 0 if it is the
+     *     number of the record itself
      */
-    record Promotion(String group, String member) implements FleetRecord {}
+    record Promotion(String group, String member, StoreRevision origin) implements FleetRecord {
+
+        /** Creates a promotion that is recorded first in era 0. */
+        public Promotion(String group, String member) {
+            this(group, member, StoreRevision.NONE);
+        }
+
+        /**
+         * Returns the revision at which the promotion was recorded first. It orders the promotions of a group also if
+         * the store was restored from a copy.
+         *
+         * @param revision the revision of the record
+         */
+        public StoreRevision recordedAt(StoreRevision revision) {
+            if (origin.era() > revision.era()) {
+                return revision;
+            }
+            return origin.number() > 0 ? origin : new StoreRevision(origin.era(), revision.number());
+        }
+    }
 
     /**
      * The holder of a group's promotion lease.
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/RecordStore.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/RecordStore.java
@@ -2,15 +2,27 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongConsumer;
+import org.banyanhook.core.store.StoreRevision;
 
 /**
  * The platform's record store, with conditional writes, leases and watches. Every future completes on the event loop
- * that the store was created with, and fails with a {@link StoreException}. Implementations do not retry.
+ * that the store was created with, and fails with a {@link StoreException}. Implementations do not retry. Revisions and
+ * leases of the results have the era of the answer.
  */
 public interface RecordStore {
 
+    /**
+     * Sets the listener of the era of each answer, also of a refusal. It is called before the answer's future
+     * completes.
+     *
+     * @param listener receives the era, 0 if the answer contains none
+     */
+    default void onEra(LongConsumer listener) {
+        // A store without eras has nothing to report.
+    }
+
     /**
      * Reads a page of records.
      *
@@ -28,19 +40,20 @@
      * @param maximumWait how long the store may wait for a change
      * @return the changes, possibly none
      */
-    CompletableFuture<StorePage> watch(String prefix, long afterRevision, Duration maximumWait);
+    CompletableFuture<StorePage> watch(String prefix, StoreRevision afterRevision, Duration maximumWait);
 
     /**
      * Writes a record under a lease, if its revision is the expected one.
      *
      * @param key the key of the record
      * @param value the bytes of the record
-     * @param expectedRevision the current revision that is required, 0 if the record must not exist, or empty for no
-     *     condition
-     * @param lease the lease whose end removes the record
+     * @param expectedRevision the current revision that is required, {@link StoreRevision#NONE} if the record must not
+     *     exist, or empty for no condition
+     * @param lease the lease whose end removes the record, or {@link StoreLease#NONE}
      * @return the revision of the change
      */
-    CompletableFuture<Long> put(String key, byte[] value, OptionalLong expectedRevision, long lease);
+    CompletableFuture<StoreRevision> put(
+            String key, byte[] value, Optional<StoreRevision> expectedRevision, StoreLease lease);
 
     /**
      * Writes a record without a lease, if it and another record still have given revisions. A write whose answer was
@@ -48,35 +61,35 @@
      *
      * @param key the key of the record
      * @param value the bytes of the record
-     * @param expectedRevision the required revision of the record, 0 if it must not exist
+     * @param expectedRevision the required revision of the record, {@link StoreRevision#NONE} if it must not exist
      * @param guardKey the key of the other record
      * @param guardRevision the required revision of the other record
      * @return the revision of the change
      */
-    CompletableFuture<Long> putGuarded(
-            String key, byte[] value, long expectedRevision, String guardKey, long guardRevision);
+    CompletableFuture<StoreRevision> putGuarded(
+            String key, byte[] value, StoreRevision expectedRevision, String guardKey, StoreRevision guardRevision);
 
     /**
      * Opens a lease.
      *
      * @param timeToLive how long it lasts without renewal
-     * @return the identifier of the lease
+     * @return the lease
      */
-    CompletableFuture<Long> openLease(Duration timeToLive);
+    CompletableFuture<StoreLease> openLease(Duration timeToLive);
 
     /**
      * Renews a lease.
      *
-     * @param lease the identifier of the lease
+     * @param lease the lease
      * @return a future that completes when the lease is renewed
      */
-    CompletableFuture<Void> renewLease(long lease);
+    CompletableFuture<Void> renewLease(StoreLease lease);
 
     /**
      * Ends a lease and removes its records.
      *
-     * @param lease the identifier of the lease
+     * @param lease the lease
      * @return a future that completes when the lease has ended
      */
-    CompletableFuture<Void> endLease(long lease);
+    CompletableFuture<Void> endLease(StoreLease lease);
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/StorePage.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/StorePage.java
@@ -1,6 +1,7 @@
 package org.banyanhook.gateway.port;
 
 import java.util.List;
+import org.banyanhook.core.store.StoreRevision;
 
 /**
  * A page of records or changes, with the revision up to which they were read.
@@ -9,7 +10,7 @@
  * @param revision the revision of the store at the time of the answer
  * @param truncated whether more records follow the last key
  */
-public record StorePage(List<StoreRecord> records, long revision, boolean truncated) {
+public record StorePage(List<StoreRecord> records, StoreRevision revision, boolean truncated) {
     public StorePage {
         records = List.copyOf(records);
     }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/StoreRecord.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/StoreRecord.java
@@ -1,5 +1,6 @@
 package org.banyanhook.gateway.port;
 
+import org.banyanhook.core.store.StoreRevision;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -8,7 +9,7 @@
  * @param key the key of the record
  * @param revision the revision of the change
  * @param value the bytes of the record, or null if it was removed
- * @param lease the lease whose end removes the record, or 0 for none
+ * @param lease the lease whose end removes the record, or {@link StoreLease#NONE}
  */
 @SuppressWarnings("ArrayRecordComponent") // Records are never compared by content, only by key and revision.
-public record StoreRecord(String key, long revision, byte @Nullable [] value, long lease) {}
+public record StoreRecord(String key, StoreRevision revision, byte @Nullable [] value, StoreLease lease) {}
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerVoteExchange.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerVoteExchange.java
@@ -13,8 +13,10 @@
 import org.banyanhook.core.primary.PromotionPermission;
 import org.banyanhook.core.primary.PromotionPermission.VoteTally;
 import org.banyanhook.core.primary.PromotionVoters;
+import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.daemon.peer.PeerMessenger;
 import org.banyanhook.gateway.fleet.FleetDirectory;
+import org.banyanhook.gateway.fleet.StoreEras;
 import org.banyanhook.gateway.operation.MonotonicClock;
 import org.banyanhook.gateway.port.DaemonEntry;
 import org.banyanhook.gateway.port.FleetRecord;
@@ -35,6 +37,7 @@
 
     private final PeerMessenger messenger;
     private final FleetDirectory directory;
+    private final StoreEras eras;
     private final EventLoop eventLoop;
     private final String entryVm;
     private final MonotonicClock clock;
@@ -94,14 +97,14 @@
          * @param promotion the promotion
          * @param revision the revision of its record
          */
-        void learnPromotion(FleetRecord.Promotion promotion, long revision);
+        void learnPromotion(FleetRecord.Promotion promotion, StoreRevision revision);
 
         /**
          * Returns the groups whose primary was or may have been replaced since a revision.
          *
          * @param knownRevision the revision of the newest promotion that the requesting daemon has read
          */
-        Set<String> groupsInDoubt(long knownRevision);
+        Set<String> groupsInDoubt(StoreRevision knownRevision);
 
         /** Returns whether this daemon has read all records of the store, so that others may rely on its answers. */
         boolean hasReadStore();
@@ -113,6 +116,7 @@
      * @param entryVm the name of this entry VM
      * @param messenger sends messages to other daemons
      * @param directory provides the addresses of the other daemons
+     * @param eras the eras of the store; daemons in different eras do not rely on each other
      * @param eventLoop the event loop on which answers are handled
      * @param clock the monotonic clock
      */
@@ -120,11 +124,13 @@
             String entryVm,
             PeerMessenger messenger,
             FleetDirectory directory,
+            StoreEras eras,
             EventLoop eventLoop,
             MonotonicClock clock) {
         this.entryVm = entryVm;
         this.messenger = messenger;
         this.directory = directory;
+        this.eras = eras;
         this.eventLoop = eventLoop;
         this.clock = clock;
     }
@@ -143,13 +149,23 @@
     }
 
     private CompletableFuture<PeerEnvelope> respond(Voter voter, String sender, PrimaryEvidenceRequest request) {
+        if (!eras.mayDecideIn(request.getStoreEra())) {
+            // The sender counts this daemon as unresponsive, and so shuts it out before it relies on its silence.
+            return CompletableFuture.failedFuture(new IllegalStateException("cannot answer in era "
+                    + request.getStoreEra() + " of the store: the newest era seen is " + eras.newest()
+                    + (eras.hasReadNewest() ? "" : ", whose records have not all been read")));
+        }
         PrimaryEvidence.Builder evidence = PrimaryEvidence.newBuilder()
                 .setDatabase(request.getDatabase())
+                .setStoreEra(eras.newest())
                 .addAllRecentInquirers(recentInquirers());
         if (request.getPromotionRevision() > 0) {
             voter.learnPromotion(
-                    new FleetRecord.Promotion(request.getDatabase(), request.getPromotedMember()),
-                    request.getPromotionRevision());
+                    new FleetRecord.Promotion(
+                            request.getDatabase(),
+                            request.getPromotedMember(),
+                            new StoreRevision(request.getStoreEra(), 0)),
+                    new StoreRevision(request.getStoreEra(), request.getPromotionRevision()));
             return CompletableFuture.completedFuture(envelope(evidence.setPrimaryUnreachable(true)));
         }
         if (!request.getDatabase().isEmpty()) {
@@ -163,7 +179,7 @@
                     "cannot report promotions: not all store records have been read since the start"));
         }
         return CompletableFuture.completedFuture(
-                envelope(evidence.addAllDatabasesInDoubt(voter.groupsInDoubt(request.getTerm()))));
+                envelope(evidence.addAllDatabasesInDoubt(voter.groupsInDoubt(knownRevision(request)))));
     }
 
     /** Returns the daemons whose last inquiry is so recent that they may still rely on the answers. */
@@ -198,13 +214,13 @@
      * @param revision the revision of its record
      * @return the combined answers, completed once all daemons have answered or timed out; never fails
      */
-    public CompletableFuture<RoundResult> announcePromotion(FleetRecord.Promotion promotion, long revision) {
+    public CompletableFuture<RoundResult> announcePromotion(FleetRecord.Promotion promotion, StoreRevision revision) {
         return sendRequests(
                 PrimaryEvidenceRequest.newBuilder()
                         .setDatabase(promotion.group())
                         .setPlanned(true)
                         .setPromotedMember(promotion.member())
-                        .setPromotionRevision(revision),
+                        .setPromotionRevision(revision.number()),
                 directory.recentDaemons().keySet());
     }
 
@@ -216,12 +232,23 @@
     public CompletableFuture<RoundResult> queryReplacedPrimaries() {
         Set<String> voters = PromotionVoters.of(directory.recentDaemons().keySet());
         // The term field carries the newest promotion revision known here, so that only later promotions are returned.
-        return sendRequests(PrimaryEvidenceRequest.newBuilder().setTerm(directory.newestPromotionRevision()), voters);
+        StoreRevision known = directory.newestPromotionRevision();
+        long term = eras.newest() == 0 ? known.number() : known.fencingToken();
+        return sendRequests(PrimaryEvidenceRequest.newBuilder().setTerm(term), voters);
+    }
+
+    /** Returns the newest promotion revision that the sender knows, which has the form of a token if there are eras. */
+    private static StoreRevision knownRevision(PrimaryEvidenceRequest request) {
+        return request.getStoreEra() == 0
+                ? new StoreRevision(0, Math.max(0, request.getTerm()))
+                : StoreRevision.ofFencingToken(Math.max(0, request.getTerm()));
     }
 
     private CompletableFuture<RoundResult> sendRequests(PrimaryEvidenceRequest.Builder request, Set<String> daemons) {
-        PeerEnvelope body =
-                PeerEnvelope.newBuilder().setPrimaryEvidenceRequest(request).build();
+        long era = eras.newest();
+        PeerEnvelope body = PeerEnvelope.newBuilder()
+                .setPrimaryEvidenceRequest(request.setStoreEra(era))
+                .build();
         Map<String, DaemonEntry> entries = directory.recentDaemons();
         Set<String> voters = PromotionVoters.of(entries.keySet());
         List<CompletableFuture<RoundResult>> answers = new ArrayList<>();
@@ -232,6 +259,7 @@
                 answers.add(messenger
                         .request(entry.peerAddress(), body, REQUEST_TIMEOUT)
                         .handle((reply, failure) -> reply == null
+                                        || reply.getPrimaryEvidence().getStoreEra() != era
                                 ? new RoundResult(
                                         new VoteTally(1, 0, 0, voterCount, 0), Set.of(daemon), Set.of(), Set.of())
                                 : toResult(reply.getPrimaryEvidence(), voterCount)));
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
@@ -184,7 +184,7 @@
             return CompletableFuture.completedFuture(true);
         }
         List<CompletableFuture<Boolean>> answers = group.servers().stream()
-                .filter(server -> server.primarySinceRevision() > 0)
+                .filter(MemberServer::reportsPrimary)
                 .map(server -> voter.isResponding(group, server))
                 .toList();
         return CompletableFuture.allOf(answers.toArray(new CompletableFuture<?>[0]))
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionLeases.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionLeases.java
@@ -2,7 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
 import org.banyanhook.core.primary.GrantedVotes;
 import org.banyanhook.gateway.fleet.DutyLease;
 import org.banyanhook.gateway.fleet.FleetDirectory;
@@ -11,6 +11,7 @@
 import org.banyanhook.gateway.port.FleetRecord;
 import org.banyanhook.gateway.port.FleetRecordCodec;
 import org.banyanhook.gateway.port.RecordStore;
+import org.banyanhook.gateway.port.StoreLease;
 
 /**
  * The promotion leases of this daemon, one for each database group, so that the primaries of several groups can be
@@ -75,15 +76,20 @@
         directory.promotionLeasesOf(entryVm).forEach((group, lease) -> {
             log.line("promotion-duty")
                     .with("group", group)
-                    .with("lease", lease)
+                    .with("lease", lease.id())
                     .with("change", "ended-after-restart")
                     .write();
             var unused = store.endLease(lease).exceptionallyCompose(DutyLease::ignoreEndedLease);
         });
     }
 
-    private OptionalLong formerLease(String group) {
-        Long lease = directory.promotionLeasesOf(entryVm).get(group);
-        return lease == null || lease == 0 ? OptionalLong.empty() : OptionalLong.of(lease);
+    /** Stops holding any lease, because the store was restored from a copy and may have lost them. */
+    public void dropAll() {
+        leases.values().forEach(DutyLease::drop);
+    }
+
+    private Optional<StoreLease> formerLease(String group) {
+        return Optional.ofNullable(directory.promotionLeasesOf(entryVm).get(group))
+                .filter(lease -> !lease.isNone());
     }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionVoter.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionVoter.java
@@ -7,6 +7,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.banyanhook.core.primary.GrantedVotes;
+import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.gateway.backend.DatabaseGroup;
 import org.banyanhook.gateway.backend.DatabaseGroups;
 import org.banyanhook.gateway.backend.MemberProbe;
@@ -81,7 +82,7 @@
     }
 
     @Override
-    public void learnPromotion(FleetRecord.Promotion promotion, long revision) {
+    public void learnPromotion(FleetRecord.Promotion promotion, StoreRevision revision) {
         directory.applyPromotion(promotion, revision);
         // The answer states that this daemon has stopped using the old primary, whether or not the update succeeded.
         groups.group(promotion.group()).endWorkAtFormerPrimaries();
@@ -104,7 +105,7 @@
     }
 
     @Override
-    public Set<String> groupsInDoubt(long knownRevision) {
+    public Set<String> groupsInDoubt(StoreRevision knownRevision) {
         Set<String> inDoubt = new HashSet<>(directory.groupsPromotedSince(knownRevision));
         inDoubt.addAll(groupsWithUnresolvedVotes());
         return inDoubt;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
@@ -7,7 +7,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -18,11 +17,13 @@
 import org.banyanhook.core.primary.UnresolvedPromotions;
 import org.banyanhook.core.primary.UnresolvedPromotions.RecordedPromotion;
 import org.banyanhook.core.replication.LogPosition;
+import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.gateway.backend.DatabaseGroup;
 import org.banyanhook.gateway.backend.MemberProbe;
 import org.banyanhook.gateway.backend.MemberServer;
 import org.banyanhook.gateway.fleet.DutyLease;
 import org.banyanhook.gateway.fleet.FleetDirectory;
+import org.banyanhook.gateway.fleet.StoreEras;
 import org.banyanhook.gateway.message.MemberCommand;
 import org.banyanhook.gateway.message.MemberReport;
 import org.banyanhook.gateway.operation.DecisionLog;
@@ -31,6 +32,7 @@
 import org.banyanhook.gateway.port.FleetRecordCodec;
 import org.banyanhook.gateway.port.PromotionAuthority;
 import org.banyanhook.gateway.port.RecordStore;
+import org.banyanhook.gateway.port.StoreLease;
 import org.banyanhook.gateway.primary.PromotionCandidates.Candidate;
 import org.jspecify.annotations.Nullable;
 
@@ -51,6 +53,7 @@
     private final RecordStore store;
     private final FleetRecordCodec recordCodec;
     private final FleetDirectory directory;
+    private final StoreEras eras;
     private final PromotionLeases promotionLeases;
     private final PeerVoteExchange voteExchange;
     private final PromotionVoter voter;
@@ -88,9 +91,9 @@
      * The result of recording a promotion in the store.
      *
      * @param promotion the promotion
-     * @param revision the revision of the record, or 0 if it was not written
+     * @param revision the revision of the record, or none if it was not written
      */
-    private record Recording(FleetRecord.Promotion promotion, long revision) {}
+    private record Recording(FleetRecord.Promotion promotion, StoreRevision revision) {}
 
     /** The state before a step-down: the members that can take over, and the status of the old primary. */
     private record StepDownStart(List<Candidate> candidates, Optional<MemberReport> status) {}
@@ -107,6 +110,7 @@
      * @param store stores the last promotion of each group
      * @param recordCodec provides the keys and the encoding of the records
      * @param directory provides the failure domains that operators have taken out and the leases of the daemons
+     * @param eras the eras of the store; nothing is promoted before all records of the newest one have been read
      * @param promotionLeases the leases that allow this daemon to promote members
      * @param voteExchange requests the votes of the other daemons
      * @param voter records the vote of this daemon
@@ -121,6 +125,7 @@
             RecordStore store,
             FleetRecordCodec recordCodec,
             FleetDirectory directory,
+            StoreEras eras,
             PromotionLeases promotionLeases,
             PeerVoteExchange voteExchange,
             PromotionVoter voter,
@@ -133,6 +138,7 @@
         this.store = store;
         this.recordCodec = recordCodec;
         this.directory = directory;
+        this.eras = eras;
         this.promotionLeases = promotionLeases;
         this.voteExchange = voteExchange;
         this.voter = voter;
@@ -165,6 +171,9 @@
      * @return the outcome, for the log
      */
     CompletableFuture<String> replace(DatabaseGroup group, PromotionController.Reason reason, Set<String> rejected) {
+        if (!eras.mayDecideIn(eras.newest())) {
+            return CompletableFuture.completedFuture("not all records of the store's new era have been read");
+        }
         return collectVotes(group, reason.planned()).thenCompose(outcome -> {
             QuorumApproval approval = outcome.approval();
             if (approval == null) {
@@ -262,7 +271,7 @@
             DatabaseGroup group,
             MemberServer oldPrimary,
             @Nullable MemberReport status,
-            long token,
+            StoreRevision token,
             Set<String> rejected,
             QuorumApproval approval) {
         group.pausePrimary(clock.nowNanos() + PROMOTION_TIMEOUT_NANOS);
@@ -297,7 +306,7 @@
     }
 
     private CompletableFuture<String> promoteBest(
-            DatabaseGroup group, long token, Set<String> rejected, QuorumApproval approval) {
+            DatabaseGroup group, StoreRevision token, Set<String> rejected, QuorumApproval approval) {
         return candidates.find(group, rejected).thenCompose(found -> {
             Optional<String> unresolved = unresolvedPromotions.memberToPromoteFirst(
                     group.name(),
@@ -312,7 +321,7 @@
             }
             logChoice(group, chosen.get(), unresolved.isPresent(), found, token, approval);
             return recordPromotion(group, chosen.get(), token, approval)
-                    .thenCompose(recording -> recording.revision() == 0
+                    .thenCompose(recording -> recording.revision().equals(StoreRevision.NONE)
                             ? CompletableFuture.completedFuture(
                                     "not recorded: the votes of the other daemons are too old")
                             : promoteRecorded(group, recording, token, rejected, approval));
@@ -324,7 +333,7 @@
             String member,
             boolean unresolved,
             List<Candidate> found,
-            long token,
+            StoreRevision token,
             QuorumApproval approval) {
         log.line("promotion-choice")
                 .with("group", group.name())
@@ -339,23 +348,24 @@
                                 .orElse(null))
                 .with("wanted", approval.targetPosition().toString())
                 .with("candidates", found.size())
-                .with("token", token)
+                .with("token", token.fencingToken())
                 .write();
     }
 
     /** Records the promotion in the store, unless the votes are too old. */
     private CompletableFuture<Recording> recordPromotion(
-            DatabaseGroup group, String member, long token, QuorumApproval approval) {
-        FleetRecord.Promotion promotion = new FleetRecord.Promotion(group.name(), member);
+            DatabaseGroup group, String member, StoreRevision token, QuorumApproval approval) {
+        FleetRecord.Promotion promotion =
+                new FleetRecord.Promotion(group.name(), member, new StoreRevision(token.era(), 0));
         if (clock.nowNanos() - approval.requestedNanos() > GrantedVotes.RECORDING_TIMEOUT_NANOS) {
-            return CompletableFuture.completedFuture(new Recording(promotion, 0));
+            return CompletableFuture.completedFuture(new Recording(promotion, StoreRevision.NONE));
         }
         long silenceNanos = approval.unresponsive().isEmpty() ? 0 : PromotionPermission.STOPPED_AFTER_NANOS;
         group.pausePrimary(clock.nowNanos() + PROMOTION_TIMEOUT_NANOS + silenceNanos);
         return store.putGuarded(
                         recordCodec.promotionKey(group.name()),
                         recordCodec.encode(promotion),
-                        directory.promotionRevision(group.name()),
+                        directory.storedPromotionRevision(group.name()),
                         recordCodec.promotionLeaseKey(group.name()),
                         token)
                 .thenApply(revision -> new Recording(promotion, revision));
@@ -369,13 +379,13 @@
     private CompletableFuture<Void> revokeLeases(Set<String> unresponsive) {
         List<CompletableFuture<Void>> revocations = new ArrayList<>();
         for (String daemon : unresponsive) {
-            OptionalLong lease = directory.daemonLease(daemon);
+            Optional<StoreLease> lease = directory.daemonLease(daemon);
             if (lease.isPresent()) {
                 log.line("shut-out")
                         .with("daemon", daemon)
-                        .with("lease", lease.getAsLong())
+                        .with("lease", lease.get().id())
                         .write();
-                revocations.add(store.endLease(lease.getAsLong()).exceptionallyCompose(DutyLease::ignoreEndedLease));
+                revocations.add(store.endLease(lease.get()).exceptionallyCompose(DutyLease::ignoreEndedLease));
             }
         }
         return CompletableFuture.allOf(revocations.toArray(new CompletableFuture<?>[0]));
@@ -387,7 +397,11 @@
      * daemon that does not answer is shut out. A daemon that restarts later reads the record.
      */
     private CompletableFuture<String> promoteRecorded(
-            DatabaseGroup group, Recording recording, long token, Set<String> rejected, QuorumApproval approval) {
+            DatabaseGroup group,
+            Recording recording,
+            StoreRevision token,
+            Set<String> rejected,
+            QuorumApproval approval) {
         voter.learnPromotion(recording.promotion(), recording.revision());
         long announcedNanos = clock.nowNanos();
         return shutOut(group, approval.unresponsive())
@@ -400,7 +414,7 @@
                         : shutOut(group, stillConnected(announcement.approval().unresponsive(), approval))
                                 .thenCompose(done ->
                                         promotionLeases.lease(group.name()).acquire())
-                                .thenCompose(renewed -> renewed == token
+                                .thenCompose(renewed -> renewed.equals(token)
                                         ? requestPromotion(group, recording, token, rejected, 1)
                                         : CompletableFuture.completedFuture(
                                                 "the promotion lease was lost before the request")));
@@ -425,7 +439,7 @@
     }
 
     /** Waits and renews the promotion lease, which lasts little longer than the wait. */
-    private CompletableFuture<Long> awaitHoldingLease(DatabaseGroup group, long nanos) {
+    private CompletableFuture<StoreRevision> awaitHoldingLease(DatabaseGroup group, long nanos) {
         DutyLease promotionLease = promotionLeases.lease(group.name());
         return delay(nanos / 2)
                 .thenCompose(done -> promotionLease.acquire())
@@ -434,31 +448,33 @@
     }
 
     private CompletableFuture<String> requestPromotion(
-            DatabaseGroup group, Recording recording, long token, Set<String> rejected, int attempt) {
+            DatabaseGroup group, Recording recording, StoreRevision token, Set<String> rejected, int attempt) {
         String member = recording.promotion().member();
         if (!promotionLeases.lease(group.name()).isHeld()) {
             return CompletableFuture.completedFuture("the promotion lease expired before the request");
         }
-        return authority.promote(group.name(), member, entryVm, token).thenCompose(result -> switch (result) {
-            case ACCEPTED -> {
-                unresolvedPromotions.recordAnswer(group.name());
-                yield awaitPrimary(group, member, clock.nowNanos() + PROMOTION_TIMEOUT_NANOS);
-            }
-            case REJECTED -> {
-                unresolvedPromotions.recordAnswer(group.name());
-                rejected.add(member);
-                yield CompletableFuture.completedFuture("rejected: " + member);
-            }
-            case REFUSED -> retryPromotion(group, recording, token, rejected, attempt);
-            case NO_ANSWER -> {
-                unresolvedPromotions.recordUnanswered(group.name(), member, recording.revision());
-                yield retryPromotion(group, recording, token, rejected, attempt);
-            }
-        });
+        return authority
+                .promote(group.name(), member, entryVm, token.fencingToken())
+                .thenCompose(result -> switch (result) {
+                    case ACCEPTED -> {
+                        unresolvedPromotions.recordAnswer(group.name());
+                        yield awaitPrimary(group, member, clock.nowNanos() + PROMOTION_TIMEOUT_NANOS);
+                    }
+                    case REJECTED -> {
+                        unresolvedPromotions.recordAnswer(group.name());
+                        rejected.add(member);
+                        yield CompletableFuture.completedFuture("rejected: " + member);
+                    }
+                    case REFUSED -> retryPromotion(group, recording, token, rejected, attempt);
+                    case NO_ANSWER -> {
+                        unresolvedPromotions.recordUnanswered(group.name(), member, recording.revision());
+                        yield retryPromotion(group, recording, token, rejected, attempt);
+                    }
+                });
     }
 
     private CompletableFuture<String> retryPromotion(
-            DatabaseGroup group, Recording recording, long token, Set<String> rejected, int attempt) {
+            DatabaseGroup group, Recording recording, StoreRevision token, Set<String> rejected, int attempt) {
         return attempt >= MAXIMUM_PROMOTION_REQUESTS
                 ? CompletableFuture.completedFuture("the platform did not answer the promotion request")
                 : delay(PROMOTION_RETRY_DELAY_NANOS)
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/StoreOrQuorumPolicy.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/StoreOrQuorumPolicy.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.banyanhook.core.primary.PeerContact;
@@ -34,6 +35,7 @@
     private long lastQueryNanos;
     private boolean storeContactLost;
     private Supplier<Set<String>> groupsWithUnresolvedVotes = Set::of;
+    private BooleanSupplier storeRead = () -> true;
 
     /**
      * Creates a policy.
@@ -67,6 +69,19 @@
         groupsWithUnresolvedVotes = groups;
     }
 
+    /**
+     * Sets the supplier of whether all records of the newest era of the store have been read. The other daemons are not
+     * relied on before.
+     */
+    public void storeRead(BooleanSupplier supplier) {
+        storeRead = supplier;
+    }
+
+    /** Relies on no earlier answer of other daemons from now on, because the store was restored from a copy. */
+    public void onStoreRestored() {
+        peerContact.reset();
+    }
+
     @Override
     public boolean mayUsePrimary(String group) {
         return nanosSinceStoreContact.getAsLong() <= PromotionPermission.CONTACT_TIMEOUT_NANOS
@@ -79,7 +94,9 @@
         long now = clock.nowNanos();
         long sinceContactNanos = nanosSinceStoreContact.getAsLong();
         logStoreContactChange(sinceContactNanos);
-        if (sinceContactNanos < PEER_QUERY_DELAY_NANOS || now - lastQueryNanos < PEER_QUERY_INTERVAL_NANOS) {
+        if (sinceContactNanos < PEER_QUERY_DELAY_NANOS
+                || now - lastQueryNanos < PEER_QUERY_INTERVAL_NANOS
+                || !storeRead.getAsBoolean()) {
             return;
         }
         lastQueryNanos = now;
@@ -103,7 +120,7 @@
     }
 
     private void recordRound(long sentNanos, PeerVoteExchange.RoundResult round) {
-        if (clock.jumpedSince(sentNanos)) {
+        if (clock.jumpedSince(sentNanos) || !storeRead.getAsBoolean()) {
             return;
         }
         peerContact.recordRound(sentNanos, round.votes(), round.groupsInDoubt());
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
@@ -23,6 +23,7 @@
 import org.banyanhook.core.execution.ShutdownSchedule;
 import org.banyanhook.core.key.KeyHashes;
 import org.banyanhook.core.replication.LogPosition;
+import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.gateway.backend.DatabaseGroup;
 import org.banyanhook.gateway.backend.DatabaseGroups;
 import org.banyanhook.gateway.backend.GroupContext;
@@ -38,6 +39,7 @@
 import org.banyanhook.gateway.port.FleetRecord;
 import org.banyanhook.gateway.port.MemberEntry;
 import org.banyanhook.gateway.port.SessionCodec;
+import org.banyanhook.gateway.port.StoreLease;
 import org.banyanhook.gateway.port.StoreRecord;
 import org.banyanhook.gateway.rate.AccountRateLimiter;
 import org.banyanhook.gateway.session.Session;
@@ -190,9 +192,15 @@
         return nowNanos;
     }
 
+    /** Lists this daemon as the only one. */
+    public void listDaemon() {
+        directory.apply(
+                new StoreRecord(recordCodec.daemonKey("vm"), nextRevision(), "east".getBytes(UTF_8), StoreLease.NONE));
+    }
+
     /** Lists this daemon as the only one, and lets time pass until accounts have tokens. */
     public void accrueTokens() {
-        directory.apply(new StoreRecord(recordCodec.daemonKey("vm"), ++revision, "east".getBytes(UTF_8), 0));
+        listDaemon();
         rateLimiter.tick();
         advanceMillis(1_000);
     }
@@ -212,6 +220,11 @@
         return members.computeIfAbsent(name, ScriptedMember::new);
     }
 
+    private StoreRevision nextRevision() {
+        revision++;
+        return new StoreRevision(0, revision);
+    }
+
     /** Lists a member in the store. */
     public ScriptedMember list(String name, boolean primary) {
         return listIn("east", name, primary);
@@ -235,22 +248,29 @@
 
     /** Records that operators take a failure domain out. */
     public void takeOut(String failureDomain) {
-        directory.apply(new StoreRecord(TextRecordCodec.EVACUATION_PREFIX + failureDomain, ++revision, new byte[0], 0));
+        directory.apply(new StoreRecord(
+                TextRecordCodec.EVACUATION_PREFIX + failureDomain, nextRevision(), new byte[0], StoreLease.NONE));
     }
 
     /** Removes the entry of a member from the store. */
     public void listGone(String name) {
-        directory.apply(new StoreRecord("members/" + name, ++revision, null, 0));
+        directory.apply(new StoreRecord("members/" + name, nextRevision(), null, StoreLease.NONE));
     }
 
     /** Records the promotion of a member in the store. */
     public void recordPromotion(String member) {
-        directory.applyPromotion(new FleetRecord.Promotion(GROUP, member), ++revision);
+        directory.applyPromotion(new FleetRecord.Promotion(GROUP, member), nextRevision());
+    }
+
+    /** Reads the promotion record of the group from the store. */
+    public void readPromotion(String text, StoreRevision revision) {
+        directory.apply(
+                new StoreRecord(recordCodec.promotionKey(GROUP), revision, text.getBytes(UTF_8), StoreLease.NONE));
     }
 
     private void apply(String key, FleetRecord record) {
         recordCodec.prepare(key, record);
-        directory.apply(new StoreRecord(key, ++revision, new byte[0], 0));
+        directory.apply(new StoreRecord(key, nextRevision(), new byte[0], StoreLease.NONE));
     }
 
     /** Opens a session to the database that is open to all. */
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/backend/MemberConnectionTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/backend/MemberConnectionTest.java
@@ -18,6 +18,7 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.util.concurrent.TimeUnit;
+import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.gateway.message.MemberAnswer;
 import org.banyanhook.gateway.message.MemberCommand;
 import org.banyanhook.gateway.operation.MonotonicClock;
@@ -55,7 +56,9 @@
         InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
         MonotonicClock clock = MonotonicClock.ofSystem();
         MemberServer member = new MemberServer(
-                new MemberEntry("a", "orders", address, "east", 2, false, true, 0, 1), 1, clock.nowNanos());
+                new MemberEntry("a", "orders", address, "east", 2, false, true, 0, 1),
+                new StoreRevision(0, 1),
+                clock.nowNanos());
         MemberConnection connection = new MemberConnection(member, "account", clock, new IgnoringOwner());
         NettyBootstraps.clientBootstrap(eventLoops, TIMEOUT_MILLIS)
                 .handler(new ChannelInitializer<Channel>() {
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/DaemonRegistrationTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/DaemonRegistrationTest.java
@@ -2,22 +2,24 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.gateway.GatewayFixture;
 import org.banyanhook.gateway.operation.GatewayMetrics;
 import org.banyanhook.gateway.port.StoreException;
+import org.banyanhook.gateway.port.StoreLease;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 final class DaemonRegistrationTest {
 
-    private static final long LEASE = 8;
+    private static final StoreLease LEASE = new StoreLease(0, 8);
 
     private final GatewayFixture gateway = new GatewayFixture();
     private final ScriptedRecordStore store = new ScriptedRecordStore();
-    private OptionalLong entryLease = OptionalLong.empty();
+    private Optional<StoreLease> entryLease = Optional.empty();
     private final DaemonRegistration registration = new DaemonRegistration(
             store,
             "daemons/vm",
@@ -110,18 +112,18 @@
     @Test
     void entryThatHasEndedWhileItsLeaseIsRenewedIsWrittenAgain() {
         registration.entryLease(() -> entryLease);
-        entryLease = OptionalLong.of(LEASE);
+        entryLease = Optional.of(LEASE);
         register();
         renew(10);
         assertThat(store.writes()).hasSize(1);
-        entryLease = OptionalLong.of(LEASE - 1);
+        entryLease = Optional.of(new StoreLease(0, 7));
         renew(2);
-        entryLease = OptionalLong.empty();
+        entryLease = Optional.empty();
         renew(3);
         assertThat(store.writes()).hasSize(2);
         assertThat(store.openedLeases()).hasSize(1);
-        store.writes().get(1).complete(9L);
-        entryLease = OptionalLong.of(LEASE);
+        store.writes().get(1).complete(new StoreRevision(0, 9));
+        entryLease = Optional.of(LEASE);
         renew(10);
         assertThat(store.writes()).hasSize(2);
     }
@@ -136,7 +138,7 @@
     private void register() {
         registration.start();
         store.openedLeases().get(0).complete(LEASE);
-        store.writes().get(0).complete(3L);
+        store.writes().get(0).complete(new StoreRevision(0, 3));
         gateway.advanceMillis(1);
         assertThat(registration.nanosSinceContact()).isLessThan(TimeUnit.SECONDS.toNanos(1));
     }
@@ -157,4 +159,44 @@
             // There is no watch.
         }
     }
+
+    /**
+     * Guards against a lease that is renewed although its identifier may belong to another daemon now, and against the
+     * use of a primary by a daemon that nobody can shut out.
+     */
+    @Test
+    void entryIsWrittenAgainUnderANewLeaseAfterARestore() {
+        register();
+        registration.onStoreRestored();
+        assertThat(registration.contact()).isEqualTo(StoreContact.NOT_REGISTERED_SINCE_RESTORE);
+        assertThat(registration.nanosSinceContact()).isGreaterThan(TimeUnit.HOURS.toNanos(1));
+        gateway.advanceMillis(2_000);
+        assertThat(store.renewals()).isEmpty();
+        assertThat(store.openedLeases()).hasSize(2);
+        store.openedLeases().get(1).complete(new StoreLease(2, 8));
+        store.writes().get(1).complete(new StoreRevision(2, 3));
+        assertThat(registration.contact()).isEqualTo(StoreContact.MEASURED);
+        gateway.advanceMillis(1_000);
+        assertThat(store.renewals()).hasSize(1);
+    }
+
+    /** Guards against two chains of renewals after two restores within seconds, and against a late renewal's answer. */
+    @Test
+    void secondRestoreReplacesTheFirst() {
+        register();
+        gateway.advanceMillis(1_000);
+        registration.onStoreRestored();
+        store.renewals().get(0).complete(null);
+        assertThat(registration.contact()).isEqualTo(StoreContact.NOT_REGISTERED_SINCE_RESTORE);
+        gateway.advanceMillis(1);
+        registration.onStoreRestored();
+        store.openedLeases().get(1).completeExceptionally(failure(StoreException.Kind.NO_ANSWER));
+        gateway.advanceMillis(1);
+        assertThat(store.openedLeases()).hasSize(3);
+        store.openedLeases().get(2).complete(new StoreLease(3, 8));
+        store.writes().get(1).complete(new StoreRevision(3, 3));
+        gateway.advanceMillis(1_000);
+        assertThat(store.openedLeases()).hasSize(3);
+        assertThat(store.renewals()).hasSize(2);
+    }
 }
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/ScriptedRecordStore.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/ScriptedRecordStore.java
@@ -4,9 +4,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongConsumer;
+import java.util.function.LongFunction;
+import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.gateway.port.RecordStore;
+import org.banyanhook.gateway.port.StoreLease;
 import org.banyanhook.gateway.port.StorePage;
 
 /** A record store whose calls are answered by the test. */
@@ -14,24 +17,32 @@
 
     private final List<CompletableFuture<StorePage>> lists = new ArrayList<>();
     private final List<Watch> watches = new ArrayList<>();
-    private final List<CompletableFuture<Long>> openedLeases = new ArrayList<>();
-    private final List<CompletableFuture<Long>> writes = new ArrayList<>();
+    private final List<CompletableFuture<StoreLease>> openedLeases = new ArrayList<>();
+    private final List<CompletableFuture<StoreRevision>> writes = new ArrayList<>();
     private final List<CompletableFuture<Void>> renewals = new ArrayList<>();
-    private final List<Long> endedLeases = new ArrayList<>();
-    private final List<Long> expectedRevisions = new ArrayList<>();
+    private final List<StoreLease> endedLeases = new ArrayList<>();
+    private final List<StoreRevision> expectedRevisions = new ArrayList<>();
     private boolean answersAtOnce;
+    private LongConsumer eraListener = era -> {};
+    private long era;
     private long lastNumber = 1_000;
 
     /** A watch that was requested. */
-    public record Watch(long afterRevision, CompletableFuture<StorePage> answer) {}
+    public record Watch(StoreRevision afterRevision, CompletableFuture<StorePage> answer) {}
 
     /** Executes writes, renewals and new leases at once from now on. */
     public void answerAtOnce() {
         answersAtOnce = true;
     }
 
-    /** Returns the revisions that guarded writes required of their records. */
-    public List<Long> expectedRevisions() {
+    /** Shows the era of an answer, and issues revisions and leases of that era from now on. */
+    public void showEra(long newEra) {
+        era = newEra;
+        eraListener.accept(newEra);
+    }
+
+    /** Returns the revisions that writes required of their records; of guarded writes also that none exists. */
+    public List<StoreRevision> expectedRevisions() {
         return expectedRevisions;
     }
 
@@ -46,12 +57,12 @@
     }
 
     /** Returns the leases that were requested. */
-    public List<CompletableFuture<Long>> openedLeases() {
+    public List<CompletableFuture<StoreLease>> openedLeases() {
         return openedLeases;
     }
 
     /** Returns the writes that were requested. */
-    public List<CompletableFuture<Long>> writes() {
+    public List<CompletableFuture<StoreRevision>> writes() {
         return writes;
     }
 
@@ -61,41 +72,50 @@
     }
 
     /** Returns the leases that were ended. */
-    public List<Long> endedLeases() {
+    public List<StoreLease> endedLeases() {
         return endedLeases;
     }
 
+    @Override
+    public void onEra(LongConsumer listener) {
+        eraListener = listener;
+    }
+
     @Override
     public CompletableFuture<StorePage> list(String prefix, Optional<String> afterKey) {
         return add(lists);
     }
 
     @Override
-    public CompletableFuture<StorePage> watch(String prefix, long afterRevision, Duration maximumWait) {
+    public CompletableFuture<StorePage> watch(String prefix, StoreRevision afterRevision, Duration maximumWait) {
         CompletableFuture<StorePage> answer = new CompletableFuture<>();
         watches.add(new Watch(afterRevision, answer));
         return answer;
     }
 
     @Override
-    public CompletableFuture<Long> put(String key, byte[] value, OptionalLong expectedRevision, long lease) {
-        return number(writes);
+    public CompletableFuture<StoreRevision> put(
+            String key, byte[] value, Optional<StoreRevision> expectedRevision, StoreLease lease) {
+        expectedRevision
+                .filter(revision -> revision.isAfter(StoreRevision.NONE))
+                .ifPresent(expectedRevisions::add);
+        return number(writes, number -> new StoreRevision(era, number));
     }
 
     @Override
-    public CompletableFuture<Long> putGuarded(
-            String key, byte[] value, long expectedRevision, String guardKey, long guardRevision) {
+    public CompletableFuture<StoreRevision> putGuarded(
+            String key, byte[] value, StoreRevision expectedRevision, String guardKey, StoreRevision guardRevision) {
         expectedRevisions.add(expectedRevision);
-        return number(writes);
+        return number(writes, number -> new StoreRevision(era, number));
     }
 
     @Override
-    public CompletableFuture<Long> openLease(Duration timeToLive) {
-        return number(openedLeases);
+    public CompletableFuture<StoreLease> openLease(Duration timeToLive) {
+        return number(openedLeases, number -> new StoreLease(era, number));
     }
 
     @Override
-    public CompletableFuture<Void> renewLease(long lease) {
+    public CompletableFuture<Void> renewLease(StoreLease lease) {
         CompletableFuture<Void> renewal = add(renewals);
         if (answersAtOnce) {
             renewal.complete(null);
@@ -104,15 +124,15 @@
     }
 
     @Override
-    public CompletableFuture<Void> endLease(long lease) {
+    public CompletableFuture<Void> endLease(StoreLease lease) {
         endedLeases.add(lease);
         return CompletableFuture.completedFuture(null);
     }
 
-    private CompletableFuture<Long> number(List<CompletableFuture<Long>> calls) {
-        CompletableFuture<Long> call = add(calls);
+    private <T> CompletableFuture<T> number(List<CompletableFuture<T>> calls, LongFunction<T> answer) {
+        CompletableFuture<T> call = add(calls);
         if (answersAtOnce) {
-            call.complete(++lastNumber);
+            call.complete(answer.apply(++lastNumber));
         }
         return call;
     }
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/TextRecordCodec.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/TextRecordCodec.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.gateway.port.DaemonEntry;
 import org.banyanhook.gateway.port.FleetRecord;
 import org.banyanhook.gateway.port.FleetRecordCodec;
@@ -45,7 +46,12 @@
             return new FleetRecord.Evacuation(key.substring(EVACUATION_PREFIX.length()));
         }
         if (key.startsWith(PROMOTION_PREFIX)) {
-            return new FleetRecord.Promotion(key.substring(PROMOTION_PREFIX.length()), text);
+            String[] parts = text.split("[@/]", -1);
+            String group = key.substring(PROMOTION_PREFIX.length());
+            return parts.length == 1
+                    ? new FleetRecord.Promotion(group, text)
+                    : new FleetRecord.Promotion(
+                            group, parts[0], new StoreRevision(Long.parseLong(parts[1]), Long.parseLong(parts[2])));
         }
         if (key.startsWith(DAEMON_PREFIX)) {
             String entryVm = key.substring(DAEMON_PREFIX.length());
@@ -74,7 +80,8 @@
 
     @Override
     public byte[] encode(FleetRecord.Promotion promotion) {
-        return promotion.member().getBytes(StandardCharsets.UTF_8);
+        String origin = promotion.origin().equals(StoreRevision.NONE) ? "" : "@" + promotion.origin();
+        return (promotion.member() + origin).getBytes(StandardCharsets.UTF_8);
     }
 
     @Override
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PeerVoteExchangeTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PeerVoteExchangeTest.java
@@ -13,13 +13,16 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.daemon.peer.PeerMessageHandler;
 import org.banyanhook.daemon.peer.PeerMessenger;
 import org.banyanhook.gateway.fleet.FleetDirectory;
+import org.banyanhook.gateway.fleet.StoreEras;
 import org.banyanhook.gateway.fleet.TextRecordCodec;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.MonotonicClock;
 import org.banyanhook.gateway.port.FleetRecord;
+import org.banyanhook.gateway.port.StoreLease;
 import org.banyanhook.gateway.port.StoreRecord;
 import org.banyanhook.protocol.generated.PeerEnvelope;
 import org.junit.jupiter.api.AfterEach;
@@ -27,12 +30,13 @@
 
 final class PeerVoteExchangeTest {
 
-    private static final long REVISION = 12;
+    private static final StoreRevision REVISION = new StoreRevision(0, 12);
 
     private final DefaultEventLoop eventLoop = new DefaultEventLoop();
     private final DecisionLog log = new DecisionLog("vm", OutputStream.nullOutputStream(), System::nanoTime);
     private final MonotonicClock clock = MonotonicClock.ofSystem();
     private final Map<String, PeerMessageHandler> handlers = new HashMap<>();
+    private final Map<String, StoreEras> erasByDaemon = new HashMap<>();
     private final Set<String> votes = new HashSet<>();
     private final Map<String, FleetRecord.Promotion> learned = new HashMap<>();
 
@@ -94,13 +98,18 @@
             directory.apply(daemonRecord(other));
         }
         PeerVoteExchange exchange =
-                new PeerVoteExchange(name, new InProcessMessenger(name), directory, eventLoop, clock);
+                new PeerVoteExchange(name, new InProcessMessenger(name), directory, eras(name), eventLoop, clock);
         exchange.serve(new RecordingVoter(name));
         return exchange;
     }
 
+    private StoreEras eras(String daemon) {
+        return erasByDaemon.computeIfAbsent(daemon, name -> new StoreEras(log));
+    }
+
     private static StoreRecord daemonRecord(String name) {
-        return new StoreRecord(TextRecordCodec.DAEMON_PREFIX + name, 1, new byte[] {'a'}, 5);
+        return new StoreRecord(
+                TextRecordCodec.DAEMON_PREFIX + name, new StoreRevision(0, 1), new byte[] {'a'}, new StoreLease(0, 5));
     }
 
     /** Delivers requests to the handler of the daemon whose entry VM's name is the address. */
@@ -144,12 +153,12 @@
         }
 
         @Override
-        public void learnPromotion(FleetRecord.Promotion promotion, long revision) {
-            learned.put(name + " at " + revision, promotion);
+        public void learnPromotion(FleetRecord.Promotion promotion, StoreRevision revision) {
+            learned.put(name + " at " + revision.number(), promotion);
         }
 
         @Override
-        public Set<String> groupsInDoubt(long knownRevision) {
+        public Set<String> groupsInDoubt(StoreRevision knownRevision) {
             return Set.copyOf(List.of());
         }
 
@@ -158,4 +167,33 @@
             return true;
         }
     }
+
+    /** Guards against a vote or an announcement that counts although one of the daemons knows an older era. */
+    @Test
+    void daemonsInDifferentErasDoNotVoteForEachOther() throws Exception {
+        daemon("vm-2", "vm-1");
+        PeerVoteExchange asking = daemon("vm-1", "vm-2");
+        showEra("vm-1", 2);
+        assertThat(requestVote(asking).unresponsive()).containsExactly("vm-2");
+        eras("vm-2").observe(2);
+        assertThat(requestVote(asking).unresponsive()).containsExactly("vm-2");
+        showEra("vm-2", 2);
+        assertThat(requestVote(asking).votes().unreachable()).isEqualTo(1);
+        showEra("vm-2", 3);
+        FleetRecord.Promotion promotion = new FleetRecord.Promotion("orders", "member-2");
+        assertThat(asking.announcePromotion(promotion, new StoreRevision(2, 9))
+                        .get(5, TimeUnit.SECONDS)
+                        .unresponsive())
+                .containsExactly("vm-2");
+        assertThat(learned).isEmpty();
+    }
+
+    private void showEra(String daemon, long era) {
+        eras(daemon).observe(era);
+        eras(daemon).recordReading(era);
+    }
+
+    private static PeerVoteExchange.RoundResult requestVote(PeerVoteExchange exchange) throws Exception {
+        return exchange.requestVotes("orders", false).get(5, TimeUnit.SECONDS);
+    }
 }
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionLeasesTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionLeasesTest.java
@@ -6,12 +6,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.gateway.fleet.FleetDirectory;
 import org.banyanhook.gateway.fleet.ScriptedRecordStore;
 import org.banyanhook.gateway.fleet.TextRecordCodec;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.MonotonicClock;
 import org.banyanhook.gateway.port.StoreException;
+import org.banyanhook.gateway.port.StoreLease;
 import org.banyanhook.gateway.port.StoreRecord;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -38,23 +40,23 @@
         directory.apply(holder("orders", "vm-1", 3, 70));
         directory.apply(holder("stock", "vm-2", 4, 80));
         leases.endFormerLeases();
-        assertThat(store.endedLeases()).containsExactly(70L);
+        assertThat(store.endedLeases()).containsExactly(lease(70));
     }
 
     @Test
     void leaseWhoseAnswerWasLostIsEndedBeforeItIsAcquiredAgain() throws Exception {
-        CompletableFuture<Long> first = leases.lease("orders").acquire();
-        store.openedLeases().get(0).complete(70L);
+        CompletableFuture<StoreRevision> first = leases.lease("orders").acquire();
+        store.openedLeases().get(0).complete(lease(70));
         store.writes()
                 .get(0)
                 .completeExceptionally(new StoreException(StoreException.Kind.NO_ANSWER, "expected by the test"));
         assertThat(first.isCompletedExceptionally()).isTrue();
         directory.apply(holder("orders", "vm-1", 3, 70));
-        CompletableFuture<Long> second = leases.lease("orders").acquire();
-        assertThat(store.endedLeases()).containsExactly(70L, 70L);
-        store.openedLeases().get(1).complete(71L);
-        store.writes().get(1).complete(9L);
-        assertThat(second.get(1, TimeUnit.SECONDS)).isEqualTo(9);
+        CompletableFuture<StoreRevision> second = leases.lease("orders").acquire();
+        assertThat(store.endedLeases()).containsExactly(lease(70), lease(70));
+        store.openedLeases().get(1).complete(lease(71));
+        store.writes().get(1).complete(revision(9));
+        assertThat(second.get(1, TimeUnit.SECONDS)).isEqualTo(revision(9));
         assertThat(leases.lease("orders").isHeld()).isTrue();
     }
 
@@ -68,12 +70,12 @@
     @Test
     void heldLeaseIsRenewedWithItsToken() throws Exception {
         var unused = leases.lease("orders").acquire();
-        store.openedLeases().get(0).complete(70L);
-        store.writes().get(0).complete(9L);
+        store.openedLeases().get(0).complete(lease(70));
+        store.writes().get(0).complete(revision(9));
         directory.apply(holder("orders", "vm-1", 9, 70));
-        CompletableFuture<Long> renewed = leases.lease("orders").acquire();
+        CompletableFuture<StoreRevision> renewed = leases.lease("orders").acquire();
         store.renewals().get(0).complete(null);
-        assertThat(renewed.get(1, TimeUnit.SECONDS)).isEqualTo(9);
+        assertThat(renewed.get(1, TimeUnit.SECONDS)).isEqualTo(revision(9));
         assertThat(store.endedLeases()).isEmpty();
     }
 
@@ -89,33 +91,33 @@
     @Test
     void leaseThatWasRequestedBeforeASuspensionIsNotHeld() {
         var unused = leases.lease("orders").acquire();
-        store.openedLeases().get(0).complete(70L);
+        store.openedLeases().get(0).complete(lease(70));
         suspendedMillis += 6_000;
-        store.writes().get(0).complete(9L);
+        store.writes().get(0).complete(revision(9));
         assertThat(leases.lease("orders").isHeld()).isFalse();
     }
 
     @Test
     void leaseWhoseRecordGotNoAnswerIsEndedSoThatALateWriteHasNoEffect() {
         var unused = leases.lease("orders").acquire();
-        store.openedLeases().get(0).complete(70L);
+        store.openedLeases().get(0).complete(lease(70));
         store.writes()
                 .get(0)
                 .completeExceptionally(new StoreException(StoreException.Kind.NO_ANSWER, "expected by the test"));
-        assertThat(store.endedLeases()).containsExactly(70L);
+        assertThat(store.endedLeases()).containsExactly(lease(70));
     }
 
     private void acquireOrders() {
         var unused = leases.lease("orders").acquire();
-        store.openedLeases().get(0).complete(70L);
-        store.writes().get(0).complete(9L);
+        store.openedLeases().get(0).complete(lease(70));
+        store.writes().get(0).complete(revision(9));
     }
 
     @Test
     void groupsHaveLeasesOfTheirOwn() {
         var unused = leases.lease("orders").acquire();
-        store.openedLeases().get(0).complete(70L);
-        store.writes().get(0).complete(9L);
+        store.openedLeases().get(0).complete(lease(70));
+        store.writes().get(0).complete(revision(9));
         assertThat(leases.lease("orders").isHeld()).isTrue();
         assertThat(leases.lease("stock").isHeld()).isFalse();
     }
@@ -123,8 +125,24 @@
     private static StoreRecord holder(String group, String entryVm, long revision, long lease) {
         return new StoreRecord(
                 TextRecordCodec.PROMOTION_LEASE_PREFIX + group,
-                revision,
+                revision(revision),
                 entryVm.getBytes(StandardCharsets.UTF_8),
-                lease);
+                lease(lease));
+    }
+
+    private static StoreRevision revision(long number) {
+        return new StoreRevision(0, number);
+    }
+
+    private static StoreLease lease(long id) {
+        return new StoreLease(0, id);
+    }
+
+    /** Guards against a promotion under a lease that the store lost when it was restored from a copy. */
+    @Test
+    void leaseIsNotHeldAfterARestore() {
+        acquireOrders();
+        leases.dropAll();
+        assertThat(leases.lease("orders").isHeld()).isFalse();
     }
 }
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionWorkflowTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionWorkflowTest.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.banyanhook.core.replication.LogPosition;
+import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.gateway.GatewayFixture;
 import org.banyanhook.gateway.port.PromotionAuthority;
 import org.junit.jupiter.api.AfterEach;
@@ -117,7 +118,7 @@
     @Test
     void promotionIsRecordedOnlyIfItsRecordHasNotChanged() {
         gateway.recordPromotion("a");
-        long revision = gateway.directory().promotionRevision(GatewayFixture.GROUP);
+        StoreRevision revision = gateway.directory().promotionRevision(GatewayFixture.GROUP);
         members.remove("a");
         replace(PromotionController.Reason.UNREACHABLE);
         assertThat(promotions.store().expectedRevisions()).containsExactly(revision);
@@ -130,4 +131,68 @@
         }
         return outcome.join();
     }
+
+    /** Guards against a primary that is never replaced again after the store was restored from an older copy. */
+    @Test
+    void primaryIsReplacedUnderTheConditionOfTheNewEra() {
+        showEra(1);
+        gateway.readPromotion("old@1/0", new StoreRevision(1, 40));
+        gateway.readPromotion("a@1/0", new StoreRevision(1, 57));
+        members.remove("a");
+        promotions.store().showEra(2);
+        assertThat(replace(PromotionController.Reason.UNREACHABLE)).contains("have been read");
+        assertThat(requests).isEmpty();
+        gateway.readPromotion("old@1/0", new StoreRevision(2, 40));
+        promotions.eras().recordReading(2);
+        replace(PromotionController.Reason.UNREACHABLE);
+        assertThat(requests).containsExactly("b");
+        assertThat(promotions.store().expectedRevisions()).containsExactly(new StoreRevision(2, 40));
+        assertThat(promotions.tokens().get(0)).isGreaterThan(new StoreRevision(1, 1L << 39).fencingToken());
+    }
+
+    /** Guards against another member promoted while the order from before the restore may still be carried out. */
+    @Test
+    void orderUnansweredDuringTheRestoreIsRepeatedFirst() {
+        showEra(1);
+        promotions.authorityAnswers(PromotionAuthority.Result.NO_ANSWER);
+        promotions.duringRequest(() -> promotions.store().showEra(2));
+        members.remove("a");
+        replace(PromotionController.Reason.UNREACHABLE);
+        assertThat(requests).containsExactly("b");
+        promotions.duringRequest(() -> {});
+        gateway.readPromotion("old@1/0", new StoreRevision(2, 40));
+        promotions.eras().recordReading(2);
+        members.set("a", true, 1, new LogPosition(1, 9));
+        promotions.authorityAnswers(PromotionAuthority.Result.ACCEPTED);
+        replace(PromotionController.Reason.ABSENT);
+        assertThat(requests).containsExactly("b", "b");
+        assertThat(promotions.tokens()).isInStrictOrder();
+    }
+
+    /** Guards against daemons that start after the restore and take the copy's promotion for the last one. */
+    @Test
+    void promotionThatTheStoreLostIsWrittenAgain() {
+        showEra(1);
+        gateway.readPromotion("a@1/0", new StoreRevision(1, 57));
+        LostPromotionWriter writer = new LostPromotionWriter(
+                "vm",
+                promotions.checkedStore(),
+                gateway.recordCodec(),
+                gateway.directory(),
+                promotions.eras(),
+                gateway.log());
+        gateway.listDaemon();
+        promotions.store().showEra(2);
+        gateway.readPromotion("old@1/0", new StoreRevision(2, 40));
+        writer.writeAgain();
+        assertThat(promotions.store().expectedRevisions()).isEmpty();
+        promotions.eras().recordReading(2);
+        writer.writeAgain();
+        assertThat(promotions.store().expectedRevisions()).containsExactly(new StoreRevision(2, 40));
+    }
+
+    private void showEra(long era) {
+        promotions.store().showEra(era);
+        promotions.eras().recordReading(era);
+    }
 }
