Hold back older states that a restored store shows; count votes of one era only

Cause: the copy that the store is restored from can name a former primary and lack an evacuation until members and operators have written again; groups without a primary are replaced after 1.2 s. Votes of an older era could permit a promotion in a new one. Change: a member's entry that differs from the known one, and an evacuation that appeared or vanished, wait 2.5 s after a restore. Votes count only for a lease of their era. Daemons move from FleetDirectory into KnownDaemons, the approval out of PromotionWorkflow.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
@@ -2,10 +2,8 @@
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -42,12 +40,6 @@
      */
     static final long ENDED_MEMBER_RETENTION_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
-    /** How long a former number of daemons is taken into account when limits are divided. */
-    private static final long DAEMON_COUNT_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(20);
-
-    /** How long a daemon may still be running without contact to the store after its entry ended. */
-    private static final long ENDED_DAEMON_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(30);
-
     private final FleetRecordCodec recordCodec;
     private final DecisionLog log;
     private final MonotonicClock clock;
@@ -56,24 +48,15 @@
     private final Map<String, FleetRecord> recordsByKey = new HashMap<>();
     private final Map<String, MemberRecord> members = new HashMap<>();
     private final Map<String, Long> memberRemovalNanos = new HashMap<>();
-    private final Map<String, DaemonEntry> daemons = new HashMap<>();
-    private final Map<String, StoreLease> daemonLeases = new HashMap<>();
-    private final Map<String, EndedDaemon> endedDaemons = new HashMap<>();
+    private final KnownDaemons daemons = new KnownDaemons();
+    private final HeldBackChanges heldBack = new HeldBackChanges();
     private final RecordedPromotions promotions = new RecordedPromotions();
     private final Map<String, HeldPromotionLease> promotionLeases = new HashMap<>();
     private final Map<String, Long> takenOutSinceNanos = new HashMap<>();
-    private final Deque<DaemonCount> daemonCounts = new ArrayDeque<>();
-    private final Map<String, Integer> daemonCountsByDomain = new HashMap<>();
-    private Map<String, DaemonEntry> daemonsByEntryVm = Map.of();
-    private Map<String, String> recentFailureDomains = Map.of();
     private SessionConfiguration configuration = SessionConfiguration.EMPTY;
     private long configurationAppliedNanos;
     private KeyRegistry keys = KeyRegistry.of(FleetConfiguration.EMPTY);
 
-    private record DaemonCount(long observedNanos, int count) {}
-
-    private record EndedDaemon(long endedNanos, DaemonEntry entry) {}
-
     private record HeldPromotionLease(String entryVm, StoreLease lease) {}
 
     /**
@@ -135,35 +118,32 @@
 
     /** Returns the daemons that have an entry, by entry VM. */
     public Map<String, DaemonEntry> daemons() {
-        return daemonsByEntryVm;
+        return daemons.byEntryVm();
     }
 
     /** Returns how many daemons in a failure domain have an entry. */
     public int daemonCount(String failureDomain) {
-        return daemonCountsByDomain.getOrDefault(failureDomain, 0);
+        return daemons.count(failureDomain);
     }
 
     /** Returns the lease of a daemon's entry, or empty if it has none. */
     public Optional<StoreLease> daemonLease(String entryVm) {
-        return Optional.ofNullable(daemonLeases.get(entryVm)).filter(lease -> !lease.isNone());
+        return daemons.lease(entryVm);
     }
 
     /** Returns the time since a daemon's entry was seen to end, in nanoseconds; 0 if that is not known. */
     public long nanosSinceEntryEnded(String entryVm) {
-        EndedDaemon ended = endedDaemons.get(entryVm);
-        return ended == null ? 0 : clock.nowNanos() - ended.endedNanos();
+        return daemons.nanosSinceEntryEnded(entryVm, clock.nowNanos());
     }
 
     /** Returns how many daemons have an entry. */
     public int daemonCount() {
-        return daemons.size();
+        return daemons.count();
     }
 
     /** Returns the daemons that have an entry or had one recently, by entry VM. */
     public Map<String, DaemonEntry> recentDaemons() {
-        Map<String, DaemonEntry> recent = new HashMap<>(daemons);
-        endedDaemons.forEach((entryVm, ended) -> recent.putIfAbsent(entryVm, ended.entry()));
-        return recent;
+        return daemons.recent();
     }
 
     /**
@@ -171,7 +151,7 @@
      * is returned until the contents change.
      */
     public Map<String, String> recentFailureDomains() {
-        return recentFailureDomains;
+        return daemons.recentFailureDomains();
     }
 
     /** Returns the member of the last recorded promotion of a group, or empty if none is recorded. */
@@ -226,11 +206,7 @@
      * recently, because a daemon whose entry ended may still be running for a while.
      */
     public int daemonsSharingLimits() {
-        int maximum = Math.max(1, daemons.size());
-        for (DaemonCount count : daemonCounts) {
-            maximum = Math.max(maximum, count.count());
-        }
-        return maximum;
+        return daemons.highestRecentCount();
     }
 
     /**
@@ -284,7 +260,7 @@
         if (othersChanged) {
             notifyListeners();
         } else if (daemonsChanged) {
-            updateDaemonViews();
+            daemons.updateViews();
         }
         return othersChanged;
     }
@@ -306,24 +282,45 @@
         Set<String> present = new HashSet<>();
         for (StoreRecord found : all) {
             present.add(found.key());
-            applyOrLog(found);
+            applyOrHoldBack(found);
         }
         for (String key : ImmutableSet.copyOf(recordsByKey.keySet())) {
             if (!present.contains(key)
                     && !revisions.getOrDefault(key, StoreRevision.NONE).isAfter(revision)) {
-                applyOrLog(new StoreRecord(key, revision, null, StoreLease.NONE));
+                applyOrHoldBack(new StoreRecord(key, revision, null, StoreLease.NONE));
             }
         }
         notifyListeners();
     }
 
-    /** Removes members and daemons whose entry ended a while ago. */
+    /** Applies a change of a reading, unless it may be an older state that the store was restored to. */
+    private void applyOrHoldBack(StoreRecord change) {
+        StoreRevision known = revisions.get(change.key());
+        if (known != null && known.era() < change.revision().era()) {
+            byte[] value = change.value();
+            FleetRecord found = value == null ? null : decodeOrNull(change.key(), value);
+            if (HeldBackChanges.contradicts(recordsByKey.get(change.key()), found)) {
+                heldBack.hold(change, clock.nowNanos() + ENDED_MEMBER_RETENTION_NANOS);
+                return;
+            }
+        }
+        applyOrLog(change);
+    }
+
+    private @Nullable FleetRecord decodeOrNull(String key, byte[] value) {
+        try {
+            return recordCodec.decode(key, value);
+        } catch (RuntimeException | StackOverflowError exception) {
+            // Reported when the change is applied.
+            return null;
+        }
+    }
+
+    /** Removes members and daemons whose entry ended a while ago, and applies changes that were held back. */
     public void tick() {
         long now = clock.nowNanos();
-        daemonCounts.removeIf(count -> now - count.observedNanos() > DAEMON_COUNT_RETENTION_NANOS);
-        if (endedDaemons.values().removeIf(ended -> now - ended.endedNanos() > ENDED_DAEMON_RETENTION_NANOS)) {
-            updateDaemonViews();
-        }
+        apply(heldBack.takeDue(now));
+        daemons.tick(now);
         boolean removed = false;
         for (Map.Entry<String, Long> removal :
                 ImmutableMap.copyOf(memberRemovalNanos).entrySet()) {
@@ -361,6 +358,7 @@
             return false;
         }
         revisions.put(change.key(), change.revision());
+        heldBack.discard(change.key());
         byte[] value = change.value();
         FleetRecord before = recordsByKey.get(change.key());
         if (value == null) {
@@ -371,7 +369,7 @@
             return before != null;
         }
         FleetRecord after = recordCodec.decode(change.key(), value);
-        if (before != null && !isSameType(before, after)) {
+        if (before != null && before.getClass() != after.getClass()) {
             remove(before, change);
         }
         recordsByKey.put(change.key(), after);
@@ -379,10 +377,6 @@
         return true;
     }
 
-    private static boolean isSameType(FleetRecord before, FleetRecord after) {
-        return before.getClass() == after.getClass();
-    }
-
     private void add(FleetRecord record, StoreRecord change) {
         if (record instanceof FleetRecord.Configuration found) {
             applyConfiguration(found.configuration(), change.revision());
@@ -396,9 +390,7 @@
                     .with("revision", change.revision().number())
                     .write();
         } else if (record instanceof FleetRecord.Daemon found) {
-            daemons.put(found.entry().entryVm(), found.entry());
-            daemonLeases.put(found.entry().entryVm(), change.lease());
-            endedDaemons.remove(found.entry().entryVm());
+            daemons.add(found.entry(), change.lease());
         } else if (record instanceof FleetRecord.Promotion found) {
             boolean applied = promotions.apply(found, change.revision(), clock.nowNanos());
             log.line("promotion-record")
@@ -433,10 +425,7 @@
         } else if (record instanceof FleetRecord.PromotionLeaseHolder found) {
             promotionLeases.remove(found.group());
         } else if (record instanceof FleetRecord.Daemon found) {
-            daemonCounts.addLast(new DaemonCount(clock.nowNanos(), daemons.size()));
-            daemons.remove(found.entry().entryVm());
-            daemonLeases.remove(found.entry().entryVm());
-            endedDaemons.put(found.entry().entryVm(), new EndedDaemon(clock.nowNanos(), found.entry()));
+            daemons.remove(found.entry(), clock.nowNanos());
         }
     }
 
@@ -500,19 +489,8 @@
                 .write();
     }
 
-    private void updateDaemonViews() {
-        daemonsByEntryVm = ImmutableMap.copyOf(daemons);
-        daemonCountsByDomain.clear();
-        daemons.values().forEach(entry -> daemonCountsByDomain.merge(entry.failureDomain(), 1, Integer::sum));
-        Map<String, String> found = new HashMap<>();
-        recentDaemons().forEach((entryVm, entry) -> found.put(entryVm, entry.failureDomain()));
-        if (!found.equals(recentFailureDomains)) {
-            recentFailureDomains = ImmutableMap.copyOf(found);
-        }
-    }
-
     private void notifyListeners() {
-        updateDaemonViews();
+        daemons.updateViews();
         listeners.forEach(FleetListener::onFleetChange);
     }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerVoteExchange.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerVoteExchange.java
@@ -203,7 +203,9 @@
     public CompletableFuture<RoundResult> requestVotes(String group, boolean planned) {
         Map<String, DaemonEntry> all = directory.recentDaemons();
         return sendRequests(
-                PrimaryEvidenceRequest.newBuilder().setDatabase(group).setPlanned(planned), all.keySet());
+                PrimaryEvidenceRequest.newBuilder().setDatabase(group).setPlanned(planned),
+                eras.newest(),
+                all.keySet());
     }
 
     /**
@@ -221,6 +223,7 @@
                         .setPlanned(true)
                         .setPromotedMember(promotion.member())
                         .setPromotionRevision(revision.number()),
+                revision.era(),
                 directory.recentDaemons().keySet());
     }
 
@@ -234,7 +237,7 @@
         // The term field carries the newest promotion revision known here, so that only later promotions are returned.
         StoreRevision known = directory.newestPromotionRevision();
         long term = eras.newest() == 0 ? known.number() : known.fencingToken();
-        return sendRequests(PrimaryEvidenceRequest.newBuilder().setTerm(term), voters);
+        return sendRequests(PrimaryEvidenceRequest.newBuilder().setTerm(term), eras.newest(), voters);
     }
 
     /** Returns the newest promotion revision that the sender knows, which has the form of a token if there are eras. */
@@ -244,8 +247,8 @@
                 : StoreRevision.ofFencingToken(Math.max(0, request.getTerm()));
     }
 
-    private CompletableFuture<RoundResult> sendRequests(PrimaryEvidenceRequest.Builder request, Set<String> daemons) {
-        long era = eras.newest();
+    private CompletableFuture<RoundResult> sendRequests(
+            PrimaryEvidenceRequest.Builder request, long era, Set<String> daemons) {
         PeerEnvelope body = PeerEnvelope.newBuilder()
                 .setPrimaryEvidenceRequest(request.setStoreEra(era))
                 .build();
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
@@ -1,7 +1,6 @@
 package org.banyanhook.gateway.primary;
 
 import com.google.common.collect.ImmutableSet;
-import com.google.common.collect.Sets;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -67,26 +66,6 @@
     private final PromotionCandidates candidates;
     private final UnresolvedPromotions unresolvedPromotions = new UnresolvedPromotions();
 
-    /**
-     * The approval of a replacement by the other daemons.
-     *
-     * @param requestedNanos when the votes were requested
-     * @param unresponsive the daemons that did not answer and may still use the old primary
-     * @param shutOut the daemons that did not answer and whose contact to the store has ended since
-     * @param targetPosition the log position that the new primary should have reached
-     */
-    private record QuorumApproval(
-            long requestedNanos, Set<String> unresponsive, Set<String> shutOut, LogPosition targetPosition) {
-
-        private QuorumApproval renewedAt(long nanos) {
-            return new QuorumApproval(nanos, Set.of(), Sets.union(unresponsive, shutOut), targetPosition);
-        }
-
-        private QuorumApproval withTargetPosition(LogPosition position) {
-            return new QuorumApproval(requestedNanos, unresponsive, shutOut, position);
-        }
-    }
-
     /**
      * The result of recording a promotion in the store.
      *
@@ -204,8 +183,9 @@
     /** Requests the votes of all other daemons on the replacement, and adds that of this daemon if it is approved. */
     private CompletableFuture<VoteOutcome> collectVotes(DatabaseGroup group, boolean planned) {
         long requestedNanos = clock.nowNanos();
+        long era = eras.newest();
         return voteExchange.requestVotes(group.name(), planned).thenApply(round -> {
-            VoteOutcome outcome = evaluateVotes(group, planned, requestedNanos, round);
+            VoteOutcome outcome = evaluateVotes(group, planned, requestedNanos, era, round);
             if (outcome.approval() != null) {
                 voter.grantVote(group.name());
             }
@@ -214,7 +194,7 @@
     }
 
     private VoteOutcome evaluateVotes(
-            DatabaseGroup group, boolean planned, long requestedNanos, PeerVoteExchange.RoundResult round) {
+            DatabaseGroup group, boolean planned, long requestedNanos, long era, PeerVoteExchange.RoundResult round) {
         VoteTally votes = round.votes();
         PromotionPermission permission = PromotionPermission.decide(votes, 0);
         log.line("primary-votes")
@@ -230,7 +210,7 @@
                 new VoteOutcome(
                         requestedNanos,
                         permission,
-                        new QuorumApproval(requestedNanos, mayUsePrimary(round), Set.of(), LogPosition.START));
+                        new QuorumApproval(requestedNanos, era, mayUsePrimary(round), Set.of(), LogPosition.START));
             case STILL_REACHED, NO_MAJORITY -> new VoteOutcome(requestedNanos, permission, null);
         };
     }
@@ -323,7 +303,7 @@
             return recordPromotion(group, chosen.get(), token, approval)
                     .thenCompose(recording -> recording.revision().equals(StoreRevision.NONE)
                             ? CompletableFuture.completedFuture(
-                                    "not recorded: the votes of the other daemons are too old")
+                                    "not recorded: the votes of the other daemons are too old, or the store was restored since")
                             : promoteRecorded(group, recording, token, rejected, approval));
         });
     }
@@ -352,12 +332,14 @@
                 .write();
     }
 
-    /** Records the promotion in the store, unless the votes are too old. */
+    /** Records the promotion in the store, unless the votes are too old or of an older era of the store. */
     private CompletableFuture<Recording> recordPromotion(
             DatabaseGroup group, String member, StoreRevision token, QuorumApproval approval) {
         FleetRecord.Promotion promotion =
                 new FleetRecord.Promotion(group.name(), member, new StoreRevision(token.era(), 0));
-        if (clock.nowNanos() - approval.requestedNanos() > GrantedVotes.RECORDING_TIMEOUT_NANOS) {
+        if (clock.nowNanos() - approval.requestedNanos() > GrantedVotes.RECORDING_TIMEOUT_NANOS
+                || approval.era() != token.era()
+                || !eras.mayDecideIn(token.era())) {
             return CompletableFuture.completedFuture(new Recording(promotion, StoreRevision.NONE));
         }
         long silenceNanos = approval.unresponsive().isEmpty() ? 0 : PromotionPermission.STOPPED_AFTER_NANOS;
@@ -407,7 +389,7 @@
         return shutOut(group, approval.unresponsive())
                 .thenCombine(
                         voteExchange.announcePromotion(recording.promotion(), recording.revision()),
-                        (done, round) -> evaluateVotes(group, true, announcedNanos, round))
+                        (done, round) -> evaluateVotes(group, true, announcedNanos, token.era(), round))
                 .thenCompose(announcement -> announcement.approval() == null
                         ? CompletableFuture.completedFuture("recorded, but not approved again: "
                                 + announcement.permission().reason())
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/FleetDirectoryTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/FleetDirectoryTest.java
@@ -27,8 +27,10 @@
             "a", "orders", InetSocketAddress.createUnresolved("unused", 1), "east", 2, true, false, 0, 1);
 
     private final DecisionLog log = new DecisionLog("vm", OutputStream.nullOutputStream(), System::nanoTime);
+    private long nanos;
     private final TextRecordCodec codec = new TextRecordCodec();
-    private final FleetDirectory directory = new FleetDirectory(codec, log, MonotonicClock.ofSystem());
+    private final FleetDirectory directory =
+            new FleetDirectory(codec, log, new MonotonicClock(() -> nanos, () -> nanos / 1_000_000));
 
     private int notifications;
 
@@ -233,4 +235,34 @@
                 text.getBytes(StandardCharsets.UTF_8),
                 StoreLease.NONE);
     }
+
+    /** Guards against a former primary, or a failure domain taken out, that is used because the copy is older. */
+    @Test
+    void olderStateOfTheCopyIsHeldBackUntilItIsWrittenAgain() {
+        codec.prepare("member", new FleetRecord.Member(LEAVING_MEMBER));
+        directory.replaceAll(List.of(member(1, 90), evacuation(1, 91)), new StoreRevision(1, 91));
+        MemberEntry primary = new MemberEntry("a", "orders", LEAVING_MEMBER.address(), "east", 2, false, true, 0, 1);
+        codec.prepare("member", new FleetRecord.Member(primary));
+        directory.replaceAll(List.of(member(2, 20)), new StoreRevision(2, 30));
+        assertThat(onlyMember()).isEqualTo(LEAVING_MEMBER);
+        assertThat(directory.isEvacuated("west")).isTrue();
+        nanos += FleetDirectory.ENDED_MEMBER_RETENTION_NANOS / 2;
+        directory.replaceAll(List.of(member(2, 20)), new StoreRevision(2, 30));
+        directory.apply(evacuation(2, 31));
+        nanos += FleetDirectory.ENDED_MEMBER_RETENTION_NANOS / 2;
+        directory.tick();
+        assertThat(onlyMember()).isEqualTo(primary);
+        assertThat(directory.isEvacuated("west")).isTrue();
+        directory.apply(new StoreRecord(
+                TextRecordCodec.EVACUATION_PREFIX + "west", new StoreRevision(2, 32), null, StoreLease.NONE));
+        assertThat(directory.isEvacuated("west")).isFalse();
+    }
+
+    private MemberEntry onlyMember() {
+        return directory.members().iterator().next().entry();
+    }
+
+    private static StoreRecord evacuation(long era, long revision) {
+        return record(TextRecordCodec.EVACUATION_PREFIX + "west", era, revision);
+    }
 }
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionWorkflowTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionWorkflowTest.java
@@ -150,6 +150,21 @@
         assertThat(promotions.tokens().get(0)).isGreaterThan(new StoreRevision(1, 1L << 39).fencingToken());
     }
 
+    /** Guards against a promotion in the new era on votes that were given in the former one. */
+    @Test
+    void votesFromBeforeTheRestoreDoNotCount() {
+        showEra(1);
+        members.remove("a");
+        CompletableFuture<String> outcome =
+                workflow.replace(gateway.group(), PromotionController.Reason.UNREACHABLE, rejected);
+        showEra(2);
+        for (int step = 0; step < 200 && !outcome.isDone(); step++) {
+            gateway.advanceMillis(50);
+        }
+        assertThat(outcome.join()).contains("restored");
+        assertThat(requests).isEmpty();
+    }
+
     /** Guards against another member promoted while the order from before the restore may still be carried out. */
     @Test
     void orderUnansweredDuringTheRestoreIsRepeatedFirst() {
