Keep contact over a restore until it is too old; ask the voters if it was lost

Cause: each restore would have ended the contact of all daemons at once and so closed their connections to primaries. A daemon that had been cut off could meet a copy without the record of a replacement made meanwhile, and use the former primary. Change: after a restore the last contact counts until it is too old, as in an outage, and a new one needs the new registration. If contact had been lost, the store is relied on only after a majority of the voters, asked in the new era, knows of no promotion that the daemon does not know, or after 10 s.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DaemonRegistration.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DaemonRegistration.java
@@ -116,8 +116,10 @@
     /**
      * Reads all records again after the store was restored from a copy, and then writes the entry under a new lease.
      * The former lease is neither renewed nor ended, since its identifier may stand for another one now. Until the
-     * entry is written, this daemon has no contact: other daemons can only shut out a daemon that has a lease. The
-     * delay of the write is random, so that the daemons of a large fleet do not write at the same time.
+     * entry is written, no answer counts as contact, since other daemons can only shut out a daemon that has a lease.
+     * The last contact of the former era counts until it is too old, as if the store did not answer: a daemon that
+     * replaces a primary waits as long for an entry that has ended. The delay of the write is random, so that the
+     * daemons of a large fleet do not write at the same time.
      */
     public void onStoreRestored() {
         if (stopped) {
@@ -128,7 +130,6 @@
         lease = StoreLease.NONE;
         renewalsWithoutEntry = 0;
         restored = true;
-        contactEstablished = false;
         lastCallFailed = false;
         long current = generation;
         recordReader.reloadAll().thenRun(() -> {
@@ -200,7 +201,7 @@
     /** Returns what is known of the time since the last call that the store answered. */
     public StoreContact contact() {
         if (!contactEstablished) {
-            return restored ? StoreContact.NOT_REGISTERED_SINCE_RESTORE : StoreContact.NONE_SINCE_START;
+            return StoreContact.NONE_SINCE_START;
         }
         // The clock does not count a suspension, in which a primary may have been replaced.
         return clock.jumpedSince(lastContactNanos) ? StoreContact.SUSPENDED : StoreContact.MEASURED;
@@ -272,7 +273,7 @@
 
     /** Renews the lease at once, since primaries are not used until the store has answered after the suspension. */
     private void renewAfterSuspension() {
-        if (stopped || lease.isNone() || contact() == StoreContact.NOT_REGISTERED_SINCE_RESTORE) {
+        if (stopped || lease.isNone() || restored) {
             return;
         }
         long current = generation;
@@ -293,6 +294,8 @@
     private void recordContact(long sentNanos) {
         metrics.count("store.calls", "result", "lease-answered");
         boolean regained = lastCallFailed;
+        boolean registeredAgain = restored;
+        restored = false;
         boolean established = !contactEstablished;
         contactEstablished = true;
         lastCallFailed = false;
@@ -300,7 +303,7 @@
         if (regained) {
             recordReader.restartWatch();
         }
-        if (regained || established) {
+        if (regained || established || registeredAgain) {
             notifyContactListener();
         }
     }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreContact.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreContact.java
@@ -8,8 +8,6 @@
     NONE_SINCE_START,
     /** The machine may have been suspended since the last answer, so that the time is not known. */
     SUSPENDED,
-    /** The store was restored from a copy, and this daemon has not registered since. */
-    NOT_REGISTERED_SINCE_RESTORE,
     /** The time since the last answer is known. */
     MEASURED;
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/StoreOrQuorumPolicy.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/StoreOrQuorumPolicy.java
@@ -25,6 +25,12 @@
 
     private static final long PEER_QUERY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(350);
 
+    /**
+     * How long the store is not relied on after a restore if no majority of the voters answers. Voters write again what
+     * the store lost within a second of reading it.
+     */
+    private static final long VOTERS_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(10);
+
     private final LongSupplier nanosSinceStoreContact;
     private final Supplier<StoreContact> storeContact;
     private final PeerVoteExchange voteExchange;
@@ -34,6 +40,9 @@
     private final PeerContact peerContact = new PeerContact();
     private long lastQueryNanos;
     private boolean storeContactLost;
+    private boolean votersAsked = true;
+    private long regainedSinceNanos;
+    private long restoredNanos;
     private Supplier<Set<String>> groupsWithUnresolvedVotes = Set::of;
     private BooleanSupplier storeRead = () -> true;
 
@@ -61,6 +70,7 @@
         this.eventLoop = eventLoop;
         this.log = log;
         this.lastQueryNanos = clock.nowNanos();
+        this.restoredNanos = lastQueryNanos;
         clock.addJumpListener(peerContact::reset);
     }
 
@@ -77,14 +87,23 @@
         storeRead = supplier;
     }
 
-    /** Relies on no earlier answer of other daemons from now on, because the store was restored from a copy. */
+    /**
+     * Relies on no earlier answer of other daemons from now on, because the store was restored from a copy. If contact
+     * to the store had been lost, a primary may have been replaced meanwhile, and the copy may lack the record of it.
+     * The store is then not relied on either, until the voters know of no promotion that this daemon does not know.
+     */
     public void onStoreRestored() {
         peerContact.reset();
+        restoredNanos = clock.nowNanos();
+        if (nanosSinceStoreContact.getAsLong() > PromotionPermission.CONTACT_TIMEOUT_NANOS) {
+            votersAsked = false;
+            regainedSinceNanos = Long.MAX_VALUE;
+        }
     }
 
     @Override
     public boolean mayUsePrimary(String group) {
-        return nanosSinceStoreContact.getAsLong() <= PromotionPermission.CONTACT_TIMEOUT_NANOS
+        return (votersAsked && nanosSinceStoreContact.getAsLong() <= PromotionPermission.CONTACT_TIMEOUT_NANOS)
                 || (peerContact.mayUsePrimary(group, clock.nowNanos())
                         && !groupsWithUnresolvedVotes.get().contains(group));
     }
@@ -94,7 +113,8 @@
         long now = clock.nowNanos();
         long sinceContactNanos = nanosSinceStoreContact.getAsLong();
         logStoreContactChange(sinceContactNanos);
-        if (sinceContactNanos < PEER_QUERY_DELAY_NANOS
+        checkWaitForVoters(now, sinceContactNanos);
+        if ((votersAsked && sinceContactNanos < PEER_QUERY_DELAY_NANOS)
                 || now - lastQueryNanos < PEER_QUERY_INTERVAL_NANOS
                 || !storeRead.getAsBoolean()) {
             return;
@@ -103,6 +123,20 @@
         var unused = voteExchange.queryReplacedPrimaries().thenAcceptAsync(round -> recordRound(now, round), eventLoop);
     }
 
+    /** Ends the wait for the voters when they have had enough time to write again what the store had lost. */
+    private void checkWaitForVoters(long now, long sinceContactNanos) {
+        if (votersAsked || sinceContactNanos > PromotionPermission.CONTACT_TIMEOUT_NANOS) {
+            return;
+        }
+        regainedSinceNanos = Math.min(regainedSinceNanos, now);
+        if (now - regainedSinceNanos > VOTERS_TIMEOUT_NANOS) {
+            votersAsked = true;
+            log.line("peer-contact")
+                    .with("change", "not-answered-since-restore")
+                    .write();
+        }
+    }
+
     private void logStoreContactChange(long sinceContactNanos) {
         boolean lost = sinceContactNanos > PromotionPermission.CONTACT_TIMEOUT_NANOS;
         if (lost != storeContactLost) {
@@ -120,9 +154,10 @@
     }
 
     private void recordRound(long sentNanos, PeerVoteExchange.RoundResult round) {
-        if (clock.jumpedSince(sentNanos) || !storeRead.getAsBoolean()) {
+        if (clock.jumpedSince(sentNanos) || sentNanos - restoredNanos < 0 || !storeRead.getAsBoolean()) {
             return;
         }
+        votersAsked |= round.votes().majorityAnswered() && round.groupsInDoubt().isEmpty();
         peerContact.recordRound(sentNanos, round.votes(), round.groupsInDoubt());
         log.line("peer-contact")
                 .with("asked", round.votes().asked())
