Repeat the write of a lost promotion until the store holds it

Cause: a voter wrote a lost promotion again only when its contact was established; if the store refused all voters, nobody did. Change: each voter tries again every 2 s while it knows a promotion that the store lacks.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -172,7 +172,9 @@
         primaryAccess.groupsWithUnresolvedVotes(promotionVoter::groupsWithUnresolvedVotes);
         PromotionLeases promotionLeases =
                 new PromotionLeases(settings.entryVm(), store, ports.recordCodec(), directory, clock, log);
-        handleRestoredStore(store, promotionLeases);
+        LostPromotionWriter lostPromotions =
+                new LostPromotionWriter(settings.entryVm(), store, ports.recordCodec(), directory, eras, clock, log);
+        handleRestoredStore(promotionLeases, lostPromotions);
         storeMirror.onFirstReading(promotionLeases::endFormerLeases);
         this.promotionController = newPromotionController(store, promotionLeases, voteExchange, promotionVoter, probe);
         directory.addListener(promotionController);
@@ -186,20 +188,19 @@
                         rateLimiter::tick,
                         primaryAccess::tick,
                         promotionController::tick,
+                        lostPromotions::tick,
                         () -> sessions.rollBackIdleTransactions(sessionContext),
                         log::flush),
                 log);
     }
 
     /** Arranges what happens when the store has been restored from a copy, and when its new era has been read. */
-    private void handleRestoredStore(RecordStore store, PromotionLeases promotionLeases) {
+    private void handleRestoredStore(PromotionLeases promotionLeases, LostPromotionWriter lostPromotions) {
         eras.addListener(promotionLeases::dropAll);
         eras.addListener(primaryAccess::onStoreRestored);
         eras.addListener(registration::onStoreRestored);
         primaryAccess.storeRead(() -> eras.mayDecideIn(eras.newest()));
         registration.restoreDelayLimitMillis(() -> RESTORE_DELAY_MILLIS_PER_DAEMON * directory.daemonsSharingLimits());
-        LostPromotionWriter lostPromotions =
-                new LostPromotionWriter(settings.entryVm(), store, ports.recordCodec(), directory, eras, log);
         registration.onContact(() -> {
             databaseGroups.tick();
             lostPromotions.writeAgain();
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/LostPromotionWriter.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/LostPromotionWriter.java
@@ -1,10 +1,13 @@
 package org.banyanhook.gateway.primary;
 
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.banyanhook.core.primary.PromotionVoters;
 import org.banyanhook.gateway.fleet.FleetDirectory;
 import org.banyanhook.gateway.fleet.StoreEras;
 import org.banyanhook.gateway.operation.DecisionLog;
+import org.banyanhook.gateway.operation.MonotonicClock;
 import org.banyanhook.gateway.port.FleetRecord;
 import org.banyanhook.gateway.port.FleetRecordCodec;
 import org.banyanhook.gateway.port.RecordStore;
@@ -17,12 +20,18 @@
  */
 public final class LostPromotionWriter {
 
+    /** Exceeds the time until the watch shows a record that this or another daemon has written. */
+    private static final long RETRY_DELAY_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private final String entryVm;
     private final RecordStore store;
     private final FleetRecordCodec recordCodec;
     private final FleetDirectory directory;
     private final StoreEras eras;
+    private final MonotonicClock clock;
     private final DecisionLog log;
+    private boolean incomplete;
+    private long lastAttemptNanos;
 
     /**
      * Creates a writer.
@@ -32,6 +41,7 @@
      * @param recordCodec provides the keys and the encoding of the records
      * @param directory provides the known promotions and the revisions of the records in the store
      * @param eras the eras of the store
+     * @param clock the monotonic clock
      * @param log receives a line for each record
      */
     public LostPromotionWriter(
@@ -40,15 +50,24 @@
             FleetRecordCodec recordCodec,
             FleetDirectory directory,
             StoreEras eras,
+            MonotonicClock clock,
             DecisionLog log) {
         this.entryVm = entryVm;
         this.store = store;
         this.recordCodec = recordCodec;
         this.directory = directory;
         this.eras = eras;
+        this.clock = clock;
         this.log = log;
     }
 
+    /** Writes lost records again after an attempt that failed or was overtaken by another change. Call periodically. */
+    public void tick() {
+        if (incomplete && clock.nowNanos() - lastAttemptNanos >= RETRY_DELAY_NANOS) {
+            writeAgain();
+        }
+    }
+
     /**
      * Writes each lost record under the condition that the record of the copy has not changed, so that a promotion of
      * the new era is never replaced. Only the voters write; the others learn the promotions from the store.
@@ -59,7 +78,10 @@
                 || !PromotionVoters.of(directory.recentDaemons().keySet()).contains(entryVm)) {
             return;
         }
-        directory.lostPromotions(era).forEach(this::write);
+        Set<FleetRecord.Promotion> lost = directory.lostPromotions(era);
+        incomplete = !lost.isEmpty();
+        lastAttemptNanos = clock.nowNanos();
+        lost.forEach(this::write);
     }
 
     private void write(FleetRecord.Promotion promotion) {
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionWorkflowTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionWorkflowTest.java
@@ -195,6 +195,7 @@
                 gateway.recordCodec(),
                 gateway.directory(),
                 promotions.eras(),
+                gateway.clock(),
                 gateway.log());
         gateway.listDaemon();
         promotions.store().showEra(2);
@@ -204,6 +205,16 @@
         promotions.eras().recordReading(2);
         writer.writeAgain();
         assertThat(promotions.store().expectedRevisions()).containsExactly(new StoreRevision(2, 40));
+        gateway.readPromotion("older@1/0", new StoreRevision(2, 44));
+        gateway.advanceMillis(2_000);
+        writer.tick();
+        assertThat(promotions.store().expectedRevisions()).contains(new StoreRevision(2, 44));
+        gateway.readPromotion("a@1/57", new StoreRevision(2, 45));
+        gateway.advanceMillis(2_000);
+        writer.tick();
+        gateway.advanceMillis(2_000);
+        writer.tick();
+        assertThat(promotions.store().expectedRevisions()).hasSize(2);
     }
 
     private void showEra(long era) {
