--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -26,7 +26,9 @@
 import org.banyanhook.gateway.backend.NettyMemberConnector;
 import org.banyanhook.gateway.capacity.CapacityExchange;
 import org.banyanhook.gateway.fleet.DaemonRegistration;
+import org.banyanhook.gateway.fleet.EraCheckedStore;
 import org.banyanhook.gateway.fleet.FleetDirectory;
+import org.banyanhook.gateway.fleet.StoreEras;
 import org.banyanhook.gateway.fleet.StoreMirror;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.GatewayMetrics;
@@ -42,6 +44,7 @@
 import org.banyanhook.gateway.port.PromotionAuthority;
 import org.banyanhook.gateway.port.RecordStore;
 import org.banyanhook.gateway.port.SessionCodec;
+import org.banyanhook.gateway.primary.LostPromotionWriter;
 import org.banyanhook.gateway.primary.PeerVoteExchange;
 import org.banyanhook.gateway.primary.PromotionController;
 import org.banyanhook.gateway.primary.PromotionLeases;
@@ -68,6 +71,12 @@
     /** The path, on the address for metrics, that explains where a statement would run. */
     private static final String EXPLAIN_PATH = "/explain";
 
+    /**
+     * The part of each daemon in the random delay before it registers again after the store was restored. Two calls of
+     * each of 120 daemons within 0.6 s are a third of what the store accepts.
+     */
+    private static final long RESTORE_DELAY_MILLIS_PER_DAEMON = 5;
+
     private final GatewaySettings settings;
     private final Ports ports;
     private final EventLoopGroup eventLoops;
@@ -76,6 +85,7 @@
     private final MonotonicClock clock = MonotonicClock.ofSystem();
     private final PauseDetector pauses = new PauseDetector(System::nanoTime, TICK_INTERVAL_MILLIS);
     private final GatewayMetrics metrics = new GatewayMetrics();
+    private final StoreEras eras;
     private final FleetDirectory directory;
     private final StoreMirror storeMirror;
     private final DaemonRegistration registration;
@@ -121,9 +131,11 @@
         this.eventLoops = requireNonNull(eventLoops, "eventLoops");
         this.eventLoop = eventLoops.next();
         this.log = new DecisionLog(settings.entryVm(), output, clock::nowNanos);
+        this.eras = new StoreEras(log);
+        RecordStore store = new EraCheckedStore(ports.store(), eras);
         this.directory = new FleetDirectory(ports.recordCodec(), log, clock);
         this.storeMirror =
-                new StoreMirror(ports.store(), ports.recordCodec().keyPrefix(), directory, eventLoop, log, metrics);
+                new StoreMirror(store, ports.recordCodec().keyPrefix(), directory, eras, eventLoop, log, metrics);
         this.messenger = NettyPeerMessenger.builder(settings.entryVm(), settings.failureDomain())
                 .listenAddress(settings.peerAddress())
                 .eventLoops(eventLoops)
@@ -131,7 +143,7 @@
         DaemonEntry self =
                 new DaemonEntry(settings.entryVm(), settings.failureDomain(), hostAndPort(settings.peerAddress()));
         this.registration = new DaemonRegistration(
-                ports.store(),
+                store,
                 ports.recordCodec().daemonKey(settings.entryVm()),
                 ports.recordCodec().encode(self),
                 storeMirror,
@@ -140,7 +152,7 @@
                 log,
                 metrics);
         PeerVoteExchange voteExchange =
-                new PeerVoteExchange(settings.entryVm(), messenger, directory, eventLoop, clock);
+                new PeerVoteExchange(settings.entryVm(), messenger, directory, eras, eventLoop, clock);
         this.primaryAccess = new StoreOrQuorumPolicy(
                 registration::nanosSinceContact, registration::contact, voteExchange, clock, eventLoop, log);
         GroupContext groupContext = new GroupContext(
@@ -155,7 +167,6 @@
                 metrics);
         this.databaseGroups = new DatabaseGroups(groupContext);
         directory.addListener(databaseGroups);
-        registration.onContact(databaseGroups::tick);
         registration.entryLease(() -> directory.daemonLease(settings.entryVm()));
         CapacityExchange capacityExchange = new CapacityExchange(self, messenger, directory, databaseGroups, clock);
         capacityExchange.serve(eventLoop);
@@ -166,9 +177,12 @@
         voteExchange.serve(promotionVoter);
         primaryAccess.groupsWithUnresolvedVotes(promotionVoter::groupsWithUnresolvedVotes);
         PromotionLeases promotionLeases =
-                new PromotionLeases(settings.entryVm(), ports.store(), ports.recordCodec(), directory, clock, log);
+                new PromotionLeases(settings.entryVm(), store, ports.recordCodec(), directory, clock, log);
+        LostPromotionWriter lostPromotions =
+                new LostPromotionWriter(settings.entryVm(), store, ports.recordCodec(), directory, eras, clock, log);
+        handleRestoredStore(promotionLeases, lostPromotions);
         storeMirror.onFirstReading(promotionLeases::endFormerLeases);
-        this.promotionController = newPromotionController(promotionLeases, voteExchange, promotionVoter, probe);
+        this.promotionController = newPromotionController(store, promotionLeases, voteExchange, promotionVoter, probe);
         directory.addListener(promotionController);
         this.sessionContext = new SessionContext(
                 settings, directory, databaseGroups, rateLimiter, primaryAccess, eventLoop, clock, log, metrics);
@@ -181,6 +195,7 @@
                         rateLimiter::tick,
                         primaryAccess::tick,
                         promotionController::tick,
+                        lostPromotions::tick,
                         () -> sessions.rollBackIdleTransactions(sessionContext),
                         log::flush),
                 log);
@@ -202,16 +217,31 @@
         return limiter;
     }
 
+    /** Arranges what happens when the store has been restored from a copy, and when its new era has been read. */
+    private void handleRestoredStore(PromotionLeases promotionLeases, LostPromotionWriter lostPromotions) {
+        eras.addListener(promotionLeases::dropAll);
+        eras.addListener(primaryAccess::onStoreRestored);
+        eras.addListener(registration::onStoreRestored);
+        primaryAccess.storeRead(() -> eras.mayDecideIn(eras.newest()));
+        registration.restoreDelayLimitMillis(() -> RESTORE_DELAY_MILLIS_PER_DAEMON * directory.daemonsSharingLimits());
+        registration.onContact(() -> {
+            databaseGroups.tick();
+            lostPromotions.writeAgain();
+        });
+    }
+
     private PromotionController newPromotionController(
+            RecordStore store,
             PromotionLeases promotionLeases,
             PeerVoteExchange voteExchange,
             PromotionVoter promotionVoter,
             ConnectionProbe probe) {
         PromotionWorkflow workflow = new PromotionWorkflow(
                 settings.entryVm(),
-                ports.store(),
+                store,
                 ports.recordCodec(),
                 directory,
+                eras,
                 promotionLeases,
                 voteExchange,
                 promotionVoter,
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/backend/MemberSelectionTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/backend/MemberSelectionTest.java
@@ -14,6 +14,7 @@
 import org.banyanhook.core.replication.PositionHistory;
 import org.banyanhook.core.scheduling.CapacityReport;
 import org.banyanhook.core.scheduling.LearnedCapacity;
+import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.gateway.GatewayFixture;
 import org.banyanhook.gateway.message.MemberAnswer;
 import org.banyanhook.gateway.message.SessionError;
@@ -42,7 +43,7 @@
             gateway.directory()
                     .apply(new StoreRecord(
                             gateway.recordCodec().daemonKey("vm-" + daemon),
-                            1_000 + daemon,
+                            new StoreRevision(0, 1_000 + daemon),
                             "east".getBytes(UTF_8),
                             0));
         }
@@ -90,7 +91,9 @@
     private MemberServer server(String name, Random random, long now) {
         gateway.listIn(random.nextBoolean() ? "east" : "west", name, false);
         MemberServer server = new MemberServer(
-                gateway.group().server(name).orElseThrow().entry(), 0, now - TimeUnit.SECONDS.toNanos(1));
+                gateway.group().server(name).orElseThrow().entry(),
+                StoreRevision.NONE,
+                now - TimeUnit.SECONDS.toNanos(1));
         server.latency().recordLatency((5 + random.nextInt(100)) * MILLI, now);
         LearnedCapacity capacity = server.capacity();
         capacity.recordReport(
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/capacity/CapacityExchangeTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/capacity/CapacityExchangeTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.banyanhook.core.scheduling.LearnedCapacity;
+import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.daemon.peer.PeerMessageHandler;
 import org.banyanhook.daemon.peer.PeerMessenger;
 import org.banyanhook.gateway.GatewayFixture;
@@ -160,7 +161,10 @@
     private void daemon(String entryVm, String failureDomain) {
         gateway.directory()
                 .apply(new StoreRecord(
-                        gateway.recordCodec().daemonKey(entryVm), ++revision, failureDomain.getBytes(UTF_8), 0));
+                        gateway.recordCodec().daemonKey(entryVm),
+                        new StoreRevision(0, ++revision),
+                        failureDomain.getBytes(UTF_8),
+                        0));
     }
 
     private void tickFor(long millis) {
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/PrioritySchedulingTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/PrioritySchedulingTest.java
@@ -13,6 +13,7 @@
 import org.banyanhook.core.configuration.GroupLimits;
 import org.banyanhook.core.configuration.ReadFreshness;
 import org.banyanhook.core.configuration.SessionConfiguration;
+import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.gateway.GatewayFixture;
 import org.banyanhook.gateway.ScriptedMember;
 import org.banyanhook.gateway.message.ClientAnswer;
@@ -130,7 +131,7 @@
                 Map.of(GatewayFixture.GROUP, new GroupLimits(GatewayFixture.GROUP, connections, 0)),
                 10_000);
         gateway.recordCodec().prepare("config", new FleetRecord.Configuration(configuration));
-        gateway.directory().apply(new StoreRecord("config", 100, new byte[0], 0));
+        gateway.directory().apply(new StoreRecord("config", new StoreRevision(0, 100), new byte[0], 0));
     }
 
     private static DatabaseRoute route(String database, int priority) {
