--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/fleet/ChildProcess.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/fleet/ChildProcess.java
@@ -38,9 +38,25 @@
      * @throws IOException if it cannot be started
      */
     public static ChildProcess start(Class<?> mainClass, List<String> arguments, Path output) throws IOException {
+        return start(mainClass, List.of(), arguments, output);
+    }
+
+    /**
+     * Starts a main class on the class path of this process.
+     *
+     * @param mainClass the class
+     * @param javaFlags flags of the Java machine, which override those that all processes get
+     * @param arguments its command line
+     * @param output the file that takes what it prints
+     * @return the process
+     * @throws IOException if it cannot be started
+     */
+    public static ChildProcess start(Class<?> mainClass, List<String> javaFlags, List<String> arguments, Path output)
+            throws IOException {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(SMALL_MACHINE_FLAGS);
+        command.addAll(javaFlags);
         command.add("-cp");
         command.add(System.getProperty("java.class.path"));
         command.add(mainClass.getName());
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/GatewayFleet.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/GatewayFleet.java
@@ -31,6 +31,7 @@
     private final JsonHttpServer promotionAuthority;
     private final LineGroup group;
     private final EndpointProvider endpointProvider;
+    private final ProcessLimits limits;
     private final Path folder;
     private final List<Gateway> gateways = new ArrayList<>();
     private final AtomicInteger promotionRequestCount = new AtomicInteger();
@@ -73,6 +74,17 @@
      */
     public record GatewayEndpoints(String storeAddress, String promotionAuthorityAddress, int peerPort) {}
 
+    /**
+     * The limits of each gateway process.
+     *
+     * @param javaFlags flags of the Java machine, such as the size of the heap
+     * @param settings the lines of the table {@code limits} of the settings; without lines the table is left out
+     */
+    public record ProcessLimits(List<String> javaFlags, List<String> settings) {
+        /** The limits that apply if a test sets none. */
+        public static final ProcessLimits DEFAULT = new ProcessLimits(List.of(), List.of());
+    }
+
     /**
      * Starts a database group of three members, and gateways in front of it.
      *
@@ -93,6 +105,21 @@
      * @throws IOException if a port or process cannot be started
      */
     public GatewayFleet(Path folder, int gatewayCount, EndpointProvider endpointProvider) throws IOException {
+        this(folder, gatewayCount, endpointProvider, ProcessLimits.DEFAULT);
+    }
+
+    /**
+     * Starts a database group of three members, and gateways in front of it.
+     *
+     * @param folder the folder for settings and logs
+     * @param gatewayCount the number of gateways
+     * @param endpointProvider provides the endpoints of each gateway
+     * @param limits the limits of each gateway
+     * @throws IOException if a port or process cannot be started
+     */
+    public GatewayFleet(Path folder, int gatewayCount, EndpointProvider endpointProvider, ProcessLimits limits)
+            throws IOException {
+        this.limits = limits;
         this.folder = folder;
         this.endpointProvider = endpointProvider;
         closer.register(store::close);
@@ -230,7 +257,8 @@
                         "[platform]",
                         "address = \"" + endpoints.storeAddress() + "\"",
                         "[cloud_api]",
-                        "address = \"" + endpoints.promotionAuthorityAddress() + "\""));
+                        "address = \"" + endpoints.promotionAuthorityAddress() + "\"",
+                        limits.settings().isEmpty() ? "" : "[limits]\n" + String.join("\n", limits.settings())));
         return new Gateway(launchProcess(number), clientPort, readinessPort);
     }
 
@@ -238,6 +266,7 @@
         launchCount++;
         ChildProcess process = ChildProcess.start(
                 PlatformDaemon.class,
+                limits.javaFlags(),
                 List.of(folder.resolve("node-" + number + ".toml").toString()),
                 folder.resolve("log-" + number + "-" + launchCount + ".json"));
         closer.register(process);
