Bound what clients hold, and keep ordinary clients served beside those that misbehave

Cause: unfinished messages filled the direct memory, whose limit is the size of the heap. Each further read then failed only after the JDK had called System.gc() and slept for half a second in all on the event loop: with a heap of 64 MB 93 full collections in 50 s, 7 MB of the heap in use. Of a large answer the member's decoder kept 16 reads: 54 to 57 MB for 16 connections. Change: ClientConnections charges each connection for what it holds and carries out ClientAdmission. Reading is suspended at 64 requests or 64 KiB unanswered, where the session was ended before; the next request waits while the client doesn't read. The client port has bounded receive buffers and reads, a backlog of 1,024, and gives up connections without a session at its limit. Sessions of one key are bounded (MAXCONN), and so are the values and prepared statements of a session, which are charged. The ports for readiness and metrics bound headers and connections.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -2,12 +2,12 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.handler.codec.http.HttpServerCodec;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
@@ -47,6 +47,8 @@
 import org.banyanhook.gateway.primary.StoreOrQuorumPolicy;
 import org.banyanhook.gateway.rate.AccountRateLimiter;
 import org.banyanhook.gateway.rate.PeerTokenTransfers;
+import org.banyanhook.gateway.session.ClientConnection;
+import org.banyanhook.gateway.session.ClientConnections;
 import org.banyanhook.gateway.session.Session;
 import org.banyanhook.gateway.session.SessionContext;
 import org.banyanhook.gateway.session.SessionRegistry;
@@ -78,6 +80,7 @@
     private final StoreOrQuorumPolicy primaryAccess;
     private final PromotionController promotionController;
     private final SessionRegistry sessions = new SessionRegistry();
+    private final ClientConnections clientConnections;
     private final SessionContext sessionContext;
     private final PeriodicChecks periodicChecks;
     private volatile @Nullable ListeningChannel clientPort;
@@ -166,6 +169,7 @@
         directory.addListener(promotionController);
         this.sessionContext = new SessionContext(
                 settings, directory, databaseGroups, rateLimiter, primaryAccess, eventLoop, clock, log, metrics);
+        this.clientConnections = new ClientConnections(settings.clientLimits(), clock, log, metrics);
         this.periodicChecks = new PeriodicChecks(
                 List.of(
                         pauses::read,
@@ -174,6 +178,7 @@
                         rateLimiter::tick,
                         primaryAccess::tick,
                         promotionController::tick,
+                        clientConnections::tick,
                         () -> sessions.rollBackIdleTransactions(sessionContext),
                         log::flush),
                 log);
@@ -214,13 +219,14 @@
                 ports.paths().metrics(),
                 () -> new HttpEndpoint.Response(true, metrics.scrape()));
         HttpEndpoint endpoint = new HttpEndpoint(responses);
-        ChannelHandler http = initializer(channel -> channel.pipeline().addLast(new HttpServerCodec(), endpoint));
-        listen(settings.readinessAddress(), http);
-        listen(settings.metricsAddress(), http);
+        listen(settings.readinessAddress(), NettyBootstraps.serverBootstrap(eventLoops, endpoint.initializer()));
+        listen(settings.metricsAddress(), NettyBootstraps.serverBootstrap(eventLoops, endpoint.initializer()));
         ListeningChannel port = listen(
                 settings.clientAddress(),
-                initializer(channel -> channel.pipeline()
-                        .addLast(ports.sessionCodec().newClientCodec(), new Session(sessionContext, sessions))));
+                NettyBootstraps.clientServerBootstrap(
+                        eventLoops,
+                        initializer(this::acceptClient),
+                        settings.clientLimits().receiveBufferBytes()));
         clientPort = port;
         eventLoop.execute(() -> {
             if (clientPortClosed) {
@@ -232,6 +238,7 @@
                     .with("clients", hostAndPort(settings.clientAddress()))
                     .write();
             metrics.gauge("sessions", "state", "open", sessions::size);
+            metrics.gauge("clients.bytes", "state", "held", clientConnections::totalBytes);
             storeMirror.start();
             registration.start();
         });
@@ -295,10 +302,19 @@
         return new HttpEndpoint.Response(ready, ready ? "ready" : draining ? "draining" : "configuration not read yet");
     }
 
-    private ListeningChannel listen(InetSocketAddress address, ChannelHandler initializer) throws IOException {
-        var bindFuture = NettyBootstraps.serverBootstrap(eventLoops, initializer)
-                .bind(address)
-                .awaitUninterruptibly();
+    private void acceptClient(Channel channel) {
+        if (!clientConnections.makeRoom(channel)) {
+            channel.close();
+            return;
+        }
+        ClientConnection connection = clientConnections.newConnection();
+        ChannelHandler codec = ports.sessionCodec().newClientCodec(connection);
+        connection.codec(codec);
+        channel.pipeline().addLast(codec, new Session(sessionContext, sessions, connection));
+    }
+
+    private static ListeningChannel listen(InetSocketAddress address, ServerBootstrap bootstrap) throws IOException {
+        var bindFuture = bootstrap.bind(address).awaitUninterruptibly();
         if (!bindFuture.isSuccess()) {
             throw new IOException(
                     "cannot listen on " + address + "; set a free port", requireNonNull(bindFuture.cause()));
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/GatewaySettings.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/GatewaySettings.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableMap;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import org.banyanhook.core.admission.ClientLimits;
 
 /**
  * The settings of a gateway.
@@ -19,6 +20,7 @@
  * @param shutdownGraceMillis the grace period of a graceful shutdown, in milliseconds
  * @param evacuationLimitMillis how long members of a failure domain may receive statements after operators have taken
  *     it out, in milliseconds
+ * @param clientLimits the limits that protect the daemon from its clients
  */
 public record GatewaySettings(
         String entryVm,
@@ -31,7 +33,8 @@
         InetSocketAddress storeAddress,
         InetSocketAddress authorityAddress,
         long shutdownGraceMillis,
-        long evacuationLimitMillis) {
+        long evacuationLimitMillis,
+        ClientLimits clientLimits) {
     public GatewaySettings {
         regions = ImmutableMap.copyOf(regions);
     }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/operation/HttpEndpoint.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/operation/HttpEndpoint.java
@@ -2,15 +2,19 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandler.Sharable;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
@@ -30,7 +34,15 @@
      */
     public record Response(boolean ready, String text) {}
 
+    private static final int MAXIMUM_REQUEST_LINE_BYTES = 2 << 10;
+    private static final int MAXIMUM_HEADER_BYTES = 8 << 10;
+    private static final int MAXIMUM_BODY_PART_BYTES = 4 << 10;
+
+    /** Scrapers and readiness checks need a few; more would take descriptors from client sessions. */
+    private static final int MAXIMUM_CONNECTIONS = 64;
+
     private final Map<String, Supplier<Response>> responses;
+    private int connections;
 
     /**
      * Creates an endpoint.
@@ -42,8 +54,33 @@
         this.responses = Map.copyOf(responses);
     }
 
+    /** Returns the handler that initializes the connections of a port. The number of open ones is bounded. */
+    public ChannelHandler initializer() {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                if (connections >= MAXIMUM_CONNECTIONS) {
+                    channel.close();
+                    return;
+                }
+                connections++;
+                channel.closeFuture().addListener(closed -> connections--);
+                channel.pipeline()
+                        .addLast(
+                                new HttpServerCodec(
+                                        MAXIMUM_REQUEST_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_BODY_PART_BYTES),
+                                HttpEndpoint.this);
+            }
+        };
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpRequest request) {
+        if (request.decoderResult().isFailure() || !context.channel().isWritable()) {
+            // Not HTTP, a header over the limit, or a client that asks for more without reading.
+            context.close();
+            return;
+        }
         Supplier<Response> supplier = responses.get(new QueryStringDecoder(request.uri()).path());
         HttpResponseStatus status = HttpResponseStatus.NOT_FOUND;
         String text = "";
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/operation/NettyBootstraps.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/operation/NettyBootstraps.java
@@ -4,6 +4,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -20,6 +21,17 @@
     private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
     private static final int KEEP_ALIVE_PROBE_COUNT = 2;
     private static final int BACKLOG_CONNECTIONS = 256;
+
+    /** The kernel drops connection requests beyond this, and a client sends one again only after a second. */
+    private static final int CLIENT_BACKLOG_CONNECTIONS = 1_024;
+
+    private static final int MINIMUM_READ_BYTES = 512;
+    private static final int FIRST_READ_BYTES = 2 << 10;
+    private static final int MAXIMUM_READ_BYTES = 16 << 10;
+
+    /** Bounds what one connection is read before the others, and before the limits of clients are checked. */
+    private static final int CLIENT_READS_IN_A_ROW = 4;
+
     private static final ByteBufAllocator ALLOCATOR = new UnpooledByteBufAllocator(false);
 
     private NettyBootstraps() {}
@@ -61,4 +73,24 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(initializer);
     }
+
+    /**
+     * Creates a bootstrap for the listening port of clients, whose unread bytes are bounded.
+     *
+     * @param eventLoops the event loops of the accepted connections
+     * @param initializer the handler that initializes each connection
+     * @param receiveBufferBytes the size of the kernel's receive buffer of each connection
+     * @return the bootstrap
+     */
+    public static ServerBootstrap clientServerBootstrap(
+            EventLoopGroup eventLoops, ChannelHandler initializer, int receiveBufferBytes) {
+        return serverBootstrap(eventLoops, initializer)
+                // Accepted connections inherit the size; set later, it would not bound the window offered at first.
+                .option(ChannelOption.SO_RCVBUF, receiveBufferBytes)
+                .option(ChannelOption.SO_BACKLOG, CLIENT_BACKLOG_CONNECTIONS)
+                .childOption(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(MINIMUM_READ_BYTES, FIRST_READ_BYTES, MAXIMUM_READ_BYTES)
+                                .maxMessagesPerRead(CLIENT_READS_IN_A_ROW));
+    }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/SessionCodec.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/SessionCodec.java
@@ -8,8 +8,12 @@
 /** Encodes and decodes the messages of client and member connections. */
 public interface SessionCodec {
 
-    /** Returns a new codec for {@link org.banyanhook.gateway.message.ClientRequest} and {@code ClientAnswer}. */
-    ChannelHandler newClientCodec();
+    /**
+     * Returns a new codec for {@link org.banyanhook.gateway.message.ClientRequest} and {@code ClientAnswer}.
+     *
+     * @param input receives the sizes of what the codec holds, and suspends it
+     */
+    ChannelHandler newClientCodec(ClientInput input);
 
     /** Returns a new codec for {@link org.banyanhook.gateway.message.MemberCommand} and {@code MemberAnswer}. */
     ChannelHandler newMemberCodec();
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
@@ -5,8 +5,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -35,8 +33,8 @@
  */
 public final class Session extends SimpleChannelInboundHandler<ClientRequest> {
 
-    /** The number of requests that a caller may send ahead while an earlier one is in progress. */
-    private static final int MAXIMUM_QUEUED_REQUESTS = 64;
+    /** What the session charges for the object of a value or prepared statement, in addition to its text. */
+    private static final int STATE_ENTRY_BYTES = 64;
 
     /** Callers abandon a session that is not open after two seconds; a refusal must reach them earlier. */
     private static final long CONFIGURATION_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
@@ -54,7 +52,7 @@
     private final Map<String, String> sessionValues = new LinkedHashMap<>();
     private final Map<String, PreparedShape> preparedStatements = new HashMap<>();
     private final Map<String, LogPosition> minimumPositions = new HashMap<>();
-    private final Deque<ClientRequest> queuedRequests = new ArrayDeque<>();
+    private final ClientConnection input;
     private final GracefulClose closing = new GracefulClose();
     private final SessionLog sessionLog;
     private final StatementGuard guard;
@@ -81,11 +79,13 @@
      *
      * @param context the dependencies that all sessions share
      * @param registry the registry that the session joins while its connection is active
+     * @param input the requests that the caller has sent ahead, and what the connection is charged for
      */
-    public Session(SessionContext context, SessionRegistry registry) {
+    public Session(SessionContext context, SessionRegistry registry, ClientConnection input) {
         super(ClientRequest.class);
         this.context = context;
         this.registry = registry;
+        this.input = input;
         this.sessionLog = new SessionLog(context);
         this.guard = new StatementGuard(context);
         this.authorization = new SessionAuthorization(context.directory(), databaseName, key);
@@ -95,13 +95,14 @@
     public void channelActive(ChannelHandlerContext handlerContext) {
         channel = handlerContext.channel();
         beganNanos = context.clock().nowNanos();
+        input.attach(handlerContext.channel(), this::closeIfIdle);
         registry.add(this);
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext handlerContext) {
         registry.remove(this);
-        queuedRequests.clear();
+        input.detach();
         StatementExecution execution = currentExecution;
         if (execution != null && !execution.isFinished()) {
             execution.abandon();
@@ -119,6 +120,8 @@
         if (execution != null && handlerContext.channel().isWritable()) {
             execution.resume();
         }
+        input.updateOutbound();
+        startNextRequest();
         handlerContext.fireChannelWritabilityChanged();
     }
 
@@ -211,6 +214,7 @@
         admissionNumber++;
         closeOnError(() -> {
             answerOutstanding();
+            startNextRequest();
             endSilentTransaction();
             closeIfIdle();
         });
@@ -254,7 +258,7 @@
 
     /** Returns whether a request has no answer yet. */
     boolean awaitsAnswer() {
-        return requestInProgress || isOpening() || !queuedRequests.isEmpty();
+        return requestInProgress || isOpening() || !input.isQueueEmpty() || input.holdsUndecoded();
     }
 
     /** Returns whether the caller has a transaction open. */
@@ -309,8 +313,13 @@
             refuseSession(
                     SessionError.KEY_UNKNOWN,
                     "the key is not granted to a client account; ask an operator for a granted key");
+        } else if (!input.open(authorization.current().get(), key)) {
+            refuseSession(
+                    SessionError.CONNECTION_LIMIT,
+                    "too many sessions are open with the key; close idle sessions, then retry");
         } else {
             opened = true;
+            input.chargeState((long) databaseName.length() + key.length());
             sendAnswer(new ClientAnswer.Opened());
             beganNanos = context.clock().nowNanos();
             if (draining && !concluded) {
@@ -354,15 +363,30 @@
     private void receiveRequest(ClientRequest request) {
         if (!opened) {
             refuseSession(SessionError.MALFORMED, "the session is not open; open it first");
-        } else if (!requestInProgress) {
+        } else if (!requestInProgress && input.isQueueEmpty() && takesAnswers()) {
+            input.startLast();
             handleRequest(request);
-        } else if (queuedRequests.size() < MAXIMUM_QUEUED_REQUESTS) {
-            queuedRequests.add(request);
         } else {
-            refuseSession(SessionError.MALFORMED, "too many unanswered requests in the session");
+            input.enqueue(request);
         }
     }
 
+    /** Returns whether the caller reads its answers; its next request waits otherwise, so that they are bounded. */
+    private boolean takesAnswers() {
+        Channel clientChannel = channel;
+        return concluded || (clientChannel != null && clientChannel.isWritable());
+    }
+
+    /** Handles the next request that waits; returns whether there was one that could be started. */
+    private boolean startNextRequest() {
+        ClientRequest next = !requestInProgress && takesAnswers() ? input.startNext() : null;
+        if (next == null) {
+            return false;
+        }
+        handleRequest(next);
+        return true;
+    }
+
     private void handleRequest(ClientRequest request) {
         requestInProgress = true;
         statementReceived = true;
@@ -437,11 +461,21 @@
     /** Processes a statement that needs no member; returns whether it was one. */
     private boolean handleLocally(SessionStatement statement) {
         if (statement instanceof SessionStatement.SetValue set) {
-            sessionValues.put(set.name(), set.value());
+            String former = sessionValues.put(set.name(), set.value());
+            chargeState(set.name(), former, set.value());
         } else if (statement instanceof SessionStatement.Prepare prepare) {
-            preparedStatements.put(prepare.name(), prepare.statement());
+            PreparedShape former = preparedStatements.put(prepare.name(), prepare.statement());
+            chargeState(
+                    prepare.name(),
+                    former == null ? null : former.text(),
+                    prepare.statement().text());
         } else if (statement instanceof SessionStatement.Deallocate deallocate) {
-            preparedStatements.remove(deallocate.name());
+            PreparedShape former = preparedStatements.remove(deallocate.name());
+            if (former != null) {
+                input.chargeState(-STATE_ENTRY_BYTES
+                        - deallocate.name().length()
+                        - former.text().length());
+            }
         } else if (statement instanceof SessionStatement.Execute execute
                 && !preparedStatements.containsKey(execute.name())) {
             answerFailed(SessionError.PREPARED_UNKNOWN, "no prepared statement has this name", transactionState());
@@ -453,6 +487,11 @@
         return true;
     }
 
+    private void chargeState(String name, @Nullable String former, String text) {
+        input.chargeState(
+                former == null ? STATE_ENTRY_BYTES + name.length() + text.length() : text.length() - former.length());
+    }
+
     /** Checks the key, the route and the rate limit of the caller before a statement runs. */
     private void admit(ClientRequest.Run run, BiConsumer<SessionAuthorization.Grant, Long> onAdmitted) {
         long now = context.clock().nowNanos();
@@ -476,6 +515,14 @@
                     TransactionState.IDLE);
             return;
         }
+        if (!input.mayRun()) {
+            sessionLog.statementRefused(run, databaseName, SessionError.OVERLOADED, "large statements in progress");
+            answerFailed(
+                    SessionError.OVERLOADED,
+                    "too many large statements are in progress; retry after 1000 ms",
+                    TransactionState.IDLE);
+            return;
+        }
         if (!authorized.isRateLimited()) {
             onAdmitted.accept(authorized, now);
             return;
@@ -572,6 +619,7 @@
     private void finishRequest(ClientAnswer answer) {
         currentExecution = null;
         requestInProgress = false;
+        input.finished();
         OpenTransaction openTransaction = transaction;
         if (openTransaction != null) {
             openTransaction.recordActivity(context.clock().nowNanos());
@@ -581,10 +629,7 @@
             endTransaction();
             return;
         }
-        ClientRequest nextRequest = queuedRequests.poll();
-        if (nextRequest != null) {
-            handleRequest(nextRequest);
-        } else {
+        if (!startNextRequest()) {
             closeIfIdle();
         }
     }
@@ -601,6 +646,7 @@
         if (clientChannel != null) {
             closing.recordWrite();
             clientChannel.writeAndFlush(answer, clientChannel.voidPromise());
+            input.updateOutbound();
         }
     }
 
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.banyanhook.core.admission.ClientLimits;
 import org.banyanhook.core.configuration.ClientAccount;
 import org.banyanhook.core.configuration.DatabaseRoute;
 import org.banyanhook.core.configuration.GrantedKey;
@@ -35,11 +36,14 @@
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.GatewayMetrics;
 import org.banyanhook.gateway.operation.MonotonicClock;
+import org.banyanhook.gateway.port.ClientInput;
 import org.banyanhook.gateway.port.FleetRecord;
 import org.banyanhook.gateway.port.MemberEntry;
 import org.banyanhook.gateway.port.SessionCodec;
 import org.banyanhook.gateway.port.StoreRecord;
 import org.banyanhook.gateway.rate.AccountRateLimiter;
+import org.banyanhook.gateway.session.ClientConnection;
+import org.banyanhook.gateway.session.ClientConnections;
 import org.banyanhook.gateway.session.Session;
 import org.banyanhook.gateway.session.SessionContext;
 import org.banyanhook.gateway.session.SessionRegistry;
@@ -62,6 +66,10 @@
 
     public static final long EVACUATION_LIMIT_MILLIS = 5_000;
 
+    /** Limits of a machine with 330 MB and a heap of 160 MB. */
+    public static final ClientLimits CLIENT_LIMITS =
+            ClientLimits.builder(330_000_000, 160 << 20, 4_300).build();
+
     private static final int CONNECTION_LIMIT = 6;
     private static final InetSocketAddress UNUSED = InetSocketAddress.createUnresolved("unused", 1);
 
@@ -76,6 +84,7 @@
     private final AccountRateLimiter rateLimiter;
     private final SessionContext sessionContext;
     private final SessionRegistry registry = new SessionRegistry();
+    private final ClientConnections clientConnections;
     private final TextRecordCodec recordCodec = new TextRecordCodec();
     private long nowNanos = TimeUnit.SECONDS.toNanos(100);
     private long suspendedMillis;
@@ -100,7 +109,8 @@
                 UNUSED,
                 UNUSED,
                 GRACE_MILLIS,
-                EVACUATION_LIMIT_MILLIS);
+                EVACUATION_LIMIT_MILLIS,
+                CLIENT_LIMITS);
         groupContext = new GroupContext(
                 settings,
                 directory,
@@ -124,6 +134,7 @@
                 metrics);
         sessionContext = new SessionContext(
                 settings, directory, groups, rateLimiter, group -> inContact, eventLoop(), clock, log, metrics);
+        clientConnections = new ClientConnections(CLIENT_LIMITS, clock, log, metrics);
         grantKeys();
     }
 
@@ -186,6 +197,11 @@
         return registry;
     }
 
+    /** Returns the client connections. */
+    public ClientConnections clientConnections() {
+        return clientConnections;
+    }
+
     public long nowNanos() {
         return nowNanos;
     }
@@ -260,7 +276,7 @@
 
     /** Opens a session to a database with a key. */
     public EmbeddedChannel openSession(String database, String key) {
-        EmbeddedChannel session = new EmbeddedChannel(new Session(sessionContext, registry));
+        EmbeddedChannel session = new EmbeddedChannel(newSession());
         session.writeInbound(new ClientRequest.Open(database, key));
         session.readOutbound();
         return session;
@@ -268,7 +284,7 @@
 
     /** Returns the handler of a session that the caller has not opened yet. */
     public Session newSession() {
-        return new Session(sessionContext, registry);
+        return new Session(sessionContext, registry, clientConnections.newConnection());
     }
 
     /** Grants the tokens that have accrued to requests that wait for one. */
@@ -278,7 +294,12 @@
 
     /** Creates a session that the caller has not opened yet, behind a handler of the test. */
     public EmbeddedChannel connectSession(ChannelHandler first) {
-        return new EmbeddedChannel(first, new Session(sessionContext, registry));
+        return new EmbeddedChannel(first, newSession());
+    }
+
+    /** Creates a session that the caller has not opened yet, with the charges of its connection. */
+    public EmbeddedChannel connectSession(ClientConnection input) {
+        return new EmbeddedChannel(new Session(sessionContext, registry, input));
     }
 
     /** Sends a statement in a session. */
@@ -314,7 +335,7 @@
     static final class ReportCodec implements SessionCodec {
 
         @Override
-        public ChannelHandler newClientCodec() {
+        public ChannelHandler newClientCodec(ClientInput input) {
             throw new UnsupportedOperationException("sessions are embedded");
         }
 
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayStartTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayStartTest.java
@@ -71,7 +71,8 @@
                 unused,
                 unused,
                 GatewayFixture.GRACE_MILLIS,
-                GatewayFixture.EVACUATION_LIMIT_MILLIS);
+                GatewayFixture.EVACUATION_LIMIT_MILLIS,
+                GatewayFixture.CLIENT_LIMITS);
         Gateway.Ports ports = new Gateway.Ports(
                 store,
                 (group, member, leaseHolder, fencingToken) ->
