Check that legal messages are served under the limits for clients

Cause: the tests showed that misbehaving clients are bounded, but not that a client inside the limits meets none of the bounds. Change: ten messages of 0.95 MB, one after another in one session, each have to be answered.

--- a/banyanhook-testbed/src/test/java/org/banyanhook/testbed/line/MisbehavingClientsIT.java
+++ b/banyanhook-testbed/src/test/java/org/banyanhook/testbed/line/MisbehavingClientsIT.java
@@ -150,6 +150,19 @@
         }
     }
 
+    /** Guards against limits that a client inside them meets in calm conditions: large messages, one after another. */
+    @Test
+    void messagesOfLegalSizeAreServedInCalmConditions() throws Exception {
+        try (LineCaller caller = new LineCaller(fleet.gateways().get(0).clientPort())) {
+            caller.open("current", "key-0");
+            for (int number = 0; number < 10; number++) {
+                List<String> answer = caller.run("READ " + "x".repeat(NEARLY_A_MEBIBYTE));
+                assertThat(answer.get(answer.size() - 2)).startsWith("COMPLETE i-");
+            }
+        }
+        checkProcess();
+    }
+
     private ClientCrowd crowd(int size) throws IOException, InterruptedException {
         return new ClientCrowd(fleet.gateways().get(0).clientPort()).connect(size, LOAD_TIME);
     }
