--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -2,12 +2,12 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.handler.codec.http.HttpServerCodec;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
@@ -53,6 +53,8 @@
 import org.banyanhook.gateway.primary.StoreOrQuorumPolicy;
 import org.banyanhook.gateway.rate.AccountRateLimiter;
 import org.banyanhook.gateway.rate.PeerTokenTransfers;
+import org.banyanhook.gateway.session.ClientConnection;
+import org.banyanhook.gateway.session.ClientConnections;
 import org.banyanhook.gateway.session.RouteExplanation;
 import org.banyanhook.gateway.session.Session;
 import org.banyanhook.gateway.session.SessionContext;
@@ -95,6 +97,7 @@
     private final StoreOrQuorumPolicy primaryAccess;
     private final PromotionController promotionController;
     private final SessionRegistry sessions = new SessionRegistry();
+    private final ClientConnections clientConnections;
     private final SessionContext sessionContext;
     private final PeriodicChecks periodicChecks;
     private volatile @Nullable ListeningChannel clientPort;
@@ -186,6 +189,7 @@
         directory.addListener(promotionController);
         this.sessionContext = new SessionContext(
                 settings, directory, databaseGroups, rateLimiter, primaryAccess, eventLoop, clock, log, metrics);
+        this.clientConnections = new ClientConnections(settings.clientLimits(), clock, log, metrics);
         this.periodicChecks = new PeriodicChecks(
                 List.of(
                         pauses::read,
@@ -196,6 +200,7 @@
                         primaryAccess::tick,
                         promotionController::tick,
                         lostPromotions::tick,
+                        clientConnections::tick,
                         () -> sessions.rollBackIdleTransactions(sessionContext),
                         log::flush),
                 log);
@@ -278,8 +283,10 @@
         listen(settings.metricsAddress(), httpServer(operatorResponses));
         ListeningChannel port = listen(
                 settings.clientAddress(),
-                initializer(channel -> channel.pipeline()
-                        .addLast(ports.sessionCodec().newClientCodec(), new Session(sessionContext, sessions))));
+                NettyBootstraps.clientServerBootstrap(
+                        eventLoops,
+                        initializer(this::acceptClient),
+                        settings.clientLimits().receiveBufferBytes()));
         clientPort = port;
         eventLoop.execute(() -> {
             if (clientPortClosed) {
@@ -291,6 +298,7 @@
                     .with("clients", hostAndPort(settings.clientAddress()))
                     .write();
             metrics.gauge("sessions", "state", "open", sessions::size);
+            metrics.gauge("clients.bytes", "state", "held", clientConnections::totalBytes);
             storeMirror.start();
             registration.start();
         });
@@ -354,16 +362,24 @@
         return new HttpEndpoint.Response(ready, ready ? "ready" : draining ? "draining" : "configuration not read yet");
     }
 
-    private static ChannelHandler httpServer(
+    private ServerBootstrap httpServer(
             Map<String, Function<Map<String, List<String>>, HttpEndpoint.Response>> responses) {
-        HttpEndpoint endpoint = new HttpEndpoint(responses);
-        return initializer(channel -> channel.pipeline().addLast(new HttpServerCodec(), endpoint));
+        return NettyBootstraps.serverBootstrap(eventLoops, new HttpEndpoint(responses).initializer());
     }
 
-    private ListeningChannel listen(InetSocketAddress address, ChannelHandler initializer) throws IOException {
-        var bindFuture = NettyBootstraps.serverBootstrap(eventLoops, initializer)
-                .bind(address)
-                .awaitUninterruptibly();
+    private void acceptClient(Channel channel) {
+        if (!clientConnections.makeRoom(channel)) {
+            channel.close();
+            return;
+        }
+        ClientConnection connection = clientConnections.newConnection();
+        ChannelHandler codec = ports.sessionCodec().newClientCodec(connection);
+        connection.codec(codec);
+        channel.pipeline().addLast(codec, new Session(sessionContext, sessions, connection));
+    }
+
+    private static ListeningChannel listen(InetSocketAddress address, ServerBootstrap bootstrap) throws IOException {
+        var bindFuture = bootstrap.bind(address).awaitUninterruptibly();
         if (!bindFuture.isSuccess()) {
             throw new IOException(
                     "cannot listen on " + address + "; set a free port", requireNonNull(bindFuture.cause()));
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/backend/MemberSelectionTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/backend/MemberSelectionTest.java
@@ -18,6 +18,7 @@
 import org.banyanhook.gateway.GatewayFixture;
 import org.banyanhook.gateway.message.MemberAnswer;
 import org.banyanhook.gateway.message.SessionError;
+import org.banyanhook.gateway.port.StoreLease;
 import org.banyanhook.gateway.port.StoreRecord;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -45,7 +46,7 @@
                             gateway.recordCodec().daemonKey("vm-" + daemon),
                             new StoreRevision(0, 1_000 + daemon),
                             "east".getBytes(UTF_8),
-                            0));
+                            StoreLease.NONE));
         }
         GroupCapacity large = new GroupCapacity(GatewayFixture.GROUP, gateway.groupContext());
         GroupCapacity small = new GroupCapacity("without-limits", gateway.groupContext());
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/capacity/CapacityExchangeTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/capacity/CapacityExchangeTest.java
@@ -17,6 +17,7 @@
 import org.banyanhook.gateway.message.SessionError;
 import org.banyanhook.gateway.message.SessionStatement;
 import org.banyanhook.gateway.port.DaemonEntry;
+import org.banyanhook.gateway.port.StoreLease;
 import org.banyanhook.gateway.port.StoreRecord;
 import org.banyanhook.protocol.generated.MemberCapacity;
 import org.banyanhook.protocol.generated.MemberCapacityReport;
@@ -164,7 +165,7 @@
                         gateway.recordCodec().daemonKey(entryVm),
                         new StoreRevision(0, ++revision),
                         failureDomain.getBytes(UTF_8),
-                        0));
+                        StoreLease.NONE));
     }
 
     private void tickFor(long millis) {
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/PrioritySchedulingTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/PrioritySchedulingTest.java
@@ -20,6 +20,7 @@
 import org.banyanhook.gateway.message.SessionError;
 import org.banyanhook.gateway.message.SessionStatement;
 import org.banyanhook.gateway.port.FleetRecord;
+import org.banyanhook.gateway.port.StoreLease;
 import org.banyanhook.gateway.port.StoreRecord;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -131,7 +132,7 @@
                 Map.of(GatewayFixture.GROUP, new GroupLimits(GatewayFixture.GROUP, connections, 0)),
                 10_000);
         gateway.recordCodec().prepare("config", new FleetRecord.Configuration(configuration));
-        gateway.directory().apply(new StoreRecord("config", new StoreRevision(0, 100), new byte[0], 0));
+        gateway.directory().apply(new StoreRecord("config", new StoreRevision(0, 100), new byte[0], StoreLease.NONE));
     }
 
     private static DatabaseRoute route(String database, int priority) {
