Count requests by account and window, and report them to the platform

Cause: sites B and C require a report of each account's requests for every window of 5 s. Change: core.usage counts, estimates true time, decides windows and schedules reports; gateway.usage forwards counts to the holder of a duty in the store, which records each decision before it sends it. Nothing is created where the settings do not list the duty.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -14,9 +14,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.banyanhook.core.execution.ShutdownSchedule;
+import org.banyanhook.core.usage.UsageSettings;
 import org.banyanhook.daemon.peer.NettyPeerMessenger;
 import org.banyanhook.gateway.backend.ConnectionProbe;
 import org.banyanhook.gateway.backend.DatabaseGroups;
@@ -39,6 +41,7 @@
 import org.banyanhook.gateway.port.PromotionAuthority;
 import org.banyanhook.gateway.port.RecordStore;
 import org.banyanhook.gateway.port.SessionCodec;
+import org.banyanhook.gateway.port.UsageAuthority;
 import org.banyanhook.gateway.primary.PeerVoteExchange;
 import org.banyanhook.gateway.primary.PromotionController;
 import org.banyanhook.gateway.primary.PromotionLeases;
@@ -50,6 +53,8 @@
 import org.banyanhook.gateway.session.Session;
 import org.banyanhook.gateway.session.SessionContext;
 import org.banyanhook.gateway.session.SessionRegistry;
+import org.banyanhook.gateway.usage.UsageMeter;
+import org.banyanhook.gateway.usage.UsageReporting;
 import org.jspecify.annotations.Nullable;
 
 /** Assembles the components of a gateway and runs them on one event loop. */
@@ -77,6 +82,7 @@
     private final AccountRateLimiter rateLimiter;
     private final StoreOrQuorumPolicy primaryAccess;
     private final PromotionController promotionController;
+    private final @Nullable UsageReporting usageReporting;
     private final SessionRegistry sessions = new SessionRegistry();
     private final SessionContext sessionContext;
     private final PeriodicChecks periodicChecks;
@@ -89,6 +95,7 @@
      *
      * @param store the record store
      * @param authority the authority that carries out promotions
+     * @param usageAuthority accepts the reports of usage, where the settings require them
      * @param sessionCodec the codec for client and member connections
      * @param recordCodec the names and the format of the records in the store
      * @param paths the paths of the HTTP endpoint
@@ -96,6 +103,7 @@
     public record Ports(
             RecordStore store,
             PromotionAuthority authority,
+            UsageAuthority usageAuthority,
             SessionCodec sessionCodec,
             FleetRecordCodec recordCodec,
             HttpPaths paths) {}
@@ -164,8 +172,18 @@
         storeMirror.onFirstReading(promotionLeases::endFormerLeases);
         this.promotionController = newPromotionController(promotionLeases, voteExchange, promotionVoter, probe);
         directory.addListener(promotionController);
+        this.usageReporting = newUsageReporting();
         this.sessionContext = new SessionContext(
-                settings, directory, databaseGroups, rateLimiter, primaryAccess, eventLoop, clock, log, metrics);
+                settings,
+                directory,
+                databaseGroups,
+                rateLimiter,
+                primaryAccess,
+                eventLoop,
+                clock,
+                log,
+                metrics,
+                usageReporting == null ? UsageMeter.NONE : usageReporting.meter());
         this.periodicChecks = new PeriodicChecks(
                 List.of(
                         pauses::read,
@@ -179,6 +197,25 @@
                 log);
     }
 
+    private @Nullable UsageReporting newUsageReporting() {
+        UsageSettings usage = settings.usage();
+        return usage == null
+                ? null
+                : new UsageReporting(new UsageReporting.Context(
+                        settings.entryVm(),
+                        usage,
+                        ports.store(),
+                        ports.recordCodec(),
+                        ports.usageAuthority(),
+                        messenger,
+                        directory,
+                        eventLoop,
+                        clock,
+                        System::currentTimeMillis,
+                        log,
+                        metrics));
+    }
+
     private PromotionController newPromotionController(
             PromotionLeases promotionLeases,
             PeerVoteExchange voteExchange,
@@ -237,6 +274,14 @@
         });
         var unused = eventLoop.scheduleWithFixedDelay(
                 periodicChecks::perform, TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        UsageReporting reporting = usageReporting;
+        if (reporting != null) {
+            PeriodicChecks usageChecks = new PeriodicChecks(List.of(reporting::tick), log);
+            // The first delay spreads the messages of daemons that start together.
+            long firstDelayMillis = ThreadLocalRandom.current().nextLong(UsageReporting.TICK_INTERVAL_MILLIS);
+            var usageTicks = eventLoop.scheduleWithFixedDelay(
+                    usageChecks::perform, firstDelayMillis, UsageReporting.TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        }
     }
 
     /**
@@ -254,6 +299,9 @@
             }
             draining = true;
             promotionController.stop();
+            if (usageReporting != null) {
+                var dutyGivenUp = usageReporting.giveUpDuty();
+            }
             ShutdownSchedule schedule = ShutdownSchedule.startingAt(requestedNanos, settings.shutdownGraceMillis());
             new GracefulShutdown(schedule, sessions, new StoppingDaemon(), eventLoop, clock, log)
                     .start()
@@ -284,7 +332,10 @@
         @Override
         public CompletableFuture<Void> leaveFleet() {
             storeMirror.stop();
-            return registration.stop().orTimeout(REGISTRATION_END_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            CompletableFuture<Void> countsSent =
+                    usageReporting == null ? CompletableFuture.completedFuture(null) : usageReporting.finish();
+            return CompletableFuture.allOf(registration.stop(), countsSent)
+                    .orTimeout(REGISTRATION_END_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/GatewaySettings.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/GatewaySettings.java
@@ -3,6 +3,8 @@
 import com.google.common.collect.ImmutableMap;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import org.banyanhook.core.usage.UsageSettings;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The settings of a gateway.
@@ -19,6 +21,7 @@
  * @param shutdownGraceMillis the grace period of a graceful shutdown, in milliseconds
  * @param evacuationLimitMillis how long members of a failure domain may receive statements after operators have taken
  *     it out, in milliseconds
+ * @param usage the bounds of the reports of usage, or null if none are required
  */
 public record GatewaySettings(
         String entryVm,
@@ -31,11 +34,40 @@
         InetSocketAddress storeAddress,
         InetSocketAddress authorityAddress,
         long shutdownGraceMillis,
-        long evacuationLimitMillis) {
+        long evacuationLimitMillis,
+        @Nullable UsageSettings usage) {
     public GatewaySettings {
         regions = ImmutableMap.copyOf(regions);
     }
 
+    /** Creates settings that require no reports of usage. */
+    public GatewaySettings(
+            String entryVm,
+            String failureDomain,
+            Map<String, String> regions,
+            InetSocketAddress clientAddress,
+            InetSocketAddress readinessAddress,
+            InetSocketAddress metricsAddress,
+            InetSocketAddress peerAddress,
+            InetSocketAddress storeAddress,
+            InetSocketAddress authorityAddress,
+            long shutdownGraceMillis,
+            long evacuationLimitMillis) {
+        this(
+                entryVm,
+                failureDomain,
+                regions,
+                clientAddress,
+                readinessAddress,
+                metricsAddress,
+                peerAddress,
+                storeAddress,
+                authorityAddress,
+                shutdownGraceMillis,
+                evacuationLimitMillis,
+                null);
+    }
+
     /** Returns the region of a failure domain, or the name of the domain if no region is configured. */
     public String regionOf(String failureDomain) {
         return regions.getOrDefault(failureDomain, failureDomain);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DutyLease.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DutyLease.java
@@ -129,6 +129,16 @@
                 : CompletableFuture.failedFuture(failure);
     }
 
+    /**
+     * Gives the lease up and removes its record.
+     *
+     * @return a future that completes when the lease has ended in the store
+     */
+    public CompletableFuture<Void> release() {
+        held = false;
+        return store.endLease(leaseId).exceptionallyCompose(DutyLease::ignoreEndedLease);
+    }
+
     /** Returns whether this daemon holds the lease and it cannot have expired yet. */
     public boolean isHeld() {
         // Reading the clock may reveal a suspension, which ends the lease.
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.protobuf.ByteString;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -63,6 +64,8 @@
     private final Map<String, Long> takenOutSinceNanos = new HashMap<>();
     private final Deque<DaemonCount> daemonCounts = new ArrayDeque<>();
     private final Map<String, Integer> daemonCountsByDomain = new HashMap<>();
+    private @Nullable HeldDuty usageDuty;
+    private ByteString usageDecisions = ByteString.EMPTY;
     private Map<String, DaemonEntry> daemonsByEntryVm = Map.of();
     private Map<String, String> recentFailureDomains = Map.of();
     private SessionConfiguration configuration = SessionConfiguration.EMPTY;
@@ -73,6 +76,14 @@
 
     private record EndedDaemon(long endedNanos, DaemonEntry entry) {}
 
+    /**
+     * A duty that a daemon holds.
+     *
+     * @param entryVm the entry VM whose daemon holds it
+     * @param lease the lease of its record, which changes whenever the duty is taken
+     */
+    public record HeldDuty(String entryVm, long lease) {}
+
     private record HeldPromotionLease(String entryVm, long lease) {}
 
     /**
@@ -219,6 +230,16 @@
         return leases;
     }
 
+    /** Returns the holder of the duty of reporting usage according to the store, or empty if there is none. */
+    public Optional<HeldDuty> usageDuty() {
+        return Optional.ofNullable(usageDuty);
+    }
+
+    /** Returns the encoded decided windows of usage; empty if there are none. */
+    public ByteString usageDecisions() {
+        return usageDecisions;
+    }
+
     /**
      * Returns the number of daemons by which limits are divided: the highest number that had an entry at the same time
      * recently, because a daemon whose entry ended may still be running for a while.
@@ -290,7 +311,9 @@
     private static boolean concernsDaemons(@Nullable FleetRecord record) {
         return record == null
                 || record instanceof FleetRecord.Daemon
-                || record instanceof FleetRecord.PromotionLeaseHolder;
+                || record instanceof FleetRecord.PromotionLeaseHolder
+                || record instanceof FleetRecord.UsageDutyHolder
+                || record instanceof FleetRecord.UsageDecisions;
     }
 
     /**
@@ -404,6 +427,10 @@
                     .write();
         } else if (record instanceof FleetRecord.PromotionLeaseHolder found) {
             promotionLeases.put(found.group(), new HeldPromotionLease(found.entryVm(), change.lease()));
+        } else if (record instanceof FleetRecord.UsageDutyHolder found) {
+            usageDuty = new HeldDuty(found.entryVm(), change.lease());
+        } else if (record instanceof FleetRecord.UsageDecisions found) {
+            usageDecisions = found.contents();
         } else if (record instanceof FleetRecord.Unusable found) {
             log.line("record")
                     .with("key", change.key())
@@ -425,6 +452,8 @@
                     .write();
         } else if (record instanceof FleetRecord.PromotionLeaseHolder found) {
             promotionLeases.remove(found.group());
+        } else if (record instanceof FleetRecord.UsageDutyHolder) {
+            usageDuty = null;
         } else if (record instanceof FleetRecord.Daemon found) {
             daemonCounts.addLast(new DaemonCount(clock.nowNanos(), daemons.size()));
             daemons.remove(found.entry().entryVm());
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/message/SessionError.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/message/SessionError.java
@@ -39,4 +39,9 @@
     public boolean guaranteesNoEffect() {
         return guaranteesNoEffect;
     }
+
+    /** Returns whether the error means that the statement was refused and has not begun to run. */
+    public boolean isRefusal() {
+        return guaranteesNoEffect && this != TRANSACTION_ABORTED;
+    }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/FleetRecord.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/FleetRecord.java
@@ -1,5 +1,6 @@
 package org.banyanhook.gateway.port;
 
+import com.google.protobuf.ByteString;
 import org.banyanhook.core.configuration.SessionConfiguration;
 
 /** A decoded record of the store. */
@@ -49,6 +50,20 @@
      */
     record PromotionLeaseHolder(String group, String entryVm) implements FleetRecord {}
 
+    /**
+     * The holder of the duty of reporting usage.
+     *
+     * @param entryVm the entry VM whose daemon holds the duty
+     */
+    record UsageDutyHolder(String entryVm) implements FleetRecord {}
+
+    /**
+     * The decided windows of usage.
+     *
+     * @param contents the encoded windows
+     */
+    record UsageDecisions(ByteString contents) implements FleetRecord {}
+
     /**
      * A record with invalid contents.
      *
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/FleetRecordCodec.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/FleetRecordCodec.java
@@ -47,4 +47,18 @@
      * @return the encoded bytes
      */
     byte[] encode(FleetRecord.PromotionLeaseHolder holder);
+
+    /** Returns the key of the lease of the daemon that reports usage. */
+    String usageDutyKey();
+
+    /**
+     * Encodes the holder of the duty of reporting usage.
+     *
+     * @param holder the daemon that holds the duty
+     * @return the encoded bytes
+     */
+    byte[] encode(FleetRecord.UsageDutyHolder holder);
+
+    /** Returns the key of the decided windows of usage. */
+    String usageDecisionsKey();
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/OpenTransaction.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/OpenTransaction.java
@@ -17,12 +17,14 @@
     private boolean hasWritten;
     private @Nullable SessionError failure;
     private String failureDetail = "";
+    private final OperationUsage usage;
     private long lastActivityNanos;
 
-    OpenTransaction(boolean readOnly, DatabaseRoute route, ClientAccount account, long nowNanos) {
+    OpenTransaction(boolean readOnly, DatabaseRoute route, ClientAccount account, OperationUsage usage, long nowNanos) {
         this.readOnly = readOnly;
         this.route = route;
         this.account = account;
+        this.usage = usage;
         this.lastActivityNanos = nowNanos;
     }
 
@@ -42,6 +44,10 @@
         return account.name();
     }
 
+    OperationUsage usage() {
+        return usage;
+    }
+
     int weight() {
         return account.weight();
     }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
@@ -384,7 +384,12 @@
         SessionStatement statement = run.statement();
         if (statement instanceof SessionStatement.Begin begin) {
             admit(run, (authorized, now) -> {
-                transaction = new OpenTransaction(begin.readOnly(), authorized.route(), authorized.account(), now);
+                transaction = new OpenTransaction(
+                        begin.readOnly(),
+                        authorized.route(),
+                        authorized.account(),
+                        new OperationUsage(context.usage(), authorized.account().name()),
+                        now);
                 answerCompleted(TransactionState.OPEN);
             });
         } else if (statement instanceof SessionStatement.Commit || statement instanceof SessionStatement.Rollback) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/SessionAuthorization.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/SessionAuthorization.java
@@ -15,7 +15,7 @@
 final class SessionAuthorization {
 
     /** The account of callers without a granted key on routes that are open to all. */
-    private static final ClientAccount PUBLIC_ACCOUNT = new ClientAccount("public", List.of(), 0, 0, 1);
+    static final ClientAccount PUBLIC_ACCOUNT = new ClientAccount("public", List.of(), 0, 0, 1);
 
     private final FleetDirectory directory;
     private final String databaseName;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/SessionContext.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/SessionContext.java
@@ -9,6 +9,7 @@
 import org.banyanhook.gateway.operation.MonotonicClock;
 import org.banyanhook.gateway.primary.PrimaryAccessPolicy;
 import org.banyanhook.gateway.rate.AccountRateLimiter;
+import org.banyanhook.gateway.usage.UsageMeter;
 
 /**
  * The dependencies that all sessions share.
@@ -22,6 +23,7 @@
  * @param clock the monotonic clock
  * @param log the log of decisions
  * @param metrics the metrics of the gateway
+ * @param usage counts the requests of client accounts
  */
 public record SessionContext(
         GatewaySettings settings,
@@ -32,4 +34,5 @@
         EventLoop eventLoop,
         MonotonicClock clock,
         DecisionLog log,
-        GatewayMetrics metrics) {}
+        GatewayMetrics metrics,
+        UsageMeter usage) {}
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
@@ -55,6 +55,7 @@
     private final Map<String, String> sessionValues;
     private final @Nullable PreparedShape preparedStatement;
     private final @Nullable LogPosition sessionPosition;
+    private final OperationUsage usage;
     private final ExecutionListener listener;
     private final long arrivedNanos;
     private final long deadlineNanos;
@@ -77,6 +78,7 @@
         this.account = task.account();
         this.weight = task.weight();
         this.transaction = task.transaction();
+        this.usage = transaction == null ? new OperationUsage(context.usage(), account) : transaction.usage();
         this.sessionValues = task.sessionValues();
         this.preparedStatement = task.preparedStatement();
         this.sessionPosition = task.sessionPosition();
@@ -321,6 +323,9 @@
             transaction.recordWrite();
         }
         phase = ExecutionPhase.RUNNING;
+        if (!isCommit()) {
+            usage.recordSent();
+        }
         currentLease.send(
                 new MemberCommand.PassOn(request.requestId(), statement, minimumPosition),
                 new MemberConnection.AnswerListener() {
@@ -339,6 +344,7 @@
 
     private void onAnswer(ConnectionLease source, @Nullable MemberAnswer answer, long sentNanos) {
         if (answer == null) {
+            usage.recordUnanswered();
             switch (decide(source, ExecutionEvent.CONNECTION_LOST)) {
                 case EVALUATE_LOSS -> onConnectionLost(source);
                 case REPORT_INCOMPLETE -> reportIncomplete();
@@ -346,6 +352,7 @@
             }
             return;
         }
+        usage.recordAnswer(answer.error());
         group.recordLatency(source.server(), context.clock().nowNanos() - sentNanos);
         if (decide(source, ExecutionEvent.STATEMENT_ANSWERED) != ExecutionAction.EVALUATE_ANSWER) {
             settle(source, answer);
@@ -566,6 +573,7 @@
 
     private void finish(String outcome, @Nullable String detail, @Nullable ConnectionLease usedLease) {
         phase = ExecutionPhase.FINISHED;
+        usage.recordUnanswered();
         ConnectionRequest pendingRequest = pendingConnectionRequest;
         if (pendingRequest != null) {
             pendingRequest.cancel();
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
@@ -77,6 +77,7 @@
     private final SessionContext sessionContext;
     private final SessionRegistry registry = new SessionRegistry();
     private final TextRecordCodec recordCodec = new TextRecordCodec();
+    private final RecordedUsage usage = new RecordedUsage();
     private long nowNanos = TimeUnit.SECONDS.toNanos(100);
     private long suspendedMillis;
     private long revision = 10;
@@ -123,7 +124,7 @@
                 log,
                 metrics);
         sessionContext = new SessionContext(
-                settings, directory, groups, rateLimiter, group -> inContact, eventLoop(), clock, log, metrics);
+                settings, directory, groups, rateLimiter, group -> inContact, eventLoop(), clock, log, metrics, usage);
         grantKeys();
     }
 
@@ -298,6 +299,11 @@
         suspendedMillis += millis;
     }
 
+    /** Returns what the sessions have counted. */
+    public RecordedUsage usage() {
+        return usage;
+    }
+
     /** Returns what has been logged. */
     public String logged() {
         log.flush();
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayStartTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayStartTest.java
@@ -20,6 +20,7 @@
 import org.banyanhook.gateway.fleet.TextRecordCodec;
 import org.banyanhook.gateway.port.HttpPaths;
 import org.banyanhook.gateway.port.PromotionAuthority;
+import org.banyanhook.gateway.port.UsageAuthority;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -76,6 +77,8 @@
                 store,
                 (group, member, leaseHolder, fencingToken) ->
                         CompletableFuture.completedFuture(PromotionAuthority.Result.REJECTED),
+                (window, counts, leaseHolder, fencingToken) ->
+                        CompletableFuture.completedFuture(UsageAuthority.Result.REJECTED),
                 new GatewayFixture.ReportCodec(),
                 new TextRecordCodec(),
                 new HttpPaths("/ready", "/metrics"));
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/TextRecordCodec.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/TextRecordCodec.java
@@ -1,5 +1,6 @@
 package org.banyanhook.gateway.fleet;
 
+import com.google.protobuf.ByteString;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -16,6 +17,8 @@
     public static final String DAEMON_PREFIX = "daemons/";
     public static final String PROMOTION_PREFIX = "promotions/";
     public static final String PROMOTION_LEASE_PREFIX = "duties/promotion/";
+    public static final String USAGE_DUTY_KEY = "duties/usage";
+    public static final String USAGE_DECISIONS_KEY = "usage";
 
     private final Map<String, FleetRecord> prepared = new HashMap<>();
     private final Set<String> failing = new HashSet<>();
@@ -54,6 +57,12 @@
         if (key.startsWith(PROMOTION_LEASE_PREFIX)) {
             return new FleetRecord.PromotionLeaseHolder(key.substring(PROMOTION_LEASE_PREFIX.length()), text);
         }
+        if (key.equals(USAGE_DUTY_KEY)) {
+            return new FleetRecord.UsageDutyHolder(text);
+        }
+        if (key.equals(USAGE_DECISIONS_KEY)) {
+            return new FleetRecord.UsageDecisions(ByteString.copyFrom(value));
+        }
         return prepared.getOrDefault(key, new FleetRecord.Other());
     }
 
@@ -86,4 +95,19 @@
     public byte[] encode(FleetRecord.PromotionLeaseHolder holder) {
         return holder.entryVm().getBytes(StandardCharsets.UTF_8);
     }
+
+    @Override
+    public String usageDutyKey() {
+        return USAGE_DUTY_KEY;
+    }
+
+    @Override
+    public byte[] encode(FleetRecord.UsageDutyHolder holder) {
+        return holder.entryVm().getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public String usageDecisionsKey() {
+        return USAGE_DECISIONS_KEY;
+    }
 }
