--- a/banyanhook-core/src/main/java/org/banyanhook/core/usage/UsageReportSchedule.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/usage/UsageReportSchedule.java
@@ -19,11 +19,13 @@
     private static final long MILLIS_PER_SECOND = 1_000;
 
     private final UsageWindows windows;
-    private final long spacingMillis;
+    private final long callsPerSecond;
     private final TreeMap<Long, SortedMap<String, Long>> pending = new TreeMap<>();
     private long sentThrough = Long.MIN_VALUE;
     private long nextSendMillis = Long.MIN_VALUE;
     private long retryMillis = FIRST_RETRY_MILLIS;
+    private long secondStartMillis = Long.MIN_VALUE / 2;
+    private long callsInSecond;
     private boolean calling;
 
     /**
@@ -47,7 +49,7 @@
     public UsageReportSchedule(UsageWindows windows, UsageSettings settings) {
         this.windows = windows;
         // Half of the permitted rate, so that a former holder's calls find room.
-        this.spacingMillis = Math.round(2 * MILLIS_PER_SECOND / settings.reportsPerSecond());
+        this.callsPerSecond = Math.max(1, Math.round(settings.reportsPerSecond() / 2));
     }
 
     /** Adds a report whose counts are decided, unless it was accepted or is pending already. */
@@ -68,27 +70,38 @@
         while (!calling && !pending.isEmpty() && trueMillis >= windows.lastSendMillis(pending.firstKey())) {
             finish(pending.firstKey());
         }
-        if (calling || pending.isEmpty() || steadyMillis < nextSendMillis) {
+        if (calling || pending.isEmpty() || steadyMillis < nextSendMillis || !takeCall(steadyMillis)) {
             return Optional.empty();
         }
         calling = true;
         return Optional.of(new Report(pending.firstKey(), pending.firstEntry().getValue()));
     }
 
+    private boolean takeCall(long steadyMillis) {
+        if (steadyMillis - secondStartMillis >= MILLIS_PER_SECOND) {
+            secondStartMillis = steadyMillis;
+            callsInSecond = 0;
+        }
+        if (callsInSecond >= callsPerSecond) {
+            return false;
+        }
+        callsInSecond++;
+        return true;
+    }
+
     /** Records that a report was accepted. */
-    public void onAccepted(long window, long steadyMillis) {
-        finishCall(window, steadyMillis);
+    public void onAccepted(long window) {
+        finishCall(window);
     }
 
     /** Records that a report was rejected for good, so that repeating it is useless. */
-    public void onRejected(long window, long steadyMillis) {
-        finishCall(window, steadyMillis);
+    public void onRejected(long window) {
+        finishCall(window);
     }
 
-    private void finishCall(long window, long steadyMillis) {
+    private void finishCall(long window) {
         calling = false;
         retryMillis = FIRST_RETRY_MILLIS;
-        nextSendMillis = steadyMillis + spacingMillis;
         finish(window);
     }
 
@@ -105,7 +118,7 @@
      */
     public void onFailed(long steadyMillis, double draw) {
         calling = false;
-        nextSendMillis = steadyMillis + Math.max(spacingMillis, Math.round(retryMillis * (0.5 + draw)));
+        nextSendMillis = steadyMillis + Math.round(retryMillis * (0.5 + draw));
         retryMillis = Math.min(MAXIMUM_RETRY_MILLIS, 2 * retryMillis);
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageHolder.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageHolder.java
@@ -260,10 +260,10 @@
 
     private void onResult(Report report, UsageAuthority.Result result, long sentNanos) {
         if (result == UsageAuthority.Result.ACCEPTED) {
-            schedule.onAccepted(report.window(), steadyMillis());
+            schedule.onAccepted(report.window());
             context.metrics().recordLatency("usage.delay", TimeUnit.MILLISECONDS.toNanos(delayMillis(report)));
         } else if (result == UsageAuthority.Result.REJECTED) {
-            schedule.onRejected(report.window(), steadyMillis());
+            schedule.onRejected(report.window());
         } else {
             schedule.onFailed(steadyMillis(), context.random().getAsDouble());
         }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageLease.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageLease.java
@@ -21,9 +21,9 @@
 
     /**
      * Renewals are sent whether or not the one before was answered: waiting for the time-out of a lost answer would
-     * take longer than the lease lasts. Every second call of {@link #tick}.
+     * take longer than the lease lasts. A renewal costs a tenth of a call.
      */
-    private static final long RENEWAL_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
+    private static final long RENEWAL_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(450);
 
     /** A daemon that cannot take the duty leaves the store to others for this long. */
     private static final long RETRY_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
