Keep the estimate of true time free of clock classes

Cause: DecisionPurityTest forbids java.util.concurrent in the decisions. Change: durations are computed with java.time.Duration.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/usage/TrueTimeEstimate.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/usage/TrueTimeEstimate.java
@@ -1,9 +1,9 @@
 package org.banyanhook.core.usage;
 
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Estimates true time as the median of the offsets between the own monotonic clock and the wall clocks of several
@@ -15,13 +15,15 @@
     private static final int SUFFICIENT_SAMPLES = 5;
 
     /** Daemons are asked several times within this time; one that is silent for longer has ended. */
-    private static final long RETENTION_NANOS = TimeUnit.SECONDS.toNanos(60);
+    private static final long RETENTION_NANOS = Duration.ofSeconds(60).toNanos();
 
     /** A sample with a short round trip is preferred over newer ones for this long. */
-    private static final long PREFERENCE_NANOS = TimeUnit.SECONDS.toNanos(25);
+    private static final long PREFERENCE_NANOS = Duration.ofSeconds(25).toNanos();
 
     /** A round trip longer by more than this was held up on its way, possibly in one direction only. */
-    private static final long HELD_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    private static final long HELD_UP_NANOS = Duration.ofMillis(20).toNanos();
+
+    private static final long NANOS_PER_MILLISECOND = 1_000_000;
 
     private static final String OWN = "";
 
@@ -43,7 +45,7 @@
 
     /** Returns the estimate for a reading of the own monotonic clock, in milliseconds since the start of 1970. */
     public long trueMillis(long nowNanos) {
-        return TimeUnit.NANOSECONDS.toMillis(nowNanos) + offsetMillis;
+        return toMillis(nowNanos) + offsetMillis;
     }
 
     /** Returns whether more than the own wall clock is known, so that a single wrong clock does no harm. */
@@ -58,7 +60,7 @@
      * @param wallMillis the own wall-clock time
      */
     public void readOwnClock(long nowNanos, long wallMillis) {
-        samples.put(OWN, new Sample(wallMillis - TimeUnit.NANOSECONDS.toMillis(nowNanos), 0, nowNanos));
+        samples.put(OWN, new Sample(wallMillis - toMillis(nowNanos), 0, nowNanos));
         samples.values().removeIf(sample -> nowNanos - sample.receivedNanos > RETENTION_NANOS);
         update();
     }
@@ -79,7 +81,7 @@
                 && roundTripNanos > known.roundTripNanos + HELD_UP_NANOS) {
             return;
         }
-        long middleMillis = TimeUnit.NANOSECONDS.toMillis(sentNanos + roundTripNanos / 2);
+        long middleMillis = toMillis(sentNanos + roundTripNanos / 2);
         samples.put(daemon, new Sample(wallMillis - middleMillis, roundTripNanos, receivedNanos));
         update();
     }
@@ -109,4 +111,8 @@
                 ? offsets[middle]
                 : Arrays.stream(offsets, middle - 1, middle + 1).sum() / 2;
     }
+
+    private static long toMillis(long nanos) {
+        return Math.floorDiv(nanos, NANOS_PER_MILLISECOND);
+    }
 }
