--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.banyanhook.core.execution.ShutdownSchedule;
+import org.banyanhook.core.usage.UsageSettings;
 import org.banyanhook.daemon.peer.NettyPeerMessenger;
 import org.banyanhook.gateway.backend.ConnectionProbe;
 import org.banyanhook.gateway.backend.DatabaseGroups;
@@ -44,6 +45,7 @@
 import org.banyanhook.gateway.port.PromotionAuthority;
 import org.banyanhook.gateway.port.RecordStore;
 import org.banyanhook.gateway.port.SessionCodec;
+import org.banyanhook.gateway.port.UsageAuthority;
 import org.banyanhook.gateway.primary.LostPromotionWriter;
 import org.banyanhook.gateway.primary.PeerVoteExchange;
 import org.banyanhook.gateway.primary.PromotionController;
@@ -59,6 +61,8 @@
 import org.banyanhook.gateway.session.Session;
 import org.banyanhook.gateway.session.SessionContext;
 import org.banyanhook.gateway.session.SessionRegistry;
+import org.banyanhook.gateway.usage.UsageMeter;
+import org.banyanhook.gateway.usage.UsageReporting;
 import org.jspecify.annotations.Nullable;
 
 /** Assembles the components of a gateway and runs them on one event loop. */
@@ -96,6 +100,7 @@
     private final AccountRateLimiter rateLimiter;
     private final StoreOrQuorumPolicy primaryAccess;
     private final PromotionController promotionController;
+    private final @Nullable UsageReporting usageReporting;
     private final SessionRegistry sessions = new SessionRegistry();
     private final ClientConnections clientConnections;
     private final SessionContext sessionContext;
@@ -109,6 +114,7 @@
      *
      * @param store the record store
      * @param authority the authority that carries out promotions
+     * @param usageAuthority accepts the reports of usage, where the settings require them
      * @param sessionCodec the codec for client and member connections
      * @param recordCodec the names and the format of the records in the store
      * @param paths the paths of the HTTP endpoint
@@ -116,6 +122,7 @@
     public record Ports(
             RecordStore store,
             PromotionAuthority authority,
+            UsageAuthority usageAuthority,
             SessionCodec sessionCodec,
             FleetRecordCodec recordCodec,
             HttpPaths paths) {}
@@ -187,8 +194,8 @@
         storeMirror.onFirstReading(promotionLeases::endFormerLeases);
         this.promotionController = newPromotionController(store, promotionLeases, voteExchange, promotionVoter, probe);
         directory.addListener(promotionController);
-        this.sessionContext = new SessionContext(
-                settings, directory, databaseGroups, rateLimiter, primaryAccess, eventLoop, clock, log, metrics);
+        this.usageReporting = newUsageReporting(store);
+        this.sessionContext = newSessionContext(usageReporting);
         this.clientConnections = new ClientConnections(settings.clientLimits(), clock, log, metrics);
         this.periodicChecks = new PeriodicChecks(
                 List.of(
@@ -206,6 +213,20 @@
                 log);
     }
 
+    private SessionContext newSessionContext(@Nullable UsageReporting usage) {
+        return new SessionContext(
+                settings,
+                directory,
+                databaseGroups,
+                rateLimiter,
+                primaryAccess,
+                eventLoop,
+                clock,
+                log,
+                metrics,
+                usage == null ? UsageMeter.NONE : usage.meter());
+    }
+
     private AccountRateLimiter newRateLimiter() {
         PeerTokenTransfers tokenTransfers = new PeerTokenTransfers(messenger, directory, eventLoop);
         AccountRateLimiter limiter = new AccountRateLimiter(
@@ -235,6 +256,29 @@
         });
     }
 
+    private @Nullable UsageReporting newUsageReporting(RecordStore store) {
+        UsageSettings usage = settings.usage();
+        if (usage == null) {
+            return null;
+        }
+        UsageReporting reporting = new UsageReporting(new UsageReporting.Context(
+                settings.entryVm(),
+                usage,
+                store,
+                ports.recordCodec(),
+                ports.usageAuthority(),
+                messenger,
+                directory,
+                eventLoop,
+                clock,
+                System::currentTimeMillis,
+                () -> ThreadLocalRandom.current().nextDouble(),
+                log,
+                metrics));
+        eras.addListener(reporting::onStoreRestored);
+        return reporting;
+    }
+
     private PromotionController newPromotionController(
             RecordStore store,
             PromotionLeases promotionLeases,
@@ -304,6 +348,14 @@
         });
         var unused = eventLoop.scheduleWithFixedDelay(
                 periodicChecks::perform, TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        UsageReporting reporting = usageReporting;
+        if (reporting != null) {
+            PeriodicChecks usageChecks = new PeriodicChecks(List.of(reporting::tick), log);
+            // The first delay spreads the messages of daemons that start together.
+            long firstDelayMillis = ThreadLocalRandom.current().nextLong(UsageReporting.TICK_INTERVAL_MILLIS);
+            var usageTicks = eventLoop.scheduleWithFixedDelay(
+                    usageChecks::perform, firstDelayMillis, UsageReporting.TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        }
     }
 
     /**
@@ -321,6 +373,9 @@
             }
             draining = true;
             promotionController.stop();
+            if (usageReporting != null) {
+                var dutyGivenUp = usageReporting.giveUpDuty();
+            }
             ShutdownSchedule schedule = ShutdownSchedule.startingAt(requestedNanos, settings.shutdownGraceMillis());
             new GracefulShutdown(schedule, sessions, new StoppingDaemon(), eventLoop, clock, log)
                     .start()
@@ -351,7 +406,10 @@
         @Override
         public CompletableFuture<Void> leaveFleet() {
             storeMirror.stop();
-            return registration.stop().orTimeout(REGISTRATION_END_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            CompletableFuture<Void> countsSent =
+                    usageReporting == null ? CompletableFuture.completedFuture(null) : usageReporting.finish();
+            return CompletableFuture.allOf(registration.stop(), countsSent)
+                    .orTimeout(REGISTRATION_END_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DutyLease.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/DutyLease.java
@@ -106,7 +106,7 @@
      * Ends a lease of this daemon that it does not know of any more: one that it held before a restart, or whose record
      * was written although the answer was lost. It would otherwise block every daemon until it expires.
      */
-    private CompletableFuture<Void> endFormerLease() {
+    public CompletableFuture<Void> endFormerLease() {
         Optional<StoreLease> former = formerLease.get();
         return former.isEmpty()
                 ? CompletableFuture.completedFuture(null)
@@ -137,6 +137,16 @@
         held = false;
     }
 
+    /**
+     * Gives the lease up and removes its record.
+     *
+     * @return a future that completes when the lease has ended in the store
+     */
+    public CompletableFuture<Void> release() {
+        held = false;
+        return store.endLease(lease).exceptionallyCompose(DutyLease::ignoreEndedLease);
+    }
+
     /** Returns whether this daemon holds the lease and it cannot have expired yet. */
     public boolean isHeld() {
         // Reading the clock may reveal a suspension, which ends the lease.
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
@@ -52,6 +52,7 @@
     private final Map<String, String> sessionValues;
     private final @Nullable PreparedShape preparedStatement;
     private final @Nullable LogPosition sessionPosition;
+    private final OperationUsage usage;
     private final ExecutionListener listener;
     private final long arrivedNanos;
     private final long deadlineNanos;
@@ -74,6 +75,7 @@
         this.account = task.account();
         this.weight = task.weight();
         this.transaction = task.transaction();
+        this.usage = transaction == null ? new OperationUsage(context.usage(), account) : transaction.usage();
         this.sessionValues = task.sessionValues();
         this.preparedStatement = task.preparedStatement();
         this.sessionPosition = task.sessionPosition();
@@ -314,6 +316,9 @@
             transaction.recordWrite();
         }
         phase = ExecutionPhase.RUNNING;
+        if (!isCommit()) {
+            usage.recordSent();
+        }
         currentLease.send(
                 new MemberCommand.PassOn(request.requestId(), statement, minimumPosition),
                 new MemberConnection.AnswerListener() {
@@ -332,6 +337,7 @@
 
     private void onAnswer(ConnectionLease source, @Nullable MemberAnswer answer, long sentNanos) {
         if (answer == null) {
+            usage.recordUnanswered();
             switch (decide(source, ExecutionEvent.CONNECTION_LOST)) {
                 case EVALUATE_LOSS -> onConnectionLost(source);
                 case REPORT_INCOMPLETE -> reportIncomplete();
@@ -339,6 +345,7 @@
             }
             return;
         }
+        usage.recordAnswer(answer.error());
         group.recordAnswer(source.server(), answer.error(), context.clock().nowNanos() - sentNanos);
         if (decide(source, ExecutionEvent.STATEMENT_ANSWERED) != ExecutionAction.EVALUATE_ANSWER) {
             settle(source, answer);
@@ -566,6 +573,7 @@
 
     private void finish(String outcome, @Nullable String detail, @Nullable ConnectionLease usedLease) {
         phase = ExecutionPhase.FINISHED;
+        usage.recordUnanswered();
         ConnectionRequest pendingRequest = pendingConnectionRequest;
         if (pendingRequest != null) {
             pendingRequest.cancel();
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
@@ -88,6 +88,7 @@
     private final SessionRegistry registry = new SessionRegistry();
     private final ClientConnections clientConnections;
     private final TextRecordCodec recordCodec = new TextRecordCodec();
+    private final RecordedUsage usage = new RecordedUsage();
     private long nowNanos = TimeUnit.SECONDS.toNanos(100);
     private long suspendedMillis;
     private long revision = 10;
@@ -137,7 +138,7 @@
                 log,
                 metrics);
         sessionContext = new SessionContext(
-                settings, directory, groups, rateLimiter, group -> inContact, eventLoop(), clock, log, metrics);
+                settings, directory, groups, rateLimiter, group -> inContact, eventLoop(), clock, log, metrics, usage);
         clientConnections = new ClientConnections(CLIENT_LIMITS, clock, log, metrics);
         grantKeys();
     }
@@ -341,6 +342,11 @@
         suspendedMillis += millis;
     }
 
+    /** Returns what the sessions have counted. */
+    public RecordedUsage usage() {
+        return usage;
+    }
+
     /** Returns what has been logged. */
     public String logged() {
         log.flush();
