Correct what a review of admission, client limits and rates found

Cause: found by reading, each with its sequence of events: one idle transaction or slowly read extract shifted the estimated hold time for many requests; requests that cannot be placed stayed before others of their account; requests polled in a dispatch were lost if placing one threw; requests in progress alone could close idle sessions; what a slow reader had taken was noticed late; requests were refused at once although the lease of the allotment may be renewed. Change: holds are limited to 500 ms and 4 times the average; requeued requests go behind all of their account; the dispatch puts requests back in any case; connections that hold less than 4 KiB are not closed for memory; and so on.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/admission/ClientAdmission.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/admission/ClientAdmission.java
@@ -25,6 +25,12 @@
 
     private static final long MILLIS_PER_SECOND = 1_000;
 
+    /**
+     * Connections that hold less are not closed for memory. An idle session holds tens of bytes, so that closing many
+     * of them would free little of what requests in progress use.
+     */
+    private static final long MINIMUM_CLOSED_BYTES = 4 << 10;
+
     private final ClientLimits limits;
 
     /**
@@ -118,7 +124,7 @@
         List<ConnectionLoad> withinShare = new ArrayList<>();
         for (ConnectionLoad load : loads) {
             bytesByAccount.merge(load.account(), load.heldBytes(), Long::sum);
-            if (load.heldBytes() > 0) {
+            if (load.heldBytes() >= MINIMUM_CLOSED_BYTES) {
                 (load.heldBytes() > share ? beyondShare : withinShare).add(load);
             }
         }
--- a/banyanhook-core/src/main/java/org/banyanhook/core/admission/FairQueue.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/admission/FairQueue.java
@@ -166,6 +166,13 @@
         }
     }
 
+    /** Puts back an item that was polled and not served, behind all others of its account. */
+    void requeue(String account, int weight, T item, long deadlineNanos, long orderNanos) {
+        AccountQueue<T> queue = queues.get(account);
+        long lastOrderNanos = queue == null ? orderNanos : queue.lastOrderNanos(orderNanos);
+        addInOrder(account, weight, item, deadlineNanos, lastOrderNanos);
+    }
+
     /** Puts back an item that was polled and not served: it is the next one again. */
     void restore(String account, int weight, T item, long deadlineNanos, long orderNanos) {
         AccountQueue<T> queue = queues.computeIfAbsent(account, AccountQueue::new);
@@ -297,6 +304,12 @@
             entries.addLast(new Entry<>(item, deadlineNanos, 0));
         }
 
+        /** Returns the order of the last item, at least the given one. */
+        long lastOrderNanos(long orderNanos) {
+            Entry<T> last = entries.peekLast();
+            return last == null || last.orderNanos() - orderNanos < 0 ? orderNanos : last.orderNanos();
+        }
+
         void addInOrder(int newWeight, Entry<T> entry) {
             weight = newWeight;
             ArrayDeque<Entry<T>> later = new ArrayDeque<>(0);
--- a/banyanhook-core/src/main/java/org/banyanhook/core/admission/PriorityFairQueue.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/admission/PriorityFairQueue.java
@@ -157,13 +157,13 @@
     }
 
     /**
-     * Puts back an item that was polled and could not be served, so that items of other accounts are served before it.
-     * The capacity is not checked.
+     * Puts back an item that was polled and could not be served, so that the other items of its priority are served
+     * before it. The capacity is not checked.
      *
      * @param waiting the item
      */
     public void requeue(Waiting<T> waiting) {
-        add(waiting);
+        level(waiting).requeue(waiting);
     }
 
     /**
--- a/banyanhook-core/src/main/java/org/banyanhook/core/admission/PriorityLevel.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/admission/PriorityLevel.java
@@ -52,6 +52,10 @@
         queue.addInOrder(waiting.account(), waiting.weight(), waiting, waiting.deadlineNanos(), waiting.orderNanos());
     }
 
+    void requeue(Waiting<T> waiting) {
+        timely.requeue(waiting.account(), waiting.weight(), waiting, waiting.deadlineNanos(), waiting.orderNanos());
+    }
+
     void restore(Waiting<T> waiting, long nowNanos) {
         FairQueue<Waiting<T>> queue = waiting.serviceClass().isLate(nowNanos) ? late : timely;
         queue.restore(waiting.account(), waiting.weight(), waiting, waiting.deadlineNanos(), waiting.orderNanos());
--- a/banyanhook-core/src/main/java/org/banyanhook/core/rate/TokenExchange.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/rate/TokenExchange.java
@@ -109,7 +109,9 @@
      */
     private boolean isExhausted(
             AccountTokenState state, long requestDeadlineNanos, long leaseExpiryNanos, long nowNanos) {
-        if (state.pendingPeerCount() > 0) {
+        boolean ownUsable = nowNanos - leaseExpiryNanos < 0;
+        if (state.pendingPeerCount() > 0 || !ownUsable) {
+            // A peer may answer, or the lease may be renewed, before the request is refused.
             return false;
         }
         long nextPeerNanos = state.nextPeerNanos(peersOfAccount.apply(state.account()), nowNanos)
@@ -117,9 +119,8 @@
         if (nextPeerNanos - requestDeadlineNanos < 0) {
             return false;
         }
-        boolean ownUsable = nowNanos - leaseExpiryNanos < 0;
-        long accruing = ownUsable ? state.bucket().accruingMicros(requestDeadlineNanos - nowNanos) : 0;
-        return state.bucket().availableMicros(ownUsable) + accruing < state.waitingCount() * Tokens.MICROS_PER_TOKEN;
+        long accruing = state.bucket().accruingMicros(requestDeadlineNanos - nowNanos);
+        return state.bucket().availableMicros(true) + accruing < state.waitingCount() * Tokens.MICROS_PER_TOKEN;
     }
 
     /** Decides on a request that may not wait. No peer is asked, as its answer would come too late. */
@@ -153,6 +154,7 @@
         }
         AccountTokenState state = accounts.get(request.clientAccount());
         if (state == null) {
+            pendingRequests.clearOverdue(sequence);
             return List.of();
         }
         unansweredPeers.remove(request.peer());
--- a/banyanhook-core/src/main/java/org/banyanhook/core/scheduling/AdmissionEstimator.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/scheduling/AdmissionEstimator.java
@@ -21,6 +21,12 @@
     /** A place held longer than this many times the average, as by an idle transaction, does not count as a place. */
     private static final double OCCUPIED_FACTOR = 4;
 
+    /**
+     * The longest hold that is recorded. An idle transaction or an extract that its caller reads slowly says nothing of
+     * how soon other places become free, and would shift the average for many requests.
+     */
+    private static final long MAXIMUM_HOLD_NANOS = 500_000_000L;
+
     private double holdNanos;
     private int samples;
 
@@ -61,7 +67,11 @@
 
     /** Records how long a request held its place. */
     public void recordHold(long nanos) {
-        holdNanos = samples == 0 ? nanos : holdNanos + (nanos - holdNanos) * NEW_SAMPLE_WEIGHT;
+        double limit = samples < MINIMUM_SAMPLES
+                ? MAXIMUM_HOLD_NANOS
+                : Math.min(MAXIMUM_HOLD_NANOS, OCCUPIED_FACTOR * holdNanos);
+        double recorded = Math.min(nanos, limit);
+        holdNanos = samples == 0 ? recorded : holdNanos + (recorded - holdNanos) * NEW_SAMPLE_WEIGHT;
         samples = Math.min(samples + 1, MINIMUM_SAMPLES);
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionRequestQueue.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionRequestQueue.java
@@ -114,11 +114,20 @@
     /** Places requests in their order. Those that cannot be placed stay in the queue and are passed over. */
     void dispatch(Predicate<ConnectionRequest> place, long nowNanos) {
         ArrayDeque<Waiting<ConnectionRequest>> unplaced = new ArrayDeque<>(0);
+        try {
+            placeInOrder(place, unplaced, nowNanos);
+        } finally {
+            putBack(unplaced, nowNanos);
+        }
+    }
+
+    private void placeInOrder(
+            Predicate<ConnectionRequest> place, ArrayDeque<Waiting<ConnectionRequest>> unplaced, long nowNanos) {
         int attempts = requests.size();
         while (attempts-- > 0 && unplaced.size() < LOOK_AHEAD_REQUESTS) {
             Optional<Waiting<ConnectionRequest>> next = requests.poll(nowNanos);
             if (next.isEmpty()) {
-                break;
+                return;
             }
             ConnectionRequest request = next.get().item();
             if (!request.isCancelled()) {
@@ -129,7 +138,6 @@
                 }
             }
         }
-        putBack(unplaced, nowNanos);
     }
 
     /** Puts requests back in their places, or behind others if more of them may block what can be placed. */
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/ClientConnection.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/ClientConnection.java
@@ -99,7 +99,7 @@
     boolean open(SessionAuthorization.Grant grant, String key) {
         // A key that is not granted says nothing about a caller, who could use another one for each session.
         String countedKey = grant.isRateLimited() ? key : "";
-        if (!owner.openSession(countedKey)) {
+        if (closed || !owner.openSession(countedKey)) {
             return false;
         }
         openedKey = countedKey;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
@@ -116,11 +116,12 @@
     /** Resumes reading the rows of an answer when the caller has taken those sent before. */
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext handlerContext) {
+        // Before more rows are read, so that what the client has taken is noticed.
+        input.updateOutbound();
         StatementExecution execution = currentExecution;
         if (execution != null && handlerContext.channel().isWritable()) {
             execution.resume();
         }
-        input.updateOutbound();
         startNextRequest();
         handlerContext.fireChannelWritabilityChanged();
     }
