Correct what a review of usage reports and store eras found

Cause: found by reading, each with its sequence of events: a new holder of the duty was not told which windows are decided; after a restore only the former holder waited; a new holder decided before the counts of a large fleet could arrive, or while only a part of the fleet was listed; reports from memory were sent although the record in the store lacked them; tokens of large revisions failed without eras; a renewal could take a new lease under the old token; a wrong clock could pass over windows for all daemons; lost promotions were not looked for again after an exception. Change: counts carry the newest decided window; all daemons wait after a restore; a new holder decides nothing for 2.5 s and repeats only what the record contains; the token of era 0 is the plain revision; and so on.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/store/StoreRevision.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/store/StoreRevision.java
@@ -33,6 +33,9 @@
      * @throws IllegalStateException if the revision exceeds the range of tokens
      */
     public long fencingToken() {
+        if (era == 0) {
+            return number;
+        }
         if (number >= 1L << NUMBER_BITS || era >= 1L << (TOKEN_BITS - NUMBER_BITS)) {
             throw new IllegalStateException("revision " + this + " exceeds the range of fencing tokens");
         }
--- a/banyanhook-core/src/main/java/org/banyanhook/core/usage/UsageDecision.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/usage/UsageDecision.java
@@ -18,7 +18,7 @@
      * How long a new holder waits for daemons to send it their counts. They learn of it within the delay of a watch,
      * and send every half second.
      */
-    private static final long TAKEOVER_WAIT_MILLIS = 1_500;
+    private static final long TAKEOVER_WAIT_MILLIS = 2_500;
 
     /** What to do with a window. */
     public enum Kind {
@@ -57,7 +57,9 @@
         long now = circumstances.nowMillis();
         int total = circumstances.daemons().size();
         int heard = collection.countComplete(window, circumstances.daemons());
-        boolean allHeard = total > 0 && heard == total;
+        // Right after an outage of the store only a part of the fleet may be listed.
+        boolean listed = now >= circumstances.holderSinceMillis() + TAKEOVER_WAIT_MILLIS;
+        boolean allHeard = listed && total > 0 && heard == total;
         if (window > windows.settledAt(now) || (!allHeard && now < lastWait(window, windows, circumstances, heard))) {
             return new UsageDecision(Kind.WAIT, new TreeMap<>(), heard);
         }
--- a/banyanhook-core/src/main/java/org/banyanhook/core/usage/UsageReportSchedule.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/usage/UsageReportSchedule.java
@@ -2,6 +2,7 @@
 
 import java.util.Collections;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
 
@@ -52,13 +53,22 @@
         this.callsPerSecond = Math.max(1, Math.round(settings.reportsPerSecond() / 2));
     }
 
-    /** Adds a report whose counts are decided, unless it was accepted or is pending already. */
+    /** Adds a report whose counts are decided, unless it was accepted or is being sent. */
     public void add(Report report) {
-        if (report.window() > sentThrough) {
-            pending.putIfAbsent(report.window(), report.counts());
+        if (report.window() > sentThrough && !isBeingSent(report.window())) {
+            pending.put(report.window(), report.counts());
         }
     }
 
+    /** Drops the pending reports of all windows but the given ones, except the one that is being sent. */
+    public void retain(Set<Long> windowsToKeep) {
+        pending.keySet().removeIf(window -> !windowsToKeep.contains(window) && !isBeingSent(window));
+    }
+
+    private boolean isBeingSent(long window) {
+        return calling && !pending.isEmpty() && pending.firstKey() == window;
+    }
+
     /**
      * Returns the report to send now, which is considered to be in progress until {@link #onAccepted},
      * {@link #onRejected} or {@link #onFailed}.
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -248,11 +248,12 @@
         eras.addListener(promotionLeases::dropAll);
         eras.addListener(primaryAccess::onStoreRestored);
         eras.addListener(registration::onStoreRestored);
+        eras.addListener(lostPromotions::onStoreRestored);
         primaryAccess.storeRead(() -> eras.mayDecideIn(eras.newest()));
         registration.restoreDelayLimitMillis(() -> RESTORE_DELAY_MILLIS_PER_DAEMON * directory.daemonsSharingLimits());
         registration.onContact(() -> {
-            databaseGroups.tick();
             lostPromotions.writeAgain();
+            databaseGroups.tick();
         });
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/LostPromotionWriter.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/LostPromotionWriter.java
@@ -61,6 +61,11 @@
         this.log = log;
     }
 
+    /** Looks for lost records from now on, because the store was restored. */
+    public void onStoreRestored() {
+        incomplete = true;
+    }
+
     /** Writes lost records again after an attempt that failed or was overtaken by another change. Call periodically. */
     public void tick() {
         if (incomplete && clock.nowNanos() - lastAttemptNanos >= RETRY_DELAY_NANOS) {
@@ -74,13 +79,13 @@
      */
     public void writeAgain() {
         long era = eras.newest();
+        lastAttemptNanos = clock.nowNanos();
         if (!eras.mayDecideIn(era)
                 || !PromotionVoters.of(directory.recentDaemons().keySet()).contains(entryVm)) {
             return;
         }
         Set<FleetRecord.Promotion> lost = directory.lostPromotions(era);
         incomplete = !lost.isEmpty();
-        lastAttemptNanos = clock.nowNanos();
         lost.forEach(this::write);
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageForwarding.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageForwarding.java
@@ -41,6 +41,7 @@
     private final MonotonicClock clock;
     private final TreeMap<Long, Long> deliveredVersions = new TreeMap<>();
     private @Nullable HeldDuty holder;
+    private @Nullable HeldDuty informedHolder;
     private boolean sending;
 
     /**
@@ -121,8 +122,7 @@
     private void askTime(String daemon) {
         DaemonEntry peer = directory.daemons().get(daemon);
         if (peer != null) {
-            var unused = request(
-                    peer, UsageCounts.newBuilder().setIncarnation(incarnation).build());
+            var unused = request(peer, UsageMessages.toMessage(incarnation, ownHolder.decidedThrough(), List.of()));
         }
     }
 
@@ -136,15 +136,17 @@
             deliveredVersions.clear();
         }
         List<WindowUsage> changes = counter.changesSince(deliveredVersions);
-        if (changes.isEmpty()) {
+        boolean holderInformed = current.get().equals(informedHolder);
+        if (changes.isEmpty() && holderInformed) {
             return CompletableFuture.completedFuture(null);
         }
-        UsageCounts message = UsageMessages.toMessage(incarnation, changes);
+        UsageCounts message = UsageMessages.toMessage(incarnation, ownHolder.decidedThrough(), changes);
         if (current.get().entryVm().equals(entryVm)) {
             if (ownHolder.receive(entryVm, message)) {
                 recordDelivery(current.get(), changes);
                 copyToSuccessor(message);
             }
+            informedHolder = current.get();
             counter.forgetThrough(ownHolder.decidedThrough());
             return CompletableFuture.completedFuture(null);
         }
@@ -156,6 +158,7 @@
         return request(peer, message).handle((reply, failure) -> {
             sending = false;
             if (reply != null && reply.getHolder()) {
+                informedHolder = current.get();
                 recordDelivery(current.get(), changes);
             }
             return null;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageHolder.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageHolder.java
@@ -35,6 +35,7 @@
     private final UsageCollection collection = new UsageCollection();
     private long token;
     private boolean ledgerKnown;
+    private boolean ledgerRead;
     private boolean callingStore;
     private boolean givingUp;
     private long decidedThrough;
@@ -84,7 +85,10 @@
 
     /** Records that windows up to this one are decided. The store may lose that when it is restored from a copy. */
     void observeDecided(long window) {
-        if (window > decidedThrough) {
+        boolean possible = !context.usageClock().isUsable()
+                || window <= windows.settledAt(context.usageClock().trueMillis()) + 1;
+        // A daemon whose clock was wrong may have passed over windows that have not begun.
+        if (window > decidedThrough && possible) {
             decidedThrough = window;
         }
     }
@@ -95,6 +99,7 @@
      * @return whether this daemon holds the duty and has taken the counts
      */
     boolean receive(String daemon, UsageCounts counts) {
+        observeDecided(counts.getDecidedWindow());
         boolean held = !givingUp && context.lease().isHeld();
         boolean fromHolder = context.directory()
                 .usageDuty()
@@ -114,6 +119,7 @@
     /** Drops the duty, because the store was restored from a copy that may lack what was decided. */
     void onStoreRestored() {
         ledgerKnown = false;
+        ledgerRead = false;
         context.lease().onStoreRestored();
     }
 
@@ -132,19 +138,24 @@
         if (token != context.lease().token()) {
             token = context.lease().token();
             ledgerKnown = false;
+            ledgerRead = false;
         }
         if (!ledgerKnown) {
             readLedger();
         } else {
             decideNext();
         }
-        reportNext();
+        if (ledgerRead) {
+            reportNext();
+        }
     }
 
     /** Stops reporting and lets another daemon take the duty, after the report in progress. */
     CompletableFuture<Void> giveUp() {
         givingUp = true;
-        return reportInProgress.thenCompose(done -> context.lease().release());
+        return reportInProgress
+                .exceptionally(failure -> null)
+                .thenCompose(done -> context.lease().release());
     }
 
     private void observeStore() {
@@ -167,6 +178,8 @@
                 return;
             }
             ledgerKnown = true;
+            ledgerRead = true;
+            schedule.retain(reports.keySet());
             reports.values().forEach(this::addRecorded);
             if (!reports.isEmpty()) {
                 observeDecided(reports.lastKey());
@@ -261,6 +274,7 @@
                         report.counts(),
                         context.entryVm(),
                         context.lease().token())
+                .exceptionally(failure -> UsageAuthority.Result.NO_ANSWER)
                 .thenAccept(result -> onResult(report, result, sentNanos));
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageLease.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageLease.java
@@ -139,8 +139,8 @@
                 var unused = lease.release();
                 return;
             }
-            holding = true;
             token = acquired.fencingToken();
+            holding = true;
             renewedNanos = now;
             takenNanos = clock.nowNanos();
         });
@@ -151,8 +151,12 @@
         long renewedToken = token;
         lease.acquire().whenComplete((renewed, failure) -> {
             boolean ended = StoreException.kind(failure) == StoreException.Kind.LEASE_ENDED;
-            if (ended && holding && token == renewedToken) {
+            boolean current = holding && token == renewedToken;
+            if (current && ended) {
                 lose("ended in the store");
+            } else if (current && renewed != null && renewed.fencingToken() != renewedToken) {
+                // It had expired just before the call, so that others may have held the duty in between.
+                lose("taken anew");
             }
         });
     }
@@ -166,6 +170,9 @@
     /** Stops holding the duty, because the store was restored from a copy and may not contain its record. */
     void onStoreRestored() {
         lease.drop();
+        // Also a daemon that did not hold the duty waits: the former holder may not have heard of the restore.
+        vacant = false;
+        notBeforeNanos = clock.nowNanos() + alternationNanos;
         if (holding) {
             recordLoss("the store was restored");
         }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageMessages.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageMessages.java
@@ -13,8 +13,9 @@
 
     private UsageMessages() {}
 
-    static UsageCounts toMessage(long incarnation, Collection<WindowUsage> usages) {
-        UsageCounts.Builder message = UsageCounts.newBuilder().setIncarnation(incarnation);
+    static UsageCounts toMessage(long incarnation, long decidedWindow, Collection<WindowUsage> usages) {
+        UsageCounts.Builder message =
+                UsageCounts.newBuilder().setIncarnation(incarnation).setDecidedWindow(decidedWindow);
         usages.forEach(usage -> message.addWindows(toMessage(usage.window(), usage.counts(), usage.complete())));
         return message.build();
     }
