Usage: keep the decided windows of each era of the store in a record of its own

Cause: a holder that does not know of a restore yet writes its decisions under a revision of the former era. The store compares numbers only, so that the condition can hold by chance in the new era and the write replaces what is decided there. The next holder could then report a window with other counts. The check of the answer's era comes too late, as the write is made.

Change: the key of the record contains the era from era 1 on (era 0 is unchanged). Of the records of several eras the one with the highest fencing token applies; its writer has carried over what was still pending. A write that the store carried out in another era than the one read fails.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/FleetRecordCodec.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/FleetRecordCodec.java
@@ -59,6 +59,9 @@
      */
     byte[] encode(FleetRecord.UsageDutyHolder holder);
 
-    /** Returns the key of the decided windows of usage. */
-    String usageDecisionsKey();
+    /**
+     * Returns the key of the windows of usage that were decided in an era of the store. The keys of all eras begin with
+     * that of era 0.
+     */
+    String usageDecisionsKey(long era);
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageHolder.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageHolder.java
@@ -40,6 +40,7 @@
     private boolean givingUp;
     private long decidedThrough;
     private ByteString observedDecisions = ByteString.EMPTY;
+    private long observedToken;
     private long lastTotal;
     private CompletableFuture<Void> reportInProgress = CompletableFuture.completedFuture(null);
 
@@ -162,7 +163,12 @@
         ByteString decisions = context.directory().usageDecisions();
         if (!decisions.equals(observedDecisions)) {
             observedDecisions = decisions;
-            UsageLedger.newestWindow(decisions.toByteArray()).ifPresent(this::observeDecided);
+            long writer = UsageLedger.token(decisions.toByteArray());
+            // A former holder may write late to the record of an older era, which does not apply any more.
+            if (writer >= observedToken) {
+                observedToken = writer;
+                UsageLedger.newestWindow(decisions.toByteArray()).ifPresent(this::observeDecided);
+            }
         }
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageReporting.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageReporting.java
@@ -78,7 +78,7 @@
                 context.entryVm(),
                 context.settings(),
                 newLease(context),
-                new UsageLedger(context.store(), context.recordCodec().usageDecisionsKey()),
+                new UsageLedger(context.store(), context.recordCodec()::usageDecisionsKey),
                 context.authority(),
                 usageClock,
                 context.directory(),
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/TextRecordCodec.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/TextRecordCodec.java
@@ -66,7 +66,7 @@
         if (key.equals(USAGE_DUTY_KEY)) {
             return new FleetRecord.UsageDutyHolder(text);
         }
-        if (key.equals(USAGE_DECISIONS_KEY)) {
+        if (key.equals(USAGE_DECISIONS_KEY) || key.startsWith(USAGE_DECISIONS_KEY + "/")) {
             return new FleetRecord.UsageDecisions(ByteString.copyFrom(value));
         }
         return prepared.getOrDefault(key, new FleetRecord.Other());
@@ -114,7 +114,7 @@
     }
 
     @Override
-    public String usageDecisionsKey() {
-        return USAGE_DECISIONS_KEY;
+    public String usageDecisionsKey(long era) {
+        return era == 0 ? USAGE_DECISIONS_KEY : USAGE_DECISIONS_KEY + "/" + era;
     }
 }
