Usage: renew the duty's lease when the forwarding of counts fails

Cause: UsageReporting.tick was one periodic check. An exception in the forwarding of counts skipped the holder's part, so that the lease was not renewed and ended although the store could be reached.

Change: forwarding and holder are separate checks (PeriodicChecks), each failure is logged. A request that throws no longer leaves the forwarding marked as sending, which would have ended it for good.

Result: UsageFleetModelTest#dutyIsKeptWhileForwardingFails fails without the change (the duty's record is replaced within 8 s) and passes with it.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageForwarding.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageForwarding.java
@@ -154,8 +154,10 @@
         if (peer == null) {
             return CompletableFuture.completedFuture(null);
         }
+        CompletableFuture<UsageCountsReply> answer = request(peer, message);
+        // Only now: if the request throws an exception, the counts are sent with the next tick.
         sending = true;
-        return request(peer, message).handle((reply, failure) -> {
+        return answer.handle((reply, failure) -> {
             sending = false;
             if (reply != null && reply.getHolder()) {
                 informedHolder = current.get();
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageReporting.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageReporting.java
@@ -1,6 +1,7 @@
 package org.banyanhook.gateway.usage;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
@@ -16,6 +17,7 @@
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.GatewayMetrics;
 import org.banyanhook.gateway.operation.MonotonicClock;
+import org.banyanhook.gateway.operation.PeriodicChecks;
 import org.banyanhook.gateway.port.FleetRecord;
 import org.banyanhook.gateway.port.FleetRecordCodec;
 import org.banyanhook.gateway.port.RecordStore;
@@ -34,6 +36,7 @@
     private final UsageMeter meter;
     private final UsageForwarding forwarding;
     private final UsageHolder holder;
+    private final PeriodicChecks checks;
 
     /**
      * What the reporting of usage requires.
@@ -97,6 +100,8 @@
                 context.directory(),
                 context.eventLoop(),
                 context.clock());
+        // Separate checks, so that an exception in the forwarding of counts does not skip the renewal of the lease.
+        this.checks = new PeriodicChecks(List.of(forwarding::tick, holder::tick), context.log());
     }
 
     private static UsageLease newLease(Context context) {
@@ -132,10 +137,9 @@
         return meter;
     }
 
-    /** Does what is due. Call every {@link #TICK_INTERVAL_MILLIS}. */
+    /** Does what is due. Throws no exception. Call every {@link #TICK_INTERVAL_MILLIS}. */
     public void tick() {
-        forwarding.tick();
-        holder.tick();
+        checks.perform();
     }
 
     /** Drops the duty, because the store was restored from a copy. */
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/usage/UsageFleetModel.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/usage/UsageFleetModel.java
@@ -24,6 +24,7 @@
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.GatewayMetrics;
 import org.banyanhook.gateway.operation.MonotonicClock;
+import org.banyanhook.gateway.operation.PeriodicChecks;
 import org.banyanhook.gateway.port.StoreLease;
 import org.banyanhook.gateway.port.StoreRecord;
 import org.banyanhook.gateway.port.UsageAuthority;
@@ -198,6 +199,7 @@
         private long suspendedMillis;
         private long wallErrorMillis;
         private int run;
+        private boolean failsRequests;
 
         private ModelDaemon(String name) {
             this.name = name;
@@ -283,6 +285,11 @@
             cutUntilMillis = nowMillis + millis;
         }
 
+        /** Makes each message to another daemon throw an exception. */
+        void failRequests() {
+            failsRequests = true;
+        }
+
         boolean isCutOff() {
             return nowMillis < cutUntilMillis;
         }
@@ -297,8 +304,10 @@
         }
 
         private void tickIn(long millis, UsageReporting ticking) {
+            // As in the gateway, an exception does not end the periodic calls.
+            PeriodicChecks checks = new PeriodicChecks(List.of(ticking::tick), log);
             after(millis, this, () -> {
-                ticking.tick();
+                checks.perform();
                 tickIn(500, ticking);
             });
         }
@@ -342,6 +351,9 @@
 
         @Override
         public CompletableFuture<PeerEnvelope> request(String address, PeerEnvelope body, Duration timeout) {
+            if (failsRequests) {
+                throw new IllegalStateException("expected by the test");
+            }
             CompletableFuture<PeerEnvelope> answer = new CompletableFuture<>();
             ModelDaemon peer = daemons.get(address);
             PeerEnvelope sent = body.toBuilder().setSenderEntryVm(name).build();
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/usage/UsageFleetModelTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/usage/UsageFleetModelTest.java
@@ -4,12 +4,15 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.io.OutputStream;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import org.banyanhook.core.usage.UsageWindows;
+import org.banyanhook.gateway.fleet.TextRecordCodec;
 import org.banyanhook.gateway.operation.DecisionLog;
+import org.banyanhook.gateway.port.StoreRecord;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -100,6 +103,24 @@
         }
     }
 
+    /** An exception in the forwarding of counts skipped the renewal, so that the lease ended. */
+    @Test
+    void dutyIsKeptWhileForwardingFails() {
+        UsageFleetModel model = new UsageFleetModel(1, 4, log);
+        model.run(8_000);
+        List<StoreRecord> held = dutyRecords(model);
+        assertThat(held).hasSize(1);
+        model.holder().failRequests();
+        model.run(8_000);
+        assertThat(dutyRecords(model)).isEqualTo(held);
+    }
+
+    private static List<StoreRecord> dutyRecords(UsageFleetModel model) {
+        return model.store().all().stream()
+                .filter(record -> record.key().equals(TextRecordCodec.USAGE_DUTY_KEY))
+                .toList();
+    }
+
     private static void killOne(UsageFleetModel model) {
         UsageFleetModel.ModelDaemon killed = model.random().nextBoolean() ? model.holder() : model.anyDaemon();
         killed.kill();
