Queue: examine late requests while many others cannot be placed

Cause: requests past their latency objective come last in the order, and a dispatch ends after 16 requests that cannot be placed. While that many others waited in vain, for example for a log position, late requests were not examined until they expired, although a member could have served them.

Change: after the look-ahead is used up, up to 4 late requests that cannot be placed are passed over as well, taken from each priority in turn. A late request that is requeued goes behind the other late ones of its account; before, it returned to its former place with the next poll.

Result: ConnectionRequestQueueTest#lateRequestIsPlacedWhileManyOthersCannotBe and #lateRequestsThatCannotBePlacedDoNotBlockOtherLateOnes fail without the change and pass with it.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/admission/PriorityFairQueue.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/admission/PriorityFairQueue.java
@@ -35,6 +35,7 @@
     private final TreeMap<Integer, PriorityLevel<T>> levels = new TreeMap<>();
     private long served;
     private int passedOver;
+    private long polledLate;
 
     /**
      * A waiting item.
@@ -145,6 +146,27 @@
         return Optional.empty();
     }
 
+    /**
+     * Removes and returns an item that cannot be answered within its objective any more, although others wait that can:
+     * from each priority in turn.
+     *
+     * @param nowNanos the current time
+     * @return the item, or empty if none is found
+     */
+    public Optional<Waiting<T>> pollLate(long nowNanos) {
+        PriorityLevel<T> chosen = null;
+        for (PriorityLevel<T> level : levels.values()) {
+            if (level.lateSize() > 0 && (chosen == null || level.lastPolledLate() < chosen.lastPolledLate())) {
+                chosen = level;
+            }
+        }
+        if (chosen == null) {
+            return Optional.empty();
+        }
+        chosen.recordPolledLate(++polledLate);
+        return chosen.pollLate(null, nowNanos);
+    }
+
     /**
      * Puts back an item that was polled and could not be served, as the next one of its priority. The capacity is not
      * checked.
@@ -161,9 +183,10 @@
      * before it. The capacity is not checked.
      *
      * @param waiting the item
+     * @param nowNanos the current time
      */
-    public void requeue(Waiting<T> waiting) {
-        level(waiting).requeue(waiting);
+    public void requeue(Waiting<T> waiting, long nowNanos) {
+        level(waiting).requeue(waiting, nowNanos);
     }
 
     /**
--- a/banyanhook-core/src/main/java/org/banyanhook/core/admission/PriorityLevel.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/admission/PriorityLevel.java
@@ -15,6 +15,7 @@
     private final FairQueue<Waiting<T>> timely = new FairQueue<>(Integer.MAX_VALUE, Integer.MAX_VALUE);
     private final FairQueue<Waiting<T>> late = new FairQueue<>(Integer.MAX_VALUE, Integer.MAX_VALUE);
     private long lastServed;
+    private long lastPolledLate;
 
     PriorityLevel(int priority) {
         this.priority = priority;
@@ -32,6 +33,10 @@
         return timely.size();
     }
 
+    int lateSize() {
+        return late.size();
+    }
+
     int waitingCount(String account) {
         return timely.waitingCount(account) + late.waitingCount(account);
     }
@@ -44,6 +49,14 @@
         lastServed = sequence;
     }
 
+    long lastPolledLate() {
+        return lastPolledLate;
+    }
+
+    void recordPolledLate(long sequence) {
+        lastPolledLate = sequence;
+    }
+
     void add(Waiting<T> waiting) {
         add(timely, waiting);
     }
@@ -52,8 +65,9 @@
         queue.addInOrder(waiting.account(), waiting.weight(), waiting, waiting.deadlineNanos(), waiting.orderNanos());
     }
 
-    void requeue(Waiting<T> waiting) {
-        timely.requeue(waiting.account(), waiting.weight(), waiting, waiting.deadlineNanos(), waiting.orderNanos());
+    void requeue(Waiting<T> waiting, long nowNanos) {
+        FairQueue<Waiting<T>> queue = waiting.serviceClass().isLate(nowNanos) ? late : timely;
+        queue.requeue(waiting.account(), waiting.weight(), waiting, waiting.deadlineNanos(), waiting.orderNanos());
     }
 
     void restore(Waiting<T> waiting, long nowNanos) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionRequestQueue.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionRequestQueue.java
@@ -31,6 +31,12 @@
      */
     private static final int LOOK_AHEAD_REQUESTS = 16;
 
+    /**
+     * How many requests that are past their objective are examined in addition if the look-ahead has reached its limit.
+     * They come last in the order, so the limit would exclude them as long as enough others wait.
+     */
+    private static final int LOOK_AHEAD_LATE_REQUESTS = 4;
+
     private final String target;
     private final GatewayMetrics metrics;
     private final AdmissionEstimator estimator = new AdmissionEstimator();
@@ -129,13 +135,28 @@
             if (next.isEmpty()) {
                 return;
             }
-            ConnectionRequest request = next.get().item();
-            if (!request.isCancelled()) {
-                if (place.test(request)) {
-                    recordServed(request);
-                } else {
-                    unplaced.addFirst(next.get());
-                }
+            placeOrKeep(next.get(), place, unplaced);
+        }
+        int limit = unplaced.size() + LOOK_AHEAD_LATE_REQUESTS;
+        while (attempts-- > 0 && unplaced.size() < limit) {
+            Optional<Waiting<ConnectionRequest>> late = requests.pollLate(nowNanos);
+            if (late.isEmpty()) {
+                return;
+            }
+            placeOrKeep(late.get(), place, unplaced);
+        }
+    }
+
+    private void placeOrKeep(
+            Waiting<ConnectionRequest> next,
+            Predicate<ConnectionRequest> place,
+            ArrayDeque<Waiting<ConnectionRequest>> unplaced) {
+        ConnectionRequest request = next.item();
+        if (!request.isCancelled()) {
+            if (place.test(request)) {
+                recordServed(request);
+            } else {
+                unplaced.addFirst(next);
             }
         }
     }
@@ -145,7 +166,7 @@
         if (unplaced.size() < LOOK_AHEAD_REQUESTS) {
             unplaced.forEach(waiting -> requests.restore(waiting, nowNanos));
         } else {
-            unplaced.descendingIterator().forEachRemaining(requests::requeue);
+            unplaced.descendingIterator().forEachRemaining(waiting -> requests.requeue(waiting, nowNanos));
         }
     }
 
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/backend/ConnectionRequestQueueTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/backend/ConnectionRequestQueueTest.java
@@ -69,11 +69,49 @@
         assertThat(metrics.scrape()).contains("banyanhook_admission_estimates_total{result=\"held-timed-out\"} 5.0");
     }
 
+    /** Late requests were not examined while 16 or more others waited that could not be placed. */
+    @Test
+    void lateRequestIsPlacedWhileManyOthersCannotBe() {
+        for (int number = 0; number < 40; number++) {
+            addWithObjective("blocked-" + number, 0, 900_000);
+        }
+        addWithObjective("reader", 0, 100_000);
+        for (int dispatch = 0; dispatch < 4; dispatch++) {
+            dispatchAllBut("blocked", 500_000);
+        }
+        assertThat(placed).containsExactly("reader");
+    }
+
+    /** Guards against late requests that block those of lower priorities and later ones of their account. */
+    @Test
+    void lateRequestsThatCannotBePlacedDoNotBlockOtherLateOnes() {
+        for (int number = 0; number < 20; number++) {
+            addWithObjective("blocked-" + number, 0, 900_000);
+            addWithObjective("blocked", 0, 100_000 + number);
+            addWithObjective("blocked", 1, 100_000 + number);
+        }
+        addWithObjective("reader", 1, 200_000);
+        for (int dispatch = 0; dispatch < 20; dispatch++) {
+            dispatchAllBut("blocked", 500_000);
+        }
+        assertThat(placed).containsExactly("reader");
+    }
+
+    private void addWithObjective(String account, int priority, long targetNanos) {
+        ConnectionRequest request = request(account);
+        request.objective(priority, targetNanos);
+        queue.addByPriority(request, ahead -> new AdmissionEstimator.QueueState(ahead, 1, true), 0);
+    }
+
     private void add(String account) {
         queue.add(request(account), 0);
     }
 
     private void dispatchAllBut(String blocked) {
+        dispatchAllBut(blocked, 0);
+    }
+
+    private void dispatchAllBut(String blocked, long nowNanos) {
         queue.dispatch(
                 request -> {
                     boolean possible = !request.account().startsWith(blocked);
@@ -82,7 +120,7 @@
                     }
                     return possible;
                 },
-                0);
+                nowNanos);
     }
 
     private ConnectionRequest request(String account) {
