Session: hold statements while the opening waits for the configuration

Cause: until the configuration has been read, the opening of a session is retried for up to 1 s. A statement that arrived meanwhile was refused with MALFORMED, and the session was closed.

Change: such requests wait in the queue of the connection, with its limits, and are processed in order after the session is opened. If it is not opened, or the process ends, only the opening is refused and nothing runs.

Result: OpeningSessionTest (3 tests) fails without the change and passes with it; the other session tests pass.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/Session.java
@@ -143,7 +143,7 @@
         } else if (request instanceof ClientRequest.Run run) {
             receiveRequest(run);
         } else if (request instanceof ClientRequest.Misunderstood misunderstood) {
-            if (opened) {
+            if (opened || isOpening()) {
                 receiveRequest(misunderstood);
             } else {
                 sendAnswer(new ClientAnswer.Failed(SessionError.MALFORMED, misunderstood.reason(), transactionState()));
@@ -326,7 +326,9 @@
             if (draining && !concluded) {
                 awaitFirstStatement(FIRST_STATEMENT_TIMEOUT_NANOS);
             }
-            closeIfIdle();
+            if (!startNextRequest()) {
+                closeIfIdle();
+            }
         }
     }
 
@@ -362,7 +364,10 @@
     }
 
     private void receiveRequest(ClientRequest request) {
-        if (!opened) {
+        if (isOpening()) {
+            // Sent ahead while the opening waits for the configuration.
+            input.enqueue(request);
+        } else if (!opened) {
             refuseSession(SessionError.MALFORMED, "the session is not open; open it first");
         } else if (!requestInProgress && input.isQueueEmpty() && takesAnswers()) {
             input.startLast();
@@ -380,7 +385,7 @@
 
     /** Handles the next request that waits; returns whether there was one that could be started. */
     private boolean startNextRequest() {
-        ClientRequest next = !requestInProgress && takesAnswers() ? input.startNext() : null;
+        ClientRequest next = opened && !requestInProgress && takesAnswers() ? input.startNext() : null;
         if (next == null) {
             return false;
         }
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
@@ -97,6 +97,15 @@
 
     /** Creates a gateway that knows a configuration and no members. */
     public GatewayFixture() {
+        this(true);
+    }
+
+    /** Creates a gateway that has read nothing from the store yet. */
+    public static GatewayFixture withoutConfiguration() {
+        return new GatewayFixture(false);
+    }
+
+    private GatewayFixture(boolean configured) {
         log = new DecisionLog("vm", logged, () -> nowNanos);
         clock = new MonotonicClock(() -> nowNanos, () -> TimeUnit.NANOSECONDS.toMillis(nowNanos) + suspendedMillis);
         directory = new FleetDirectory(recordCodec, log, clock);
@@ -140,7 +149,9 @@
         sessionContext = new SessionContext(
                 settings, directory, groups, rateLimiter, group -> inContact, eventLoop(), clock, log, metrics, usage);
         clientConnections = new ClientConnections(CLIENT_LIMITS, clock, log, metrics);
-        grantKeys();
+        if (configured) {
+            grantKeys();
+        }
     }
 
     /** Applies a new configuration in which the account has these keys and no others. */
