Queue: examine waiting requests again if a dispatch is requested during one

Cause: a dispatch that was requested while another was in progress was ignored. The primary's queue comes first, so that a connection to the primary freed while reads were placed was offered to waiting writes only by the next periodic check, after up to 200 ms.

Change: the dispatch in progress examines the queues again with the members of the last request, at most 4 times in all, because an attempt that fails may request a dispatch each time.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/WaitingRequests.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/WaitingRequests.java
@@ -22,6 +22,9 @@
  */
 final class WaitingRequests {
 
+    /** Bounds the work of one call: an attempt to place a request that fails may request a dispatch each time. */
+    private static final int MAXIMUM_DISPATCH_ROUNDS = 4;
+
     private final GroupContext context;
     private final ConnectionRequestQueue primaryQueue;
     private final ConnectionRequestQueue readQueue;
@@ -30,6 +33,7 @@
     private boolean prioritised;
     private int placesAtPrimary;
     private boolean dispatching;
+    private @Nullable Members requestedDispatch;
 
     /**
      * The members of a group at the time of a decision.
@@ -125,7 +129,8 @@
     }
 
     /**
-     * Places waiting requests in their order, as far as possible.
+     * Places waiting requests in their order, as far as possible. A call during another one, for example because a
+     * connection was freed, makes the other one examine the requests again.
      *
      * @param place places a request, and returns whether that was possible
      * @param members the members of the group
@@ -135,23 +140,35 @@
     void dispatch(
             Predicate<ConnectionRequest> place, Members members, Predicate<MemberServer> connectable, long nowNanos) {
         if (dispatching) {
+            requestedDispatch = members;
             return;
         }
         dispatching = true;
         try {
-            MemberServer primary = members.primary();
-            boolean primaryConnectable = primary != null && members.primaryUsable() && connectable.test(primary);
-            if (!primaryQueue.isEmpty() && primaryConnectable) {
-                primaryQueue.dispatch(request -> releasePace.allows(nowNanos) && place.test(request), nowNanos);
-            }
-            if (primaryQueue.isEmpty()) {
-                releasePace.end();
-            }
-            if (!readQueue.isEmpty() && members.servers().stream().anyMatch(connectable)) {
-                readQueue.dispatch(place, nowNanos);
+            Members current = members;
+            for (int round = 0; current != null && round < MAXIMUM_DISPATCH_ROUNDS; round++) {
+                requestedDispatch = null;
+                dispatchOnce(place, current, connectable, nowNanos);
+                current = requestedDispatch;
             }
         } finally {
             dispatching = false;
+            requestedDispatch = null;
+        }
+    }
+
+    private void dispatchOnce(
+            Predicate<ConnectionRequest> place, Members members, Predicate<MemberServer> connectable, long nowNanos) {
+        MemberServer primary = members.primary();
+        boolean primaryConnectable = primary != null && members.primaryUsable() && connectable.test(primary);
+        if (!primaryQueue.isEmpty() && primaryConnectable) {
+            primaryQueue.dispatch(request -> releasePace.allows(nowNanos) && place.test(request), nowNanos);
+        }
+        if (primaryQueue.isEmpty()) {
+            releasePace.end();
+        }
+        if (!readQueue.isEmpty() && members.servers().stream().anyMatch(connectable)) {
+            readQueue.dispatch(place, nowNanos);
         }
     }
 
