Usage: take back windows that were settled by a clock that was ahead

Cause: a daemon that reaches no other follows its own wall clock. If that one is ahead, the counter settled windows that had not begun. The counts of the open windows were removed as too old, and when the estimate was right again all requests were counted in a window far ahead, or in none that was ever complete if the daemon had started like this.

Change: if an open window is settled, this is taken back when the estimate moves back, and what was counted in windows that have not begun moves back by the same time. The versions that the holder has are kept for the same windows as the counts.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageClock.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageClock.java
@@ -59,6 +59,11 @@
         return estimate.trueMillis(clock.nowNanos());
     }
 
+    /** Returns the time of the monotonic clock, in milliseconds. */
+    long steadyMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(clock.nowNanos());
+    }
+
     long wallMillis() {
         return wallClockMillis.getAsLong();
     }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageForwarding.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageForwarding.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.Executor;
 import org.banyanhook.core.usage.DutyCandidacy;
 import org.banyanhook.core.usage.UsageCounter;
-import org.banyanhook.core.usage.UsageWindows;
 import org.banyanhook.core.usage.WindowUsage;
 import org.banyanhook.daemon.peer.PeerMessenger;
 import org.banyanhook.gateway.fleet.FleetDirectory;
@@ -31,7 +30,6 @@
 
     private final String entryVm;
     private final long incarnation;
-    private final UsageWindows windows;
     private final UsageCounter counter;
     private final UsageClock usageClock;
     private final UsageHolder ownHolder;
@@ -49,7 +47,6 @@
      *
      * @param entryVm the name of this entry VM
      * @param incarnation the run of this daemon
-     * @param windows the windows
      * @param counter the counts of this daemon
      * @param usageClock the estimate of true time
      * @param ownHolder takes the counts if this daemon holds the duty
@@ -61,7 +58,6 @@
     UsageForwarding(
             String entryVm,
             long incarnation,
-            UsageWindows windows,
             UsageCounter counter,
             UsageClock usageClock,
             UsageHolder ownHolder,
@@ -71,7 +67,6 @@
             MonotonicClock clock) {
         this.entryVm = entryVm;
         this.incarnation = incarnation;
-        this.windows = windows;
         this.counter = counter;
         this.usageClock = usageClock;
         this.ownHolder = ownHolder;
@@ -101,9 +96,8 @@
         if (!usageClock.isUsable()) {
             return;
         }
-        long trueMillis = usageClock.trueMillis();
-        counter.settle(trueMillis);
-        deliveredVersions.headMap(windows.oldestKeptAt(trueMillis)).clear();
+        counter.settle(usageClock.trueMillis(), usageClock.steadyMillis());
+        deliveredVersions.keySet().retainAll(counter.windows());
         if (!sending) {
             var unused = sendChanges();
         }
@@ -115,7 +109,7 @@
      * @return a future that completes when they have arrived or are lost
      */
     CompletableFuture<Void> finish() {
-        counter.settleAll(usageClock.trueMillis());
+        counter.settleAll(usageClock.trueMillis(), usageClock.steadyMillis());
         return sendChanges();
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageReporting.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/usage/UsageReporting.java
@@ -92,7 +92,6 @@
         this.forwarding = new UsageForwarding(
                 context.entryVm(),
                 context.wallClockMillis().getAsLong(),
-                windows,
                 counter,
                 usageClock,
                 holder,
