Tests: fail the usage model on exceptions of periodic checks

Cause: the checks of the reporting catch exceptions and log them, so the seeded model did not fail on them any more. Change: the tests read the log and fail on a fault, except where one is provoked.

--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/usage/UsageFleetModelTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/usage/UsageFleetModelTest.java
@@ -3,7 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import java.io.OutputStream;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -21,12 +22,18 @@
     private static final int SAFETY_RUNS = 300;
     private static final int ACCURACY_RUNS = 100;
 
-    private final DecisionLog log = new DecisionLog("model", OutputStream.nullOutputStream(), System::nanoTime);
+    private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+    private final DecisionLog log = new DecisionLog("model", logged, System::nanoTime);
+    private boolean exceptionsExpected;
     private final UsageWindows windows = new UsageWindows(UsageFleetModel.SETTINGS);
 
+    /** An exception in a periodic check is logged, and must not be hidden by the checks that follow. */
     @AfterEach
     void closeLog() {
         log.close();
+        if (!exceptionsExpected) {
+            assertThat(logged.toString(StandardCharsets.UTF_8)).doesNotContain("\"event\":\"fault\"");
+        }
     }
 
     /**
@@ -106,6 +113,7 @@
     /** An exception in the forwarding of counts skipped the renewal, so that the lease ended. */
     @Test
     void dutyIsKeptWhileForwardingFails() {
+        exceptionsExpected = true;
         UsageFleetModel model = new UsageFleetModel(1, 4, log);
         model.run(8_000);
         List<StoreRecord> held = dutyRecords(model);
