--- a/banyanhook-core/src/test/java/org/banyanhook/core/rate/AllotmentCoordinatorTest.java
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/rate/AllotmentCoordinatorTest.java
@@ -49,6 +49,19 @@
         assertThat(coordinator.isLeaseValid(22 * SECOND)).isFalse();
     }
 
+    /** A daemon that is alone in its failure domain could refuse every request 2.6 s after the platform failed. */
+    @Test
+    void leaseOfAProcessWithoutPeersLastsForThreeQuartersOfItsLengthWhenThePlatformFails() {
+        read(ALL_UNITS_HELD_BY_A, 0);
+        for (long tenth = 1; tenth <= 600; tenth++) {
+            long now = tenth * SECOND / 10;
+            if (coordinator.onTick(List.of("a"), 0, now).contains(new AllotmentAction.ReadRecord())) {
+                coordinator.onRecordRead(ALL_UNITS_HELD_BY_A, revision, now, now);
+            }
+            assertThat(coordinator.leaseExpiryNanos() - now).isAtLeast(74 * SECOND / 10);
+        }
+    }
+
     @Test
     void ignoresAnOlderRevision() {
         read(ALL_UNITS_HELD_BY_A, 1);
