End requests to members that the HTTP client does not report

PrimaryFailoverIT#primaryKilledWhilePlatformIsDown failed once, with a message that did not tell whether a write was lost or a read refused. It did not fail in 12 runs beside a load of 20 to 39 on 7 cores. In trials with the platform down for longer before the kill, the current read through ulsan-a-1 was refused with "429 rate-exceeded not-run" ("no contact with platform or failure domain"): the lease of the daemon's tokens had lapsed. In one of these runs a write that was sent to the killed primary had no outcome in the daemon's log; the test waited 28 s for its end, while the platform stayed down.

For such a request the HTTP client calls no listener, not even at the request's timeout. Its statement got no answer, and (from reading the code) its lease of a connection was never returned. A request now has a timer of its own that ends it at its timeout, closes the connection and returns the lease; the outcome is reported as for any timeout.

--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/backend/BackendConnection.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/backend/BackendConnection.java
@@ -68,6 +68,7 @@
         Request outgoing = buildRequest(request, answerId)
                 .timeout(Math.max(1, timeout.toMillis()), TimeUnit.MILLISECONDS)
                 .onRequestBegin(started -> exchange.sendingStarted = true);
+        exchange.failAfter(timeout);
         try {
             connection.send(outgoing, exchange);
         } catch (RuntimeException exception) {
@@ -104,6 +105,21 @@
             this.answerId = answerId;
         }
 
+        /**
+         * Fails the request after a time unless it has ended. The client's own timeout doesn't suffice: of the requests
+         * on connections that the server closes at that moment, it reports some neither as failed nor as timed out.
+         */
+        private void failAfter(Duration timeout) {
+            CompletableFuture<Boolean> timer = new CompletableFuture<Boolean>()
+                    .completeOnTimeout(true, Math.max(1, timeout.toMillis()), TimeUnit.MILLISECONDS);
+            var unused = timer.thenAcceptAsync(expired -> {
+                if (expired) {
+                    fail(new TimeoutException("no response within " + timeout.toMillis() + " ms"));
+                }
+            });
+            result.whenComplete((response, failure) -> timer.complete(false));
+        }
+
         @Override
         public void onHeaders(Response response) {
             hasDelimitedLength = response.getHeaders().contains(HttpHeader.CONTENT_LENGTH)
