Tell which entries, status and body when a check of the testbed fails

AcknowledgedWriters.missing names, for each writer, the status and the body of the read and the numbers that are missing, in place of one line for each entry. LineCaller.countRows tells how an incomplete answer ended, after how many rows and milliseconds, and the test of large extracts prints the last lines of the gateways. The checks themselves are as strict as before.

--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/LineCaller.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/LineCaller.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A caller that runs one session over the line protocol. Not thread-safe, except that one thread may send while another
@@ -64,20 +65,42 @@
         return readAnswer();
     }
 
-    /** Runs a statement, and returns the number of its rows, or -1 if the answer is not complete. */
+    /**
+     * Runs a statement and counts the rows of its answer.
+     *
+     * @param statement the statement
+     * @return the number of rows
+     * @throws IOException if the answer is not complete; the message tells its other lines, or that the connection
+     *     ended
+     */
     public int countRows(String statement) throws IOException {
         lastRequestNumber++;
+        long sentNanos = System.nanoTime();
         sendLine("QUERY " + lastRequestId() + " " + statement);
         int rows = 0;
         boolean completed = false;
+        List<String> otherLines = new ArrayList<>();
         for (String line = reader.readLine(); line != null; line = reader.readLine()) {
-            rows += line.startsWith("DATAROW ") ? 1 : 0;
+            if (line.startsWith("DATAROW ")) {
+                rows++;
+                continue;
+            }
+            otherLines.add(line);
             completed |= line.startsWith("COMPLETE ");
             if (line.startsWith("READY")) {
-                return completed ? rows : -1;
+                if (completed) {
+                    return rows;
+                }
+                throw incomplete(statement, rows, sentNanos, otherLines.toString());
             }
         }
-        return -1;
+        throw incomplete(statement, rows, sentNanos, otherLines + " and the end of the connection");
+    }
+
+    private static IOException incomplete(String statement, int rows, long sentNanos, String ending) {
+        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
+        return new IOException(
+                "the answer to " + statement + " ended after " + rows + " rows and " + millis + " ms with " + ending);
     }
 
     /** Returns the request id of the last statement. */
--- a/banyanhook-testbed/src/test/java/org/banyanhook/testbed/fleet/AcknowledgedWriters.java
+++ b/banyanhook-testbed/src/test/java/org/banyanhook/testbed/fleet/AcknowledgedWriters.java
@@ -98,7 +98,13 @@
         return TimeUnit.NANOSECONDS.toMillis(Math.max(longest, System.nanoTime() - last));
     }
 
-    /** Returns the acknowledged entries that a current read through a daemon does not show. */
+    /**
+     * Reads the entries of each writer through a daemon, once.
+     *
+     * @param entryVm the daemon
+     * @return for each writer whose acknowledged entries were not all shown: the status and body of the answer, and the
+     *     numbers that are missing
+     */
     List<String> missing(EntryVmProcess entryVm) {
         List<String> missing = new ArrayList<>();
         for (int writer = 0; writer < WRITERS; writer++) {
@@ -108,10 +114,20 @@
                     .exceptionally(FleetCaller::unreachable)
                     .join();
             List<String> found = List.of(answer.text("result").split(",", -1));
-            acknowledged.stream()
+            List<Integer> notFound = acknowledged.stream()
                     .filter(entry -> entry.writer() == number)
-                    .filter(entry -> !found.contains(Integer.toString(entry.number())))
-                    .forEach(entry -> missing.add(entry + " not in answer of status " + answer.status()));
+                    .map(Acknowledged::number)
+                    .filter(entry -> !found.contains(Integer.toString(entry)))
+                    .toList();
+            if (!notFound.isEmpty()) {
+                missing.add("%s: status %d, body %s, failure %s, not shown: %s"
+                        .formatted(
+                                key(writer),
+                                answer.status(),
+                                answer.body(),
+                                answer.headers().get("failure"),
+                                notFound));
+            }
         }
         return missing;
     }
--- a/banyanhook-testbed/src/test/java/org/banyanhook/testbed/line/GatewayIT.java
+++ b/banyanhook-testbed/src/test/java/org/banyanhook/testbed/line/GatewayIT.java
@@ -101,6 +101,8 @@
             try (LineCaller caller = openSession(0, "current", 0)) {
                 int rows = megabytes << 10;
                 assertThat(caller.countRows("READ extract-" + rows)).isEqualTo(rows + 1);
+            } catch (IOException exception) {
+                throw new AssertionError("last log lines:\n" + fleet.lastLogLines(), exception);
             }
         }
     }
