Run statements at homes of members in large fleets

Cause: where a fleet has more daemons than a member accepts connections, most statements opened a connection for one use: 7,400 of 9,500 at site B, 1,739 of 2,764 first statements at site C (first 7 s of traffic), 74 ms at the median at a primary against 2 ms on an open connection. Change: three daemons of the member's failure domain keep the connections to it and run the commands of the others, sent over the peer links with a deadline on the clock of the home. A member connection has a transport: the network or a home.

--- /dev/null
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/routing/LinkHealth.java
@@ -0,0 +1,106 @@
+package org.banyanhook.core.routing;
+
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What is known of the link to a home: whether it is reachable, and the state of its clock.
+ *
+ * <p>Load pattern: links that are used less than once a second, of which some stop answering without being closed.
+ */
+public final class LinkHealth {
+
+    /** A write without a transaction is sent only over a link that has answered within this time. */
+    private static final long VERIFIED_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** With each statement, a link that has been silent for this long is probed. */
+    private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+    private static final long PROBE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+    /** How long a home is not used after it has refused a lease, because it is stopping or overloaded. */
+    private static final long REFUSAL_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    /** Clocks run apart by far less than a thousandth; older readings are not relied on. */
+    private static final long READING_MAXIMUM_AGE_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+    private boolean failed;
+    private boolean answered;
+    private long lastAnswerNanos;
+    private boolean probed;
+    private long lastProbeNanos;
+    private boolean refused;
+    private long refusedNanos;
+    private long incarnation;
+    private long peerClockNanos;
+    private long readNanos;
+
+    /** Returns whether statements may be sent: the link has not failed, and the home has not refused recently. */
+    public boolean isUsable(long nowNanos) {
+        return !failed && !(refused && nowNanos - refusedNanos < REFUSAL_PAUSE_NANOS);
+    }
+
+    /** Returns whether the home has answered so recently that a statement that is not repeated may be sent. */
+    public boolean isVerified(long nowNanos) {
+        return !failed && answered && nowNanos - lastAnswerNanos < VERIFIED_NANOS;
+    }
+
+    /** Returns whether the link is to be probed, because it failed or has been silent. */
+    public boolean isProbeDue(long nowNanos) {
+        boolean silent = failed || !answered || nowNanos - lastAnswerNanos >= SILENCE_NANOS;
+        return silent && (!probed || nowNanos - lastProbeNanos >= PROBE_INTERVAL_NANOS);
+    }
+
+    /** Records that the link is being probed. */
+    public void recordProbe(long nowNanos) {
+        probed = true;
+        lastProbeNanos = nowNanos;
+    }
+
+    /**
+     * Records an answer of the home.
+     *
+     * @param peerIncarnation the run of the home
+     * @param peerNanos its monotonic clock when it answered
+     * @param nowNanos the time
+     */
+    public void recordAnswer(long peerIncarnation, long peerNanos, long nowNanos) {
+        failed = false;
+        answered = true;
+        lastAnswerNanos = nowNanos;
+        incarnation = peerIncarnation;
+        peerClockNanos = peerNanos;
+        readNanos = nowNanos;
+    }
+
+    /** Records that the home did not answer, or that the link was closed. */
+    public void recordFailure() {
+        failed = true;
+    }
+
+    /** Records that the home has refused a lease. */
+    public void recordRefusal(long nowNanos) {
+        refused = true;
+        refusedNanos = nowNanos;
+    }
+
+    /** Returns the run of the home that the clock was read in. */
+    public long incarnation() {
+        return incarnation;
+    }
+
+    /**
+     * Converts a time to the clock of the home. The result is never later than the given time, since the reading was
+     * made before its answer arrived.
+     *
+     * @param timeNanos the time on this daemon's clock
+     * @param nowNanos the present time on this daemon's clock
+     * @return the time on the clock of the home, or empty if that clock was not read recently
+     */
+    public OptionalLong toPeerClock(long timeNanos, long nowNanos) {
+        if (!answered || nowNanos - readNanos > READING_MAXIMUM_AGE_NANOS) {
+            return OptionalLong.empty();
+        }
+        return OptionalLong.of(peerClockNanos + (timeNanos - readNanos));
+    }
+}
--- a/banyanhook-core/src/main/java/org/banyanhook/core/scheduling/MemberChoice.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/scheduling/MemberChoice.java
@@ -22,6 +22,9 @@
     /** How long a member takes to accept a connection, and a round trip in addition. */
     static final double NEW_CONNECTION_PENALTY_MILLIS = 20;
 
+    /** The round trip between a home and its member, in the same failure domain, and the work of the home. */
+    static final double HOME_PENALTY_MILLIS = 3;
+
     /**
      * The factor of the cost of a reserved primary. With a factor of 2, reads overloaded the replicas of a group of
      * which one was slow.
@@ -44,6 +47,8 @@
     public enum Access {
         /** A connection of the client account is idle. */
         IDLE_CONNECTION,
+        /** A daemon near the member runs the statement on a connection that it keeps. */
+        HOME_CONNECTION,
         /** A new connection may be opened. */
         NEW_CONNECTION,
         /** An idle connection of another client account has to be closed first. */
@@ -81,7 +86,9 @@
         /** Returns the cost of running the statement there, in milliseconds. */
         public double costMillis() {
             double cost = expectedMillis;
-            if (access != Access.IDLE_CONNECTION) {
+            if (access == Access.HOME_CONNECTION) {
+                cost += HOME_PENALTY_MILLIS;
+            } else if (access != Access.IDLE_CONNECTION) {
                 cost += NEW_CONNECTION_PENALTY_MILLIS;
             }
             if (otherRegion) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -31,6 +31,8 @@
 import org.banyanhook.gateway.fleet.FleetDirectory;
 import org.banyanhook.gateway.fleet.StoreEras;
 import org.banyanhook.gateway.fleet.StoreMirror;
+import org.banyanhook.gateway.home.ConnectionHomes;
+import org.banyanhook.gateway.home.HomeLeases;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.GatewayMetrics;
 import org.banyanhook.gateway.operation.HttpEndpoint;
@@ -101,6 +103,7 @@
     private final StoreOrQuorumPolicy primaryAccess;
     private final PromotionController promotionController;
     private final @Nullable UsageReporting usageReporting;
+    private final HomeLeases homeLeases;
     private final SessionRegistry sessions = new SessionRegistry();
     private final ClientConnections clientConnections;
     private final SessionContext sessionContext;
@@ -165,19 +168,15 @@
                 new PeerVoteExchange(settings.entryVm(), messenger, directory, eras, eventLoop, clock);
         this.primaryAccess = new StoreOrQuorumPolicy(
                 registration::nanosSinceContact, registration::contact, voteExchange, clock, eventLoop, log);
-        GroupContext groupContext = new GroupContext(
-                settings,
-                directory,
-                eventLoops,
-                primaryAccess,
-                ports.sessionCodec(),
-                new NettyMemberConnector(eventLoops, ports.sessionCodec()),
-                clock,
-                log,
-                metrics);
+        // Differs between the runs of this daemon, and is not 0, which stands for an unknown run.
+        long incarnation = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
+        GroupContext groupContext = newGroupContext(incarnation);
         this.databaseGroups = new DatabaseGroups(groupContext);
         directory.addListener(databaseGroups);
         registration.entryLease(() -> directory.daemonLease(settings.entryVm()));
+        this.homeLeases =
+                new HomeLeases(incarnation, databaseGroups, directory, primaryAccess, eventLoop, clock, log, metrics);
+        homeLeases.serve(messenger);
         CapacityExchange capacityExchange = new CapacityExchange(self, messenger, directory, databaseGroups, clock);
         capacityExchange.serve(eventLoop);
         this.rateLimiter = newRateLimiter();
@@ -202,6 +201,7 @@
                         pauses::read,
                         directory::tick,
                         databaseGroups::tick,
+                        homeLeases::tick,
                         capacityExchange::tick,
                         rateLimiter::tick,
                         primaryAccess::tick,
@@ -213,6 +213,20 @@
                 log);
     }
 
+    private GroupContext newGroupContext(long incarnation) {
+        return new GroupContext(
+                settings,
+                directory,
+                eventLoops,
+                primaryAccess,
+                ports.sessionCodec(),
+                new NettyMemberConnector(eventLoops, ports.sessionCodec()),
+                new ConnectionHomes(settings.entryVm(), incarnation, messenger, directory, eventLoop, clock),
+                clock,
+                log,
+                metrics);
+    }
+
     private SessionContext newSessionContext(@Nullable UsageReporting usage) {
         return new SessionContext(
                 settings,
@@ -374,6 +388,7 @@
             }
             draining = true;
             promotionController.stop();
+            homeLeases.drain();
             if (usageReporting != null) {
                 var dutyGivenUp = usageReporting.giveUpDuty();
             }
@@ -400,12 +415,13 @@
         }
 
         @Override
-        public boolean isReplacingPrimary() {
-            return promotionController.isReplacing();
+        public boolean isServingFleet() {
+            return promotionController.isReplacing() || homeLeases.isActive();
         }
 
         @Override
         public CompletableFuture<Void> leaveFleet() {
+            homeLeases.conclude();
             storeMirror.stop();
             CompletableFuture<Void> countsSent =
                     usageReporting == null ? CompletableFuture.completedFuture(null) : usageReporting.finish();
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/GracefulShutdown.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/GracefulShutdown.java
@@ -29,8 +29,11 @@
          */
         CompletableFuture<Void> closeClientPort();
 
-        /** Returns whether a replacement of a primary is in progress, which is awaited as long as service goes on. */
-        boolean isReplacingPrimary();
+        /**
+         * Returns whether work for the fleet is in progress, such as the replacement of a primary or a statement of
+         * another daemon, which is awaited as long as service goes on.
+         */
+        boolean isServingFleet();
 
         /**
          * Withdraws the daemon from the fleet.
@@ -99,7 +102,7 @@
     }
 
     private void awaitInactivity() {
-        if (!sessions.isActive() && !daemon.isReplacingPrimary()) {
+        if (!sessions.isActive() && !daemon.isServingFleet()) {
             endService();
         } else if (!serviceEnded) {
             var unused = eventLoop.schedule(this::awaitInactivity, POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionAllocator.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionAllocator.java
@@ -4,6 +4,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -48,6 +50,10 @@
 
     /** Returns how many connections to a member this daemon may keep. */
     int connectionShare(MemberServer server, boolean primary, IntSupplier limit) {
+        OptionalInt homeShare = context.homes().ownShare(server);
+        if (homeShare.isPresent()) {
+            return homeShare.getAsInt();
+        }
         String domain = server.entry().failureDomain();
         int daemonsInDomain = domain.equals(context.settings().failureDomain())
                 ? Math.max(1, context.directory().daemonCount(domain))
@@ -56,12 +62,21 @@
                 limit.getAsInt(), primary, context.directory().daemonsSharingLimits(), daemonsInDomain);
     }
 
-    /** Returns how a connection for an account can be obtained, or null if none is available now. */
+    /** Returns how a connection for a request can be obtained, or null if none is available now. */
     @Nullable
-    Access access(MemberServer server, String account, boolean primary, IntSupplier limit, long nowNanos) {
-        if (findIdle(server, account) != null) {
+    Access access(MemberServer server, ConnectionRequest request, boolean primary, IntSupplier limit, long nowNanos) {
+        if (findIdle(server, request.account()) != null) {
             return Access.IDLE_CONNECTION;
         }
+        if (!request.avoidsHomes() && context.homes().isReachable(server, request.account())) {
+            return Access.HOME_CONNECTION;
+        }
+        return ownAccess(server, primary, limit, nowNanos);
+    }
+
+    /** Returns how a connection of this daemon for any account can be obtained, or null if none is available now. */
+    @Nullable
+    Access ownAccess(MemberServer server, boolean primary, IntSupplier limit, long nowNanos) {
         int share = connectionShare(server, primary, limit);
         int connectionCount = server.connections().size();
         // For a while after a refused connection, a new one may only replace another.
@@ -76,6 +91,9 @@
     }
 
     void leaseOrOpen(MemberServer server, ConnectionRequest request, Placement placement) {
+        if (placement.access() == Access.HOME_CONNECTION && useHome(server, request, placement)) {
+            return;
+        }
         MemberConnection idle = findIdle(server, request.account());
         if (idle != null) {
             request.listener().onConnectionLeased(idle.lease(placement.primary()), placement);
@@ -90,6 +108,18 @@
         open(server, request, placement);
     }
 
+    private boolean useHome(MemberServer server, ConnectionRequest request, Placement placement) {
+        MemberConnection connection = new MemberConnection(server, request.account(), context.clock(), owner);
+        Optional<MemberTransport> home = context.homes().connect(server, request, placement.primary(), connection);
+        if (home.isEmpty()) {
+            return false;
+        }
+        connection.useHome(home.get());
+        server.homeConnections().add(connection);
+        request.listener().onConnectionLeased(connection.lease(placement.primary()), placement);
+        return true;
+    }
+
     void onOpened(MemberConnection connection, MemberAnswer answer, Consumer<ConnectionRequest> resubmit) {
         PendingOpen pendingOpen = pendingOpens.remove(connection);
         if (answer.error() != null) {
@@ -115,6 +145,10 @@
     }
 
     void onClosed(MemberConnection connection, String reason, Consumer<ConnectionRequest> resubmit) {
+        if (connection.isAtHome()) {
+            connection.server().homeConnections().remove(connection);
+            return;
+        }
         connections.remove(connection);
         connection.server().connections().remove(connection);
         context.metrics().count("member.connections", "change", "closed");
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionLease.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionLease.java
@@ -19,6 +19,16 @@
         this.reliesOnPrimary = reliesOnPrimary;
     }
 
+    /** Returns whether the member is reached through a home, which judges its answers itself. */
+    public boolean isAtHome() {
+        return connection.isAtHome();
+    }
+
+    /** Returns how long the member took to answer the last command, given how long the answer took to arrive here. */
+    public long memberLatencyNanos(long elapsedNanos) {
+        return connection.memberLatencyNanos(elapsedNanos);
+    }
+
     /** Returns the member. */
     public MemberServer server() {
         return connection.server();
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionRequest.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionRequest.java
@@ -20,6 +20,7 @@
     private long targetLatencyNanos;
     private boolean heldInTime;
     private boolean cancelled;
+    private boolean avoidsHomes;
 
     /**
      * The requirements on the member.
@@ -28,15 +29,37 @@
      * @param maximumAgeNanos the maximum age of the data, where a replica qualifies
      * @param sessionMinimumPosition the log position that the session must see, or null for none
      * @param regions the regions whose members qualify; empty for all
+     * @param member the only member that qualifies, whose log is compared with a position by the member itself; null if
+     *     the member is to be chosen
      */
     public record Requirements(
             boolean primaryOnly,
             long maximumAgeNanos,
             @Nullable LogPosition sessionMinimumPosition,
-            Set<String> regions) {
+            Set<String> regions,
+            @Nullable String member) {
         public Requirements {
             regions = Set.copyOf(regions);
         }
+
+        /** Creates the requirements of a request for which a member is to be chosen. */
+        public Requirements(
+                boolean primaryOnly,
+                long maximumAgeNanos,
+                @Nullable LogPosition sessionMinimumPosition,
+                Set<String> regions) {
+            this(primaryOnly, maximumAgeNanos, sessionMinimumPosition, regions, null);
+        }
+
+        /**
+         * Creates the requirements of work that another daemon has assigned to a member.
+         *
+         * @param member the member
+         * @param primaryOnly whether it has to be the primary
+         */
+        public static Requirements at(String member, boolean primaryOnly) {
+            return new Requirements(primaryOnly, 0, null, Set.of(), member);
+        }
     }
 
     /**
@@ -69,6 +92,25 @@
         excluded.add(member);
     }
 
+    /** Makes the request use a connection of this daemon, because a home could not or must not run it. */
+    public void avoidHomes() {
+        avoidsHomes = true;
+    }
+
+    boolean avoidsHomes() {
+        return avoidsHomes;
+    }
+
+    /** Returns the priority of the route; 0 is the highest. */
+    public int priority() {
+        return priority;
+    }
+
+    /** Returns the latency objective of the route in nanoseconds, 0 for none. */
+    public long targetLatencyNanos() {
+        return targetLatencyNanos;
+    }
+
     /**
      * Sets what decides the order of service where routes differ in priority.
      *
@@ -104,11 +146,13 @@
         return cancelled;
     }
 
-    String account() {
+    /** Returns the client account. */
+    public String account() {
         return account;
     }
 
-    int weight() {
+    /** Returns the account's share of the queue. */
+    public int weight() {
         return weight;
     }
 
@@ -120,7 +164,8 @@
         return arrivedNanos;
     }
 
-    long deadlineNanos() {
+    /** Returns until when it may wait. */
+    public long deadlineNanos() {
         return deadlineNanos;
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
@@ -127,6 +127,10 @@
         if (!connection.endLease(lease)) {
             return;
         }
+        if (connection.isAtHome()) {
+            connection.close("the use of the home has ended");
+            return;
+        }
         waiting.recordHold(isPrimary(connection.server()), now - connection.lastLeasedNanos());
         if (!isAvailable(connection.server())) {
             connection.close("the member accepts no new requests");
@@ -189,6 +193,10 @@
 
     /** Handles that a member did not answer in time; it may never answer the other commands of this daemon either. */
     public void onTimeout(ConnectionLease lease) {
+        if (lease.isAtHome()) {
+            // The home may not have reached the member, and judges it itself.
+            return;
+        }
         capacity.recordAnswer(
                 lease.server(),
                 SessionError.TIMED_OUT,
@@ -198,10 +206,20 @@
                         lease.connection().lastLeasedNanos(), context.clock().nowNanos());
     }
 
-    /** Records how long a member took to answer a statement, and with which error, or null for none. */
-    public void recordAnswer(MemberServer server, @Nullable SessionError error, long latencyNanos) {
-        server.latency().recordLatency(latencyNanos, context.clock().nowNanos());
-        capacity.recordAnswer(server, error, latencyNanos);
+    /**
+     * Records the answer of a member to a statement.
+     *
+     * @param lease the connection
+     * @param error the error of the answer, or null for none
+     * @param elapsedNanos how long the answer took to arrive
+     */
+    public void recordAnswer(ConnectionLease lease, @Nullable SessionError error, long elapsedNanos) {
+        if (error == SessionError.HOME_REFUSED) {
+            return;
+        }
+        long latencyNanos = lease.memberLatencyNanos(elapsedNanos);
+        lease.server().latency().recordLatency(latencyNanos, context.clock().nowNanos());
+        capacity.recordAnswer(lease.server(), error, latencyNanos);
     }
 
     /** Returns whether the daemons share what they learn of the speed of the members. */
@@ -438,7 +456,7 @@
         long now = context.clock().nowNanos();
         return isAvailable(server)
                 && server.isRetryDue(now)
-                && allocator.access(server, "", isPrimary(server), this::connectionLimit, now) != null;
+                && allocator.ownAccess(server, isPrimary(server), this::connectionLimit, now) != null;
     }
 
     /** Returns which member a request would be placed at, and why; the request is not placed. */
@@ -486,6 +504,9 @@
 
         @Override
         public void onAnswer(MemberConnection connection, MemberAnswer answer, long sentNanos) {
+            if (answer.error() == SessionError.HOME_REFUSED) {
+                return;
+            }
             MemberServer server = connection.server();
             if (isPrimary(server)) {
                 if (server.unreachableNanos(context.clock().nowNanos()) >= 0) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/GroupContext.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/GroupContext.java
@@ -18,6 +18,7 @@
  * @param primaryAccess decides whether primaries may be used
  * @param codec decodes the reports of members
  * @param connector establishes connections to members
+ * @param homes reaches members through their homes
  * @param clock the monotonic clock
  * @param log receives a line for each change of the known state
  * @param metrics counts connections
@@ -29,6 +30,7 @@
         PrimaryAccessPolicy primaryAccess,
         SessionCodec codec,
         MemberConnector connector,
+        HomeConnector homes,
         MonotonicClock clock,
         DecisionLog log,
         GatewayMetrics metrics) {}
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberConnection.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberConnection.java
@@ -1,9 +1,7 @@
 package org.banyanhook.gateway.backend;
 
 import com.google.common.base.Preconditions;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -23,9 +21,10 @@
 
 /**
  * One connection to a member, opened for one client account. Commands are answered in order, so several may be pending.
- * A connection whose state is uncertain is closed and never reused. Used on the event loop only.
+ * A connection whose state is uncertain is closed and never reused. The member is reached over the network, or through
+ * a home, for one use only. Used on the event loop only.
  */
-public final class MemberConnection extends SimpleChannelInboundHandler<Object> {
+public final class MemberConnection extends SimpleChannelInboundHandler<Object> implements MemberTransport.Receiver {
 
     /** At this many prepared statements on one connection, all of them are discarded and prepared again when needed. */
     private static final int MAXIMUM_PREPARED_STATEMENTS = 200;
@@ -40,7 +39,8 @@
     private final Deque<PendingCommand> pendingCommands = new ArrayDeque<>();
     private final Map<String, String> sessionVariables = new LinkedHashMap<>();
     private final Map<PreparedShape, String> preparedNames = new HashMap<>();
-    private @Nullable Channel channel;
+    private @Nullable MemberTransport transport;
+    private boolean atHome;
     private boolean open;
     private boolean closed;
     private @Nullable ConnectionLease currentLease;
@@ -148,12 +148,30 @@
 
     /** Sets whether more of the member's answer is read now; the member is not asked to send it otherwise. */
     void reading(boolean value) {
-        Channel activeChannel = channel;
-        if (activeChannel != null && activeChannel.config().isAutoRead() != value) {
-            activeChannel.config().setAutoRead(value);
+        MemberTransport active = transport;
+        if (active != null) {
+            active.reading(value);
         }
     }
 
+    /** Uses a connection that a home of the member keeps. It is open at once, and closed after its first lease. */
+    void useHome(MemberTransport home) {
+        transport = home;
+        atHome = true;
+        open = true;
+    }
+
+    /** Returns whether the member is reached through a home. */
+    boolean isAtHome() {
+        return atHome;
+    }
+
+    /** Returns how long the member took to answer the last command, given how long the answer took to arrive here. */
+    long memberLatencyNanos(long elapsedNanos) {
+        MemberTransport active = transport;
+        return active == null ? elapsedNanos : active.memberLatencyNanos(elapsedNanos);
+    }
+
     boolean isLeasedBy(ConnectionLease lease) {
         return currentLease == lease;
     }
@@ -203,21 +221,21 @@
      * @param listener handles the answer
      */
     public void send(MemberCommand command, AnswerListener listener) {
-        Channel activeChannel = channel;
+        MemberTransport active = transport;
         long now = clock.nowNanos();
-        if (activeChannel == null || closed) {
+        if (active == null || closed) {
             listener.onAnswer(null, now);
             return;
         }
         pendingCommands.add(new PendingCommand(now, listener));
-        activeChannel.write(command, activeChannel.voidPromise());
+        active.write(command);
     }
 
     /** Writes the commands sent so far to the network. */
     public void flush() {
-        Channel activeChannel = channel;
-        if (activeChannel != null) {
-            activeChannel.flush();
+        MemberTransport active = transport;
+        if (active != null && !closed) {
+            active.flush();
         }
     }
 
@@ -274,25 +292,17 @@
         if (closed) {
             return;
         }
-        Channel activeChannel = channel;
-        if (activeChannel != null && activeChannel.isActive()) {
-            if (pendingCommands.isEmpty()) {
-                activeChannel.write(new MemberCommand.Terminate(), activeChannel.voidPromise());
-                activeChannel.flush();
-            } else {
-                // Resets the connection. After an orderly close the kernel would go on sending abandoned commands.
-                activeChannel.config().setOption(ChannelOption.SO_LINGER, 0);
-            }
-        }
+        MemberTransport active = transport;
+        boolean abandonsCommands = !pendingCommands.isEmpty();
         handleClose(reason);
-        if (activeChannel != null) {
-            activeChannel.close();
+        if (active != null) {
+            active.close(abandonsCommands);
         }
     }
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
-        channel = context.channel();
+        transport = new ChannelTransport(context.channel());
         if (closed) {
             context.close();
             return;
@@ -311,11 +321,23 @@
                 close("the member sent more rows than expected");
             }
         } else if (message instanceof MemberAnswer answer) {
-            pendingCommands.remove();
+            onAnswer(answer);
+        }
+    }
+
+    @Override
+    public void onAnswer(MemberAnswer answer) {
+        PendingCommand oldest = pendingCommands.poll();
+        if (oldest != null) {
             complete(oldest, answer);
         }
     }
 
+    @Override
+    public void onLost(String reason) {
+        handleClose(reason);
+    }
+
     private void complete(PendingCommand oldest, MemberAnswer answer) {
         owner.onAnswer(this, answer, oldest.sentNanos());
         oldest.listener().onAnswer(answer, oldest.sentNanos());
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberSelection.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberSelection.java
@@ -81,7 +81,7 @@
         Optional<PositionHistory.Entry> minimumPosition = requiredPosition(request);
         Map<String, MemberServer> serversByName = new HashMap<>();
         List<MemberChoice.Candidate> candidates = new ArrayList<>();
-        evaluate(request, group, minimumPosition.isPresent(), now, (server, candidate, exclusion) -> {
+        evaluate(request, group, replicasQualify(request, minimumPosition), now, (server, candidate, exclusion) -> {
             if (candidate != null) {
                 candidates.add(candidate);
                 serversByName.put(server.name(), server);
@@ -114,7 +114,8 @@
         long now = context.clock().nowNanos();
         List<MemberChoice.Candidate> candidates = new ArrayList<>();
         List<SelectionReport.Member> members = new ArrayList<>();
-        evaluate(request, group, requiredPosition(request).isPresent(), now, (server, candidate, exclusion) -> {
+        boolean replicasQualify = replicasQualify(request, requiredPosition(request));
+        evaluate(request, group, replicasQualify, now, (server, candidate, exclusion) -> {
             boolean accepts = available.test(server);
             if (accepts && candidate != null) {
                 candidates.add(candidate);
@@ -150,8 +151,8 @@
                 context.settings().regionOf(server.entry().failureDomain()),
                 server.position(),
                 server.entry().slots(),
-                shared ? server.running() : server.inFlight(),
-                shared ? server.capacity().inFlight(server.running(), now) : server.inFlight(),
+                shared ? server.runningWithHomes() : server.inFlight(),
+                shared ? server.capacity().inFlight(server.runningWithHomes(), now) : server.inFlight(),
                 shared ? server.capacity().knee() : server.entry().slots(),
                 shared ? server.capacity().serviceMillis() : server.latency().expectedMillis(now),
                 candidate == null ? null : candidate.access(),
@@ -166,7 +167,7 @@
             String exclusion = exclusion(server, request, group, replicasQualify, now);
             MemberChoice.Candidate candidate = null;
             if (exclusion.isEmpty()) {
-                Access access = allocator.access(server, request.account(), atPrimary, connectionLimit, now);
+                Access access = allocator.access(server, request, atPrimary, connectionLimit, now);
                 if (access == null) {
                     exclusion = "no connection is available";
                 } else {
@@ -182,6 +183,10 @@
             MemberServer server, ConnectionRequest request, GroupState group, boolean replicasQualify, long now) {
         boolean atPrimary = server == group.primary();
         Set<String> regions = request.requirements().regions();
+        String assigned = request.requirements().member();
+        if (assigned != null && !assigned.equals(server.name())) {
+            return "another member was assigned";
+        }
         if (atPrimary && !group.primaryUsable()) {
             return "the primary may be in replacement";
         }
@@ -218,11 +223,20 @@
         }
         boolean reserved = atPrimary && !request.requirements().primaryOnly() && capacity.isReserved(server, now);
         return new MemberChoice.Candidate(
-                server.name(), access, server.capacity().expectedMillis(server.running(), now), otherRegion, reserved);
+                server.name(),
+                access,
+                server.capacity().expectedMillis(server.runningWithHomes(), now),
+                otherRegion,
+                reserved);
+    }
+
+    /** The daemon that has assigned work to a member has also told which position the member must have reached. */
+    private static boolean replicasQualify(ConnectionRequest request, Optional<PositionHistory.Entry> minimumPosition) {
+        return request.requirements().member() != null || minimumPosition.isPresent();
     }
 
     private Optional<PositionHistory.Entry> requiredPosition(ConnectionRequest request) {
-        return request.requirements().primaryOnly()
+        return request.requirements().primaryOnly() || request.requirements().member() != null
                 ? Optional.empty()
                 : minimumPosition(request.requirements(), request.arrivedNanos());
     }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
@@ -28,6 +28,7 @@
     private static final long CONNECTION_REFUSAL_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
     private final List<MemberConnection> connections = new ArrayList<>();
+    private final List<MemberConnection> homeConnections = new ArrayList<>();
     private final LatencyEstimate latency;
     private final LearnedCapacity capacity;
     private final WarmUpLimiter warmUp;
@@ -95,9 +96,14 @@
         return connections;
     }
 
+    /** Returns the uses of connections that homes of the member keep. */
+    List<MemberConnection> homeConnections() {
+        return homeConnections;
+    }
+
     /** Returns how many statements of this daemon it is running, counted as leased connections. */
     public int inFlight() {
-        int sum = 0;
+        int sum = homeConnections.size();
         for (MemberConnection connection : connections) {
             sum += connection.isLeased() ? 1 : 0;
         }
@@ -116,6 +122,15 @@
         return sum;
     }
 
+    /** Returns the same, with the commands that homes run for this daemon. */
+    int runningWithHomes() {
+        int sum = running();
+        for (MemberConnection connection : homeConnections) {
+            sum += connection.isBusy() ? 1 : 0;
+        }
+        return sum;
+    }
+
     /** Returns what is known of its speed, where the daemons share it. */
     public LearnedCapacity capacity() {
         return capacity;
--- /dev/null
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLeases.java
@@ -0,0 +1,249 @@
+package org.banyanhook.gateway.home;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.banyanhook.daemon.peer.PeerMessenger;
+import org.banyanhook.gateway.backend.DatabaseGroup;
+import org.banyanhook.gateway.backend.DatabaseGroups;
+import org.banyanhook.gateway.fleet.FleetDirectory;
+import org.banyanhook.gateway.message.SessionError;
+import org.banyanhook.gateway.operation.DecisionLog;
+import org.banyanhook.gateway.operation.GatewayMetrics;
+import org.banyanhook.gateway.operation.MonotonicClock;
+import org.banyanhook.gateway.primary.PrimaryAccessPolicy;
+import org.banyanhook.protocol.generated.Acknowledgement;
+import org.banyanhook.protocol.generated.HomeAnswers;
+import org.banyanhook.protocol.generated.HomeCommand;
+import org.banyanhook.protocol.generated.HomeCommands;
+import org.banyanhook.protocol.generated.LinkProbeAnswer;
+import org.banyanhook.protocol.generated.PeerEnvelope;
+
+/** Runs the commands of other daemons on connections that this daemon keeps. Confined to the event loop. */
+public final class HomeLeases {
+
+    /** A transaction whose daemon has left the fleet is rolled back after this time; its end may still arrive. */
+    private static final long LOST_SENDER_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** How much later than the daemon of the caller a home rolls back an idle transaction. */
+    private static final long IDLE_MARGIN_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final Context context;
+    private final long incarnation;
+    private final DatabaseGroups groups;
+    private final FleetDirectory directory;
+    private final DecisionLog log;
+    private final Map<LeaseKey, HomeLease> leases = new HashMap<>();
+    private boolean draining;
+
+    private record LeaseKey(String sender, long incarnation, long lease) {}
+
+    /**
+     * What all leases share.
+     *
+     * @param incarnation distinguishes the runs of this daemon
+     * @param primaryAccess decides whether primaries may be used
+     * @param eventLoop the event loop on which everything runs
+     * @param clock the monotonic clock
+     * @param metrics counts the commands
+     */
+    record Context(
+            long incarnation,
+            PrimaryAccessPolicy primaryAccess,
+            EventLoop eventLoop,
+            MonotonicClock clock,
+            GatewayMetrics metrics) {
+
+        HomeAnswers.Builder newAnswers() {
+            return HomeAnswers.newBuilder().setIncarnation(incarnation).setClockNanos(clock.nowNanos());
+        }
+
+        /** Returns the answer that nothing was sent to the member. */
+        HomeAnswers refused(String detail) {
+            return newAnswers().setRefused(true).setDetail(detail).build();
+        }
+
+        /** Returns the answers to commands of a transaction that has been rolled back. */
+        HomeAnswers aborted(HomeCommands commands, String detail) {
+            HomeAnswers.Builder answers = newAnswers();
+            for (HomeCommand command : commands.getCommandsList()) {
+                boolean rollback = command.getKind() == HomeCommand.Kind.ROLLBACK;
+                answers.addAnswers(HomeMessages.toMessage(
+                        HomeMessages.ownAnswer(rollback ? null : SessionError.TRANSACTION_ABORTED, detail)));
+            }
+            return answers.build();
+        }
+    }
+
+    /**
+     * Creates an instance without leases.
+     *
+     * @param incarnation distinguishes the runs of this daemon
+     * @param groups the members
+     * @param directory lists the daemons
+     * @param primaryAccess decides whether primaries may be used
+     * @param eventLoop the event loop on which everything runs
+     * @param clock the monotonic clock
+     * @param log receives a line for each transaction that is rolled back for its daemon
+     * @param metrics counts the commands
+     */
+    public HomeLeases(
+            long incarnation,
+            DatabaseGroups groups,
+            FleetDirectory directory,
+            PrimaryAccessPolicy primaryAccess,
+            EventLoop eventLoop,
+            MonotonicClock clock,
+            DecisionLog log,
+            GatewayMetrics metrics) {
+        this.context = new Context(incarnation, primaryAccess, eventLoop, clock, metrics);
+        this.incarnation = incarnation;
+        this.groups = groups;
+        this.directory = directory;
+        this.log = log;
+    }
+
+    /** Starts to receive the commands of other daemons. */
+    public void serve(PeerMessenger messenger) {
+        messenger.registerHandler(
+                PeerEnvelope.BodyCase.LINK_PROBE,
+                message -> onEventLoop(() -> PeerEnvelope.newBuilder()
+                        .setLinkProbeAnswer(LinkProbeAnswer.newBuilder()
+                                .setIncarnation(incarnation)
+                                .setClockNanos(context.clock().nowNanos()))
+                        .build()));
+        messenger.registerHandler(
+                PeerEnvelope.BodyCase.HOME_COMMANDS,
+                message -> CompletableFuture.supplyAsync(
+                                () -> run(message.getSenderEntryVm(), message.getHomeCommands()), context.eventLoop())
+                        .thenCompose(answers -> answers)
+                        .thenApply(answers -> PeerEnvelope.newBuilder()
+                                .setHomeAnswers(answers)
+                                .build()));
+        messenger.registerHandler(
+                PeerEnvelope.BodyCase.HOME_LEASE_END,
+                message -> onEventLoop(() -> {
+                    end(
+                            new LeaseKey(
+                                    message.getSenderEntryVm(),
+                                    message.getHomeLeaseEnd().getIncarnation(),
+                                    message.getHomeLeaseEnd().getLease()),
+                            "the other daemon does not use the connection any more");
+                    return PeerEnvelope.newBuilder()
+                            .setAcknowledgement(Acknowledgement.getDefaultInstance())
+                            .build();
+                }));
+    }
+
+    private CompletableFuture<PeerEnvelope> onEventLoop(Supplier<PeerEnvelope> reply) {
+        return CompletableFuture.supplyAsync(reply, context.eventLoop());
+    }
+
+    /**
+     * Runs commands.
+     *
+     * @param sender the daemon that sent them
+     * @param commands the commands
+     * @return the answers
+     */
+    CompletableFuture<HomeAnswers> run(String sender, HomeCommands commands) {
+        LeaseKey key = new LeaseKey(sender, commands.getIncarnation(), commands.getLease());
+        CompletableFuture<HomeAnswers> reply = new CompletableFuture<>();
+        HomeLease known = leases.get(key);
+        if (!commands.getFirst()) {
+            if (known == null) {
+                reply.complete(context.aborted(commands, "the home has ended the transaction"));
+            } else {
+                known.run(commands, reply);
+            }
+            return reply;
+        }
+        String refusal = refusal(commands);
+        if (!refusal.isEmpty() || known != null) {
+            reply.complete(context.refused(refusal));
+            return reply;
+        }
+        HomeLease lease = new HomeLease(
+                context,
+                groups.group(commands.getDatabase()),
+                commands,
+                commands.getDeadlineNanos(),
+                reply,
+                () -> leases.remove(key));
+        leases.put(key, lease);
+        lease.acquire();
+        return reply;
+    }
+
+    /** Returns why new work is not accepted, or an empty text. */
+    private String refusal(HomeCommands commands) {
+        long now = context.clock().nowNanos();
+        if (draining) {
+            return "this daemon is being stopped";
+        }
+        if (commands.getHomeIncarnation() != incarnation || now - commands.getDeadlineNanos() >= 0) {
+            return "the commands arrived too late";
+        }
+        Optional<DatabaseGroup> group = groups.all().stream()
+                .filter(candidate -> candidate.name().equals(commands.getDatabase()))
+                .findFirst();
+        if (group.flatMap(found -> found.server(commands.getMember())).isEmpty()) {
+            return "the member is not known here";
+        }
+        boolean isPrimary = group.get()
+                .primary()
+                .filter(primary -> primary.name().equals(commands.getMember()))
+                .isPresent();
+        boolean usable = isPrimary && context.primaryAccess().mayUsePrimary(commands.getDatabase());
+        return commands.getPrimary() && !usable ? "the member is not known to be the primary" : "";
+    }
+
+    private void end(LeaseKey key, String reason) {
+        HomeLease lease = leases.get(key);
+        if (lease != null) {
+            lease.end(reason);
+        }
+    }
+
+    /** Refuses what waits for a former primary, and ends transactions whose daemons do not end them. */
+    public void tick() {
+        long now = context.clock().nowNanos();
+        long idleLimit = TimeUnit.MILLISECONDS.toNanos(directory.configuration().idleTransactionTimeoutMillis())
+                + IDLE_MARGIN_NANOS;
+        for (Map.Entry<LeaseKey, HomeLease> entry : List.copyOf(leases.entrySet())) {
+            HomeLease lease = entry.getValue();
+            lease.refuseIfPrimaryChanged();
+            long idle = lease.idleNanos(now);
+            boolean senderLost = idle >= LOST_SENDER_NANOS
+                    && !directory.daemons().containsKey(entry.getKey().sender());
+            if (idle >= idleLimit || senderLost) {
+                log.line("home-transaction")
+                        .with("from", entry.getKey().sender())
+                        .with("change", "rolled-back")
+                        .with("reason", senderLost ? "the daemon has left the fleet" : "idle")
+                        .write();
+                lease.end("idle");
+            }
+        }
+    }
+
+    /** Refuses new work, because the process ends; what is in progress goes on. */
+    public void drain() {
+        draining = true;
+    }
+
+    /** Returns whether work of other daemons is in progress. */
+    public boolean isActive() {
+        return !leases.isEmpty();
+    }
+
+    /** Ends all work of other daemons, because the process ends. */
+    public void conclude() {
+        List.copyOf(leases.values()).forEach(lease -> lease.end("this daemon is being stopped"));
+    }
+}
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/message/ClientRequest.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/message/ClientRequest.java
@@ -17,7 +17,16 @@
      * @param requestId the request identifier that the caller assigned
      * @param statement the statement to run
      */
-    record Run(String requestId, SessionStatement statement) implements ClientRequest {}
+    record Run(String requestId, SessionStatement statement) implements ClientRequest {
+
+        /** Statements over this length are not sent to another daemon, so that they are held by one daemon only. */
+        private static final int MAXIMUM_FORWARDED_CHARACTERS = 64 << 10;
+
+        /** Returns whether the statement is too large to be passed on to another daemon. */
+        public boolean isLarge() {
+            return statement.arguments().length() > MAXIMUM_FORWARDED_CHARACTERS;
+        }
+    }
 
     /**
      * A request that could not be parsed.
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/message/SessionError.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/message/SessionError.java
@@ -18,6 +18,8 @@
     WRONG_SERVER(true),
     /** The member has reached its connection limit. */
     CONNECTION_LIMIT(true),
+    /** The home that keeps connections to the member did not run the statement. Never reported to a caller. */
+    HOME_REFUSED(true),
     /** No prepared statement has this name. */
     PREPARED_UNKNOWN(true),
     /** The request is malformed or not valid in the current state. */
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/message/SessionStatement.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/message/SessionStatement.java
@@ -3,6 +3,11 @@
 /** A statement of a caller. Its texts are kept as received, so that they can be forwarded unchanged. */
 public sealed interface SessionStatement {
 
+    /** Returns the text after the keyword, where a member has to receive it; empty otherwise. */
+    default String arguments() {
+        return "";
+    }
+
     /**
      * Begins a transaction.
      *
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
@@ -64,6 +64,7 @@
     private @Nullable ScheduledFuture<?> deadlineTimer;
     private int attempts;
     private String failedMember = "";
+    private boolean homeRefused;
     private final HeldRows heldRows = new HeldRows();
     private long lastProgressNanos;
 
@@ -251,6 +252,9 @@
         if (!failedMember.isEmpty()) {
             newRequest.exclude(failedMember);
         }
+        if (homeRefused || request.isLarge()) {
+            newRequest.avoidHomes();
+        }
         pendingConnectionRequest = newRequest;
         group.submit(newRequest);
     }
@@ -346,7 +350,7 @@
             return;
         }
         usage.recordAnswer(answer.error());
-        group.recordAnswer(source.server(), answer.error(), context.clock().nowNanos() - sentNanos);
+        group.recordAnswer(source, answer.error(), context.clock().nowNanos() - sentNanos);
         if (decide(source, ExecutionEvent.STATEMENT_ANSWERED) != ExecutionAction.EVALUATE_ANSWER) {
             settle(source, answer);
         } else if (answer.error() != null) {
@@ -440,6 +444,10 @@
                 laggingMembers.add(source.server().name());
                 retryOnAnotherMember(source, detail);
             }
+            case HOME_REFUSED -> {
+                homeRefused = true;
+                requestConnection();
+            }
             case NOT_PRIMARY, PREPARED_UNKNOWN -> requestConnection();
             case OVERLOADED -> {
                 if (primaryOverloaded) {
@@ -555,8 +563,9 @@
         if (phase == ExecutionPhase.FINISHED) {
             return;
         }
-        finish(error.name(), detail, lease);
-        listener.onFailure(error, detail);
+        SessionError reported = error == SessionError.HOME_REFUSED ? SessionError.OVERLOADED : error;
+        finish(reported.name(), detail, lease);
+        listener.onFailure(reported, detail);
     }
 
     /** Returns a connection after an answer; a transaction that is open on it is rolled back first. */
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
@@ -28,6 +28,7 @@
 import org.banyanhook.gateway.backend.DatabaseGroup;
 import org.banyanhook.gateway.backend.DatabaseGroups;
 import org.banyanhook.gateway.backend.GroupContext;
+import org.banyanhook.gateway.backend.HomeConnector;
 import org.banyanhook.gateway.fleet.FleetDirectory;
 import org.banyanhook.gateway.fleet.TextRecordCodec;
 import org.banyanhook.gateway.message.ClientRequest;
@@ -95,14 +96,31 @@
     private long configurationVersion;
     private boolean inContact = true;
 
+    /** Creates what connects a gateway to the homes of members. */
+    @FunctionalInterface
+    public interface HomeFactory {
+        /** Creates the view of a gateway. */
+        HomeConnector create(FleetDirectory directory, EventLoop eventLoop, MonotonicClock clock);
+    }
+
     /** Creates a gateway that knows a configuration and no members. */
     public GatewayFixture() {
-        log = new DecisionLog("vm", logged, () -> nowNanos);
+        this("vm", (fleet, loop, time) -> HomeConnector.NONE);
+    }
+
+    /**
+     * Creates a gateway that knows a configuration and no members.
+     *
+     * @param entryVm its name
+     * @param homes connects it to the homes of members
+     */
+    public GatewayFixture(String entryVm, HomeFactory homes) {
+        log = new DecisionLog(entryVm, logged, () -> nowNanos);
         clock = new MonotonicClock(() -> nowNanos, () -> TimeUnit.NANOSECONDS.toMillis(nowNanos) + suspendedMillis);
         directory = new FleetDirectory(recordCodec, log, clock);
         GatewayMetrics metrics = new GatewayMetrics();
         GatewaySettings settings = new GatewaySettings(
-                "vm",
+                entryVm,
                 "east",
                 Map.of(),
                 UNUSED,
@@ -122,13 +140,14 @@
                 new ReportCodec(),
                 (address, timeoutMillis, handler, onFailure) ->
                         member(address.getHostString()).connect(handler, onFailure),
+                homes.create(directory, eventLoop(), clock),
                 clock,
                 log,
                 metrics);
         groups = new DatabaseGroups(groupContext);
         directory.addListener(groups);
         rateLimiter = new AccountRateLimiter(
-                "vm",
+                entryVm,
                 "east",
                 settings::regionOf,
                 directory,
@@ -217,6 +236,17 @@
                 new StoreRecord(recordCodec.daemonKey("vm"), nextRevision(), "east".getBytes(UTF_8), StoreLease.NONE));
     }
 
+    /** Lists a daemon of a failure domain; its address is its name. */
+    public void listDaemon(String entryVm, String failureDomain) {
+        directory.apply(new StoreRecord(
+                recordCodec.daemonKey(entryVm), nextRevision(), failureDomain.getBytes(UTF_8), StoreLease.NONE));
+    }
+
+    /** Removes the entry of a daemon from the store. */
+    public void listDaemonGone(String entryVm) {
+        directory.apply(new StoreRecord(recordCodec.daemonKey(entryVm), nextRevision(), null, StoreLease.NONE));
+    }
+
     /** Lists this daemon as the only one, and lets time pass until accounts have tokens. */
     public void accrueTokens() {
         listDaemon();
@@ -239,6 +269,11 @@
         return members.computeIfAbsent(name, ScriptedMember::new);
     }
 
+    /** Uses the stand-in of a member that another gateway uses too. */
+    public void share(ScriptedMember member) {
+        members.put(member.name(), member);
+    }
+
     private StoreRevision nextRevision() {
         revision++;
         return new StoreRevision(0, revision);
@@ -325,6 +360,11 @@
         return new EmbeddedChannel(new Session(sessionContext, registry, input));
     }
 
+    /** Returns the metrics. */
+    public GatewayMetrics metrics() {
+        return groupContext.metrics();
+    }
+
     /** Sends a statement in a session. */
     public static void send(EmbeddedChannel session, String id, SessionStatement statement) {
         session.writeInbound(new ClientRequest.Run(id, statement));
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GracefulShutdownTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GracefulShutdownTest.java
@@ -152,7 +152,7 @@
     }
 
     @Override
-    public boolean isReplacingPrimary() {
+    public boolean isServingFleet() {
         return replacing;
     }
 
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/SharedConnectionModelTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/SharedConnectionModelTest.java
@@ -13,14 +13,17 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.LongFunction;
 import org.banyanhook.gateway.GatewayFixture;
 import org.banyanhook.gateway.ScriptedMember;
 import org.banyanhook.gateway.ScriptedMember.Link;
 import org.banyanhook.gateway.ScriptedMember.Run;
+import org.banyanhook.gateway.home.HomeFixture;
 import org.banyanhook.gateway.message.ClientAnswer;
 import org.banyanhook.gateway.message.SessionError;
 import org.banyanhook.gateway.message.SessionStatement;
 import org.banyanhook.gateway.message.TransactionState;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -35,10 +38,27 @@
 
     @Test
     void everyStatementRunsInItsOwnTransactionOrInNone() {
+        play(seed -> {
+            GatewayFixture gateway = new GatewayFixture();
+            return new Model(seed, gateway, gateway.list("primary", true), null);
+        });
+    }
+
+    /** The same through a home, whose link delays and loses messages. */
+    @Test
+    void everyStatementThatAHomeRunsIsInItsOwnTransactionOrInNone() {
+        play(seed -> {
+            HomeFixture fleet = new HomeFixture();
+            // The statements that use a direct connection instead must not run in addition.
+            return new Model(seed, fleet.caller(), fleet.listSharedPrimary(), fleet);
+        });
+    }
+
+    private static void play(LongFunction<Model> models) {
         int committed = 0;
         int failed = 0;
         for (long seed = 1; seed <= SEEDS; seed++) {
-            Model model = new Model(seed);
+            Model model = models.apply(seed);
             model.play();
             model.check();
             committed += model.committedAttempts();
@@ -67,7 +87,8 @@
     private static final class Model {
         private final long seed;
         private final Random random;
-        private final GatewayFixture gateway = new GatewayFixture();
+        private final GatewayFixture gateway;
+        private final @Nullable HomeFixture fleet;
         private final ScriptedMember member;
         private final List<Caller> callers = new ArrayList<>();
         private final Map<String, Attempt> attempts = new HashMap<>();
@@ -75,17 +96,21 @@
         private final Set<String> succeeded = new HashSet<>();
         private int nextAttempt;
 
-        private Model(long seed) {
+        private Model(long seed, GatewayFixture gateway, ScriptedMember member, @Nullable HomeFixture fleet) {
             this.seed = seed;
             this.random = new Random(seed);
-            this.member = gateway.list("primary", true);
+            this.gateway = gateway;
+            this.member = member;
+            this.fleet = fleet;
             for (int number = 0; number < SESSIONS; number++) {
                 callers.add(new Caller(gateway.openSession()));
             }
         }
 
         private void play() {
-            for (int step = 0; step < STEPS; step++) {
+            // Each statement through a home takes two messages more.
+            int steps = fleet == null ? STEPS : 2 * STEPS;
+            for (int step = 0; step < steps; step++) {
                 Caller caller = callers.get(random.nextInt(SESSIONS));
                 receive(caller);
                 switch (random.nextInt(20)) {
@@ -93,16 +118,43 @@
                     case 6, 7, 8, 9, 10 -> randomLink(link -> link.run());
                     case 11, 12, 13, 14, 15 -> randomLink(link -> link.answer());
                     case 16 -> randomLink(link -> link.refuse(randomError()));
-                    case 17 -> gateway.advanceMillis(random.nextInt(400));
+                    case 17 -> advanceMillis(random.nextInt(400));
                     case 18 -> disturb(caller);
                     default -> member.answerAll();
                 }
                 gateway.groups().tick();
+                deliver();
             }
-            gateway.advanceMillis(5_000);
+            advanceMillis(5_000);
             callers.forEach(this::receive);
         }
 
+        private void advanceMillis(long millis) {
+            if (fleet == null) {
+                gateway.advanceMillis(millis);
+            } else {
+                fleet.advanceMillis(millis);
+            }
+        }
+
+        /** Delivers some of the messages between the daemons, and sometimes loses all of them for a while. */
+        private void deliver() {
+            if (fleet == null) {
+                return;
+            }
+            fleet.tick();
+            int fate = random.nextInt(200);
+            if (fate == 0) {
+                fleet.cut(true);
+            } else if (fate < 10) {
+                fleet.cut(false);
+            } else if (fate < 120) {
+                fleet.deliverAll();
+            } else if (fate < 180) {
+                fleet.deliver();
+            }
+        }
+
         private void disturb(Caller caller) {
             switch (random.nextInt(4)) {
                 case 0 -> randomLink(Link::silence);
@@ -111,7 +163,7 @@
                     caller.session.close();
                     reopen(caller);
                 }
-                default -> gateway.advanceMillis(GatewayFixture.STATEMENT_TIMEOUT_MILLIS);
+                default -> advanceMillis(GatewayFixture.STATEMENT_TIMEOUT_MILLIS);
             }
         }
 
