--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionAllocator.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionAllocator.java
@@ -96,6 +96,7 @@
         }
         MemberConnection idle = findIdle(server, request.account());
         if (idle != null) {
+            idle.lent(request.isForOtherDaemon());
             request.listener().onConnectionLeased(idle.lease(placement.primary()), placement);
             return;
         }
@@ -177,6 +178,7 @@
     private void open(MemberServer server, ConnectionRequest request, Placement placement) {
         MemberConnection connection = new MemberConnection(server, request.account(), context.clock(), owner);
         ConnectionLease lease = connection.lease(placement.primary());
+        connection.lent(request.isForOtherDaemon());
         connection.beyondShare(placement.access() == Access.BORROWED_CONNECTION);
         connections.add(connection);
         server.connections().add(connection);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionRequest.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionRequest.java
@@ -101,6 +101,11 @@
         return avoidsHomes;
     }
 
+    /** Returns whether another daemon has assigned the work to a member. */
+    boolean isForOtherDaemon() {
+        return requirements.member() != null;
+    }
+
     /** Returns the priority of the route; 0 is the highest. */
     public int priority() {
         return priority;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberConnection.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberConnection.java
@@ -41,6 +41,7 @@
     private final Map<PreparedShape, String> preparedNames = new HashMap<>();
     private @Nullable MemberTransport transport;
     private boolean atHome;
+    private boolean lent;
     private boolean open;
     private boolean closed;
     private @Nullable ConnectionLease currentLease;
@@ -120,6 +121,15 @@
         return !closed && (!open || !pendingCommands.isEmpty());
     }
 
+    /** Sets whether it is used by another daemon. */
+    void lent(boolean value) {
+        lent = value;
+    }
+
+    boolean isLent() {
+        return lent;
+    }
+
     boolean isIdle() {
         return open && !closed && currentLease == null && pendingCommands.isEmpty();
     }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberSelection.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberSelection.java
@@ -151,8 +151,8 @@
                 context.settings().regionOf(server.entry().failureDomain()),
                 server.position(),
                 server.entry().slots(),
-                shared ? server.runningWithHomes() : server.inFlight(),
-                shared ? server.capacity().inFlight(server.runningWithHomes(), now) : server.inFlight(),
+                shared ? server.running() : server.inFlight(),
+                shared ? server.capacity().inFlight(server.running(), now) : server.inFlight(),
                 shared ? server.capacity().knee() : server.entry().slots(),
                 shared ? server.capacity().serviceMillis() : server.latency().expectedMillis(now),
                 candidate == null ? null : candidate.access(),
@@ -223,11 +223,7 @@
         }
         boolean reserved = atPrimary && !request.requirements().primaryOnly() && capacity.isReserved(server, now);
         return new MemberChoice.Candidate(
-                server.name(),
-                access,
-                server.capacity().expectedMillis(server.runningWithHomes(), now),
-                otherRegion,
-                reserved);
+                server.name(), access, server.capacity().expectedMillis(server.running(), now), otherRegion, reserved);
     }
 
     /** The daemon that has assigned work to a member has also told which position the member must have reached. */
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
@@ -111,20 +111,15 @@
     }
 
     /**
-     * Returns how many commands of this daemon it is running or has queued, counted as connections; those of idle
+     * Returns how many commands of this daemon it is running or has queued, counted as connections: those of this
+     * daemon's callers, directly or at a home. Those of other daemons, which report them themselves, and those of idle
      * transactions do not count.
      */
     public int running() {
         int sum = 0;
         for (MemberConnection connection : connections) {
-            sum += connection.isBusy() ? 1 : 0;
+            sum += connection.isBusy() && !connection.isLent() ? 1 : 0;
         }
-        return sum;
-    }
-
-    /** Returns the same, with the commands that homes run for this daemon. */
-    int runningWithHomes() {
-        int sum = running();
         for (MemberConnection connection : homeConnections) {
             sum += connection.isBusy() ? 1 : 0;
         }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLease.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLease.java
@@ -145,7 +145,7 @@
             held.send(command, new MemberConnection.AnswerListener() {
                 @Override
                 public void onAnswer(@Nullable MemberAnswer answer, long sentNanos) {
-                    HomeLease.this.onAnswer(held, command, answer, sentNanos);
+                    HomeLease.this.onAnswer(held, answer, sentNanos);
                 }
 
                 @Override
@@ -167,8 +167,7 @@
         return !tooLarge;
     }
 
-    private void onAnswer(
-            ConnectionLease source, MemberCommand command, @Nullable MemberAnswer received, long sentNanos) {
+    private void onAnswer(ConnectionLease source, @Nullable MemberAnswer received, long sentNanos) {
         if (ended) {
             settle(source, received);
             return;
@@ -181,7 +180,7 @@
         }
         unanswered--;
         memberNanos = context.clock().nowNanos() - sentNanos;
-        judge(source, command, received);
+        judge(source, received);
         List<String> allRows = new ArrayList<>(rows);
         rows.clear();
         allRows.addAll(received.rows());
@@ -204,11 +203,8 @@
         }
     }
 
-    /** Records what an answer tells of the member. */
-    private void judge(ConnectionLease source, MemberCommand command, MemberAnswer answer) {
-        if (command instanceof MemberCommand.PassOn) {
-            group.recordAnswer(source, answer.error(), memberNanos);
-        }
+    /** Records what an answer tells of the member; its speed is recorded by the other daemon. */
+    private void judge(ConnectionLease source, MemberAnswer answer) {
         if (answer.error() == SessionError.NOT_PRIMARY) {
             group.onNotPrimary(source.server());
         } else if (answer.error() == SessionError.REPLICA_BEHIND) {
