Refuse work at homes that cannot use the member, and open links ahead

Cause: the first statement to a home waited for a connection and a probe; commands waited at a home that could not reach the member, or for a primary that had been replaced. Change: links that were never used are probed one after the other; a home refuses at once, the next one is asked, then a direct connection is used; an answer that is too large sends the read to a direct connection.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/routing/LinkHealth.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/routing/LinkHealth.java
@@ -1,5 +1,7 @@
 package org.banyanhook.core.routing;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
@@ -18,7 +20,7 @@
 
     private static final long PROBE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
-    /** How long a home is not used after it has refused a lease, because it is stopping or overloaded. */
+    /** How long a home is not used for a member after it has refused a lease, because it cannot use the member. */
     private static final long REFUSAL_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     /** Clocks run apart by far less than a thousandth; older readings are not relied on. */
@@ -29,15 +31,20 @@
     private long lastAnswerNanos;
     private boolean probed;
     private long lastProbeNanos;
-    private boolean refused;
-    private long refusedNanos;
+    private final Map<String, Long> refusalNanosByMember = new HashMap<>();
     private long incarnation;
     private long peerClockNanos;
     private long readNanos;
 
-    /** Returns whether statements may be sent: the link has not failed, and the home has not refused recently. */
-    public boolean isUsable(long nowNanos) {
-        return !failed && !(refused && nowNanos - refusedNanos < REFUSAL_PAUSE_NANOS);
+    /** Returns whether statements for a member may be sent: the link has not failed, and the home has not refused. */
+    public boolean isUsable(String member, long nowNanos) {
+        Long refusalNanos = refusalNanosByMember.get(member);
+        return !failed && (refusalNanos == null || nowNanos - refusalNanos >= REFUSAL_PAUSE_NANOS);
+    }
+
+    /** Returns whether the home has never answered. */
+    public boolean isUnknown() {
+        return !answered;
     }
 
     /** Returns whether the home has answered so recently that a statement that is not repeated may be sent. */
@@ -78,10 +85,10 @@
         failed = true;
     }
 
-    /** Records that the home has refused a lease. */
-    public void recordRefusal(long nowNanos) {
-        refused = true;
-        refusedNanos = nowNanos;
+    /** Records that the home has refused a lease of a connection to a member. */
+    public void recordRefusal(String member, long nowNanos) {
+        refusalNanosByMember.values().removeIf(nanos -> nowNanos - nanos >= REFUSAL_PAUSE_NANOS);
+        refusalNanosByMember.put(member, nowNanos);
     }
 
     /** Returns the run of the home that the clock was read in. */
--- a/banyanhook-core/src/test/java/org/banyanhook/core/routing/LinkHealthTest.java
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/routing/LinkHealthTest.java
@@ -10,6 +10,8 @@
 
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
+    private static final String MEMBER = "member";
+
     private final LinkHealth link = new LinkHealth();
 
     /** Guards against a deadline that is late at the home, so that commands run after it. */
@@ -34,12 +36,12 @@
     @Test
     void failedLinkIsProbedAndUsedAgainAfterAnAnswer() {
         link.recordFailure();
-        assertThat(link.isUsable(0)).isFalse();
+        assertThat(link.isUsable(MEMBER, 0)).isFalse();
         assertThat(link.isProbeDue(0)).isTrue();
         link.recordProbe(0);
         assertThat(link.isProbeDue(1)).isFalse();
         link.recordAnswer(1, 0, 2);
-        assertThat(link.isUsable(3)).isTrue();
+        assertThat(link.isUsable(MEMBER, 3)).isTrue();
         assertThat(link.isVerified(3)).isTrue();
         assertThat(link.isVerified(2 * SECOND)).isFalse();
     }
@@ -48,8 +50,9 @@
     @Test
     void homeThatRefusedIsAvoidedForAWhile() {
         link.recordAnswer(1, 0, 0);
-        link.recordRefusal(0);
-        assertThat(link.isUsable(1)).isFalse();
-        assertThat(link.isUsable(SECOND)).isTrue();
+        link.recordRefusal(MEMBER, 0);
+        assertThat(link.isUsable(MEMBER, 1)).isFalse();
+        assertThat(link.isUsable("other", 1)).isTrue();
+        assertThat(link.isUsable(MEMBER, SECOND)).isTrue();
     }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -170,7 +170,9 @@
                 registration::nanosSinceContact, registration::contact, voteExchange, clock, eventLoop, log);
         // Differs between the runs of this daemon, and is not 0, which stands for an unknown run.
         long incarnation = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
-        GroupContext groupContext = newGroupContext(incarnation);
+        ConnectionHomes homes =
+                new ConnectionHomes(settings.entryVm(), incarnation, messenger, directory, eventLoop, clock);
+        GroupContext groupContext = newGroupContext(homes);
         this.databaseGroups = new DatabaseGroups(groupContext);
         directory.addListener(databaseGroups);
         registration.entryLease(() -> directory.daemonLease(settings.entryVm()));
@@ -201,6 +203,7 @@
                         pauses::read,
                         directory::tick,
                         databaseGroups::tick,
+                        homes::tick,
                         homeLeases::tick,
                         capacityExchange::tick,
                         rateLimiter::tick,
@@ -213,7 +216,7 @@
                 log);
     }
 
-    private GroupContext newGroupContext(long incarnation) {
+    private GroupContext newGroupContext(ConnectionHomes homes) {
         return new GroupContext(
                 settings,
                 directory,
@@ -221,7 +224,7 @@
                 primaryAccess,
                 ports.sessionCodec(),
                 new NettyMemberConnector(eventLoops, ports.sessionCodec()),
-                new ConnectionHomes(settings.entryVm(), incarnation, messenger, directory, eventLoop, clock),
+                homes,
                 clock,
                 log,
                 metrics);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
@@ -214,7 +214,7 @@
      * @param elapsedNanos how long the answer took to arrive
      */
     public void recordAnswer(ConnectionLease lease, @Nullable SessionError error, long elapsedNanos) {
-        if (error == SessionError.HOME_REFUSED) {
+        if (error != null && error.isOfHome()) {
             return;
         }
         long latencyNanos = lease.memberLatencyNanos(elapsedNanos);
@@ -504,7 +504,7 @@
 
         @Override
         public void onAnswer(MemberConnection connection, MemberAnswer answer, long sentNanos) {
-            if (answer.error() == SessionError.HOME_REFUSED) {
+            if (answer.error() != null && answer.error().isOfHome()) {
                 return;
             }
             MemberServer server = connection.server();
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/ConnectionHomes.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/ConnectionHomes.java
@@ -16,8 +16,10 @@
 import org.banyanhook.gateway.backend.MemberServer;
 import org.banyanhook.gateway.backend.MemberTransport;
 import org.banyanhook.gateway.fleet.FleetDirectory;
+import org.banyanhook.gateway.fleet.FleetDirectory.MemberRecord;
 import org.banyanhook.gateway.operation.MonotonicClock;
 import org.banyanhook.gateway.port.DaemonEntry;
+import org.banyanhook.gateway.port.MemberEntry;
 import org.banyanhook.protocol.generated.HomeCommands;
 import org.jspecify.annotations.Nullable;
 
@@ -37,6 +39,7 @@
     private final Map<String, List<String>> homesByMember = new HashMap<>();
     private final Map<String, List<String>> homesByAccount = new HashMap<>();
     private long lastLease;
+    private boolean linksOpened;
 
     /**
      * Creates the view of a daemon.
@@ -67,6 +70,7 @@
     private void onFleetChange() {
         homesByMember.clear();
         homesByAccount.clear();
+        linksOpened = false;
         if (links.size() > directory.daemons().size()) {
             links.keySet()
                     .retainAll(directory.daemons().values().stream()
@@ -75,13 +79,36 @@
         }
     }
 
+    /**
+     * Opens the link to one home that has never answered, so that the first statements do not wait for it. To be called
+     * periodically; a daemon of a large fleet has dozens of such links.
+     */
+    public void tick() {
+        if (linksOpened) {
+            return;
+        }
+        for (MemberRecord member : directory.members()) {
+            if (connectionLimit(member.entry()) == 0) {
+                continue;
+            }
+            for (String home : homes(member.entry())) {
+                DaemonEntry entry = directory.daemons().get(home);
+                HomeLink link = entry == null || home.equals(entryVm) ? null : link(entry.peerAddress());
+                if (link != null && link.isUnknown() && link.probeIfSilent()) {
+                    return;
+                }
+            }
+        }
+        linksOpened = true;
+    }
+
     @Override
     public OptionalInt ownShare(MemberServer server) {
-        int limit = connectionLimit(server);
+        int limit = connectionLimit(server.entry());
         if (limit == 0) {
             return OptionalInt.empty();
         }
-        List<String> homes = homes(server);
+        List<String> homes = homes(server.entry());
         if (homes.isEmpty()) {
             return OptionalInt.empty();
         }
@@ -116,18 +143,19 @@
 
     /** Returns the link to the first home of an account that can be reached, or null if this daemon precedes it. */
     private @Nullable HomeLink findHome(MemberServer server, String account) {
-        if (connectionLimit(server) == 0) {
+        if (connectionLimit(server.entry()) == 0) {
             return null;
         }
         List<String> ordered = homesByAccount.computeIfAbsent(
-                server.name() + '\n' + account, key -> MemberHomes.forAccount(homes(server), server.name(), account));
+                server.name() + '\n' + account,
+                key -> MemberHomes.forAccount(homes(server.entry()), server.name(), account));
         for (String home : ordered) {
             if (home.equals(entryVm)) {
                 return null;
             }
             DaemonEntry entry = directory.daemons().get(home);
             HomeLink link = entry == null ? null : link(entry.peerAddress());
-            if (link != null && link.isUsable()) {
+            if (link != null && link.isUsable(server.name())) {
                 return link;
             }
         }
@@ -138,22 +166,20 @@
         return links.computeIfAbsent(address, key -> new HomeLink(key, messenger, eventLoop, clock));
     }
 
-    private List<String> homes(MemberServer server) {
+    private List<String> homes(MemberEntry server) {
         return homesByMember.computeIfAbsent(
-                server.name(),
+                server.member(),
                 member -> MemberHomes.choose(
                         member,
                         directory.daemons().values().stream()
-                                .filter(daemon -> daemon.failureDomain()
-                                        .equals(server.entry().failureDomain()))
+                                .filter(daemon -> daemon.failureDomain().equals(server.failureDomain()))
                                 .map(DaemonEntry::entryVm)
                                 .toList()));
     }
 
     /** Returns the connection limit of a member, or 0 if it has no homes because the fleet is small. */
-    private int connectionLimit(MemberServer server) {
-        GroupLimits limits =
-                directory.configuration().groups().get(server.entry().group());
+    private int connectionLimit(MemberEntry server) {
+        GroupLimits limits = directory.configuration().groups().get(server.group());
         if (limits == null
                 || !ConnectionShare.fleetExceedsLimit(limits.connectionLimit(), directory.daemonsSharingLimits())) {
             return 0;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLease.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLease.java
@@ -227,7 +227,9 @@
         HomeAnswers.Builder message =
                 context.newAnswers().addAllAnswers(answers).setMemberMicros(TimeUnit.NANOSECONDS.toMicros(memberNanos));
         if (tooLarge && answers.isEmpty() && terms == current) {
-            message.setRefused(true).setDetail("the answer is too large to be passed on; the read is run again");
+            message.setRefused(true)
+                    .setTooLarge(true)
+                    .setDetail("the answer is too large to be passed on; the read is run again");
         }
         context.metrics().count("home.statements", "result", message.getRefused() ? "too-large" : "answered");
         lastActivityNanos = context.clock().nowNanos();
@@ -250,13 +252,11 @@
         reply.complete(context.refused(detail));
     }
 
-    /** Refuses the commands if they wait for a primary that has been replaced or must not be used any more. */
-    void refuseIfPrimaryChanged() {
-        boolean isPrimary = group.primary()
-                .filter(primary -> primary.name().equals(terms.getMember()))
-                .isPresent();
-        if (terms.getPrimary() && !(isPrimary && context.primaryAccess().mayUsePrimary(group.name()))) {
-            refuse("the member is not known to be the primary");
+    /** Refuses the commands if they wait for a member that cannot be used any more. */
+    void refuseIfUnusable() {
+        String reason = context.unusable(group, terms);
+        if (!reason.isEmpty()) {
+            refuse(reason);
         }
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLeases.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLeases.java
@@ -11,6 +11,7 @@
 import org.banyanhook.daemon.peer.PeerMessenger;
 import org.banyanhook.gateway.backend.DatabaseGroup;
 import org.banyanhook.gateway.backend.DatabaseGroups;
+import org.banyanhook.gateway.backend.MemberServer;
 import org.banyanhook.gateway.fleet.FleetDirectory;
 import org.banyanhook.gateway.message.SessionError;
 import org.banyanhook.gateway.operation.DecisionLog;
@@ -59,6 +60,21 @@
             MonotonicClock clock,
             GatewayMetrics metrics) {
 
+        /** Returns why this daemon cannot use a member for commands, or an empty text. */
+        String unusable(DatabaseGroup group, HomeCommands commands) {
+            MemberServer server = group.server(commands.getMember()).orElse(null);
+            if (server == null || !server.acceptsRequests()) {
+                return "the member accepts no requests";
+            }
+            if (server.unreachableNanos(clock.nowNanos()) >= 0) {
+                return "the member could not be reached";
+            }
+            boolean isPrimary = group.primary().filter(server::equals).isPresent();
+            return commands.getPrimary() && !(isPrimary && primaryAccess.mayUsePrimary(group.name()))
+                    ? "the member is not known to be the primary"
+                    : "";
+        }
+
         HomeAnswers.Builder newAnswers() {
             return HomeAnswers.newBuilder().setIncarnation(incarnation).setClockNanos(clock.nowNanos());
         }
@@ -192,15 +208,7 @@
         Optional<DatabaseGroup> group = groups.all().stream()
                 .filter(candidate -> candidate.name().equals(commands.getDatabase()))
                 .findFirst();
-        if (group.flatMap(found -> found.server(commands.getMember())).isEmpty()) {
-            return "the member is not known here";
-        }
-        boolean isPrimary = group.get()
-                .primary()
-                .filter(primary -> primary.name().equals(commands.getMember()))
-                .isPresent();
-        boolean usable = isPrimary && context.primaryAccess().mayUsePrimary(commands.getDatabase());
-        return commands.getPrimary() && !usable ? "the member is not known to be the primary" : "";
+        return group.map(found -> context.unusable(found, commands)).orElse("the group is not known here");
     }
 
     private void end(LeaseKey key, String reason) {
@@ -210,14 +218,14 @@
         }
     }
 
-    /** Refuses what waits for a former primary, and ends transactions whose daemons do not end them. */
+    /** Refuses what waits for a member that cannot be used, and ends transactions whose daemons do not end them. */
     public void tick() {
         long now = context.clock().nowNanos();
         long idleLimit = TimeUnit.MILLISECONDS.toNanos(directory.configuration().idleTransactionTimeoutMillis())
                 + IDLE_MARGIN_NANOS;
         for (Map.Entry<LeaseKey, HomeLease> entry : List.copyOf(leases.entrySet())) {
             HomeLease lease = entry.getValue();
-            lease.refuseIfPrimaryChanged();
+            lease.refuseIfUnusable();
             long idle = lease.idleNanos(now);
             boolean senderLost = idle >= LOST_SENDER_NANOS
                     && !directory.daemons().containsKey(entry.getKey().sender());
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLink.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLink.java
@@ -39,10 +39,13 @@
         this.clock = clock;
     }
 
-    /** Returns whether statements may be sent; probes the link if it failed, so that it is used again later. */
-    boolean isUsable() {
+    /**
+     * Returns whether statements for a member may be sent; probes the link if it failed, so that it is used again
+     * later.
+     */
+    boolean isUsable(String member) {
         long now = clock.nowNanos();
-        boolean usable = health.isUsable(now);
+        boolean usable = health.isUsable(member, now);
         if (!usable && health.isProbeDue(now)) {
             var unused = probe();
         }
@@ -54,11 +57,18 @@
         return health.isVerified(clock.nowNanos());
     }
 
-    /** Probes the link if it has been silent, so that a link that does not answer is noticed early. */
-    void probeIfSilent() {
-        if (health.isProbeDue(clock.nowNanos())) {
-            var unused = probe();
+    /** Probes the link if it has been silent, so that one that does not answer is noticed early; returns whether. */
+    boolean probeIfSilent() {
+        if (!health.isProbeDue(clock.nowNanos())) {
+            return false;
         }
+        var unused = probe();
+        return true;
+    }
+
+    /** Returns whether the home has never answered. */
+    boolean isUnknown() {
+        return health.isUnknown();
     }
 
     /** Probes the link; the result tells whether the home has answered. */
@@ -108,8 +118,8 @@
         health.recordAnswer(peerIncarnation, peerNanos, clock.nowNanos());
     }
 
-    void recordRefusal() {
-        health.recordRefusal(clock.nowNanos());
+    void recordRefusal(String member) {
+        health.recordRefusal(member, clock.nowNanos());
     }
 
     /** Adds a listener that is called if the link fails. */
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeTransport.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeTransport.java
@@ -118,13 +118,13 @@
                 if (answered) {
                     send(batch, commands, true);
                 } else {
-                    refuse(batch, NOT_SENT);
+                    refuse(batch, SessionError.HOME_REFUSED, NOT_SENT);
                 }
             });
             return;
         }
         send(batch, commands, acquires);
-        link.probeIfSilent();
+        boolean unused = link.probeIfSilent();
     }
 
     /** Keeps a change of the session state; returns whether the command was one. */
@@ -156,7 +156,7 @@
     private void send(List<MemberCommand> batch, List<HomeCommand> commands, boolean acquires) {
         OptionalLong homeDeadline = link.toHomeClock(deadlineNanos - REFUSAL_MARGIN_NANOS);
         if (closed || (acquires && homeDeadline.isEmpty())) {
-            refuse(batch, NOT_SENT);
+            refuse(batch, SessionError.HOME_REFUSED, NOT_SENT);
             return;
         }
         HomeCommands message = terms.toBuilder()
@@ -192,31 +192,34 @@
         boolean notSent = cause instanceof PeerException exception && !exception.maybeSent();
         if (notSent) {
             outstanding++;
-            refuse(batch, NOT_SENT);
+            refuse(batch, SessionError.HOME_REFUSED, NOT_SENT);
         } else {
             lose("no answer of the home: " + cause);
         }
         link.recordFailure();
     }
 
-    /** Answers that nothing was sent to the member. */
-    private void refuse(List<MemberCommand> batch, String detail) {
+    /** Answers that nothing came of the commands. */
+    private void refuse(List<MemberCommand> batch, SessionError error, String detail) {
         outstanding--;
         heldAtHome = false;
         for (MemberCommand command : batch) {
             if (closed) {
                 return;
             }
-            receiver.onAnswer(
-                    HomeMessages.ownAnswer(isSessionState(command) ? null : SessionError.HOME_REFUSED, detail));
+            receiver.onAnswer(HomeMessages.ownAnswer(isSessionState(command) ? null : error, detail));
         }
     }
 
     private void deliver(List<MemberCommand> batch, HomeAnswers answers) {
         if (answers.getRefused()) {
-            link.recordRefusal();
             outstanding++;
-            refuse(batch, answers.getDetail());
+            if (answers.getTooLarge()) {
+                refuse(batch, SessionError.HOME_ANSWER_TOO_LARGE, answers.getDetail());
+            } else {
+                link.recordRefusal(terms.getMember());
+                refuse(batch, SessionError.HOME_REFUSED, answers.getDetail());
+            }
             return;
         }
         memberNanos = TimeUnit.MICROSECONDS.toNanos(answers.getMemberMicros());
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/message/SessionError.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/message/SessionError.java
@@ -20,6 +20,8 @@
     CONNECTION_LIMIT(true),
     /** The home that keeps connections to the member did not run the statement. Never reported to a caller. */
     HOME_REFUSED(true),
+    /** The home gave up a read because its answer is too large to be passed on. Never reported to a caller. */
+    HOME_ANSWER_TOO_LARGE(true),
     /** No prepared statement has this name. */
     PREPARED_UNKNOWN(true),
     /** The request is malformed or not valid in the current state. */
@@ -42,6 +44,11 @@
         return guaranteesNoEffect;
     }
 
+    /** Returns whether the error says nothing of the member, because a home has answered instead. */
+    public boolean isOfHome() {
+        return this == HOME_REFUSED || this == HOME_ANSWER_TOO_LARGE;
+    }
+
     /** Returns whether the error means that the statement was refused and has not begun to run. */
     public boolean isRefusal() {
         return guaranteesNoEffect && this != TRANSACTION_ABORTED;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
@@ -39,6 +39,9 @@
     /** A typical group has no more members than this, so that further attempts would not help. */
     private static final int MAXIMUM_ATTEMPTS = 5;
 
+    /** After this many refusals of homes, a statement uses a connection of this daemon. */
+    private static final int MAXIMUM_HOME_REFUSALS = 2;
+
     /** When a statement times out, a member that has sent no answer for this long counts as unreachable. */
     private static final long UNRESPONSIVE_MEMBER_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
@@ -64,7 +67,7 @@
     private @Nullable ScheduledFuture<?> deadlineTimer;
     private int attempts;
     private String failedMember = "";
-    private boolean homeRefused;
+    private int homeRefusals;
     private final HeldRows heldRows = new HeldRows();
     private long lastProgressNanos;
 
@@ -252,7 +255,7 @@
         if (!failedMember.isEmpty()) {
             newRequest.exclude(failedMember);
         }
-        if (homeRefused || request.isLarge()) {
+        if (homeRefusals >= MAXIMUM_HOME_REFUSALS || request.isLarge()) {
             newRequest.avoidHomes();
         }
         pendingConnectionRequest = newRequest;
@@ -445,7 +448,11 @@
                 retryOnAnotherMember(source, detail);
             }
             case HOME_REFUSED -> {
-                homeRefused = true;
+                homeRefusals++;
+                requestConnection();
+            }
+            case HOME_ANSWER_TOO_LARGE -> {
+                homeRefusals = MAXIMUM_HOME_REFUSALS;
                 requestConnection();
             }
             case NOT_PRIMARY, PREPARED_UNKNOWN -> requestConnection();
@@ -563,7 +570,9 @@
         if (phase == ExecutionPhase.FINISHED) {
             return;
         }
-        SessionError reported = error == SessionError.HOME_REFUSED ? SessionError.OVERLOADED : error;
+        SessionError reported = error == SessionError.HOME_REFUSED || error == SessionError.HOME_ANSWER_TOO_LARGE
+                ? SessionError.OVERLOADED
+                : error;
         finish(reported.name(), detail, lease);
         listener.onFailure(reported, detail);
     }
