--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberServer.java
@@ -28,6 +28,7 @@
     private static final long CONNECTION_REFUSAL_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
     private final List<MemberConnection> connections = new ArrayList<>();
+    private final List<MemberConnection> homeConnections = new ArrayList<>();
     private final LatencyEstimate latency;
     private final LearnedCapacity capacity;
     private final WarmUpLimiter warmUp;
@@ -95,9 +96,14 @@
         return connections;
     }
 
+    /** Returns the uses of connections that homes of the member keep. */
+    List<MemberConnection> homeConnections() {
+        return homeConnections;
+    }
+
     /** Returns how many statements of this daemon it is running, counted as leased connections. */
     public int inFlight() {
-        int sum = 0;
+        int sum = homeConnections.size();
         for (MemberConnection connection : connections) {
             sum += connection.isLeased() ? 1 : 0;
         }
@@ -105,12 +111,16 @@
     }
 
     /**
-     * Returns how many commands of this daemon it is running or has queued, counted as connections; those of idle
+     * Returns how many commands of this daemon it is running or has queued, counted as connections: those of this
+     * daemon's callers, directly or at a home. Those of other daemons, which report them themselves, and those of idle
      * transactions do not count.
      */
     public int running() {
         int sum = 0;
         for (MemberConnection connection : connections) {
+            sum += connection.isBusy() && !connection.isLent() ? 1 : 0;
+        }
+        for (MemberConnection connection : homeConnections) {
             sum += connection.isBusy() ? 1 : 0;
         }
         return sum;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
@@ -39,6 +39,9 @@
     /** A typical group has no more members than this, so that further attempts would not help. */
     private static final int MAXIMUM_ATTEMPTS = 5;
 
+    /** After this many refusals of homes, a statement uses a connection of this daemon. */
+    private static final int MAXIMUM_HOME_REFUSALS = 2;
+
     /** When a statement times out, a member that has sent no answer for this long counts as unreachable. */
     private static final long UNRESPONSIVE_MEMBER_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
@@ -64,6 +67,7 @@
     private @Nullable ScheduledFuture<?> deadlineTimer;
     private int attempts;
     private String failedMember = "";
+    private int homeRefusals;
     private final HeldRows heldRows = new HeldRows();
     private long lastProgressNanos;
 
@@ -251,6 +255,9 @@
         if (!failedMember.isEmpty()) {
             newRequest.exclude(failedMember);
         }
+        if (homeRefusals >= MAXIMUM_HOME_REFUSALS || request.isLarge()) {
+            newRequest.avoidHomes();
+        }
         pendingConnectionRequest = newRequest;
         group.submit(newRequest);
     }
@@ -346,7 +353,7 @@
             return;
         }
         usage.recordAnswer(answer.error());
-        group.recordAnswer(source.server(), answer.error(), context.clock().nowNanos() - sentNanos);
+        group.recordAnswer(source, answer.error(), context.clock().nowNanos() - sentNanos);
         if (decide(source, ExecutionEvent.STATEMENT_ANSWERED) != ExecutionAction.EVALUATE_ANSWER) {
             settle(source, answer);
         } else if (answer.error() != null) {
@@ -440,6 +447,14 @@
                 laggingMembers.add(source.server().name());
                 retryOnAnotherMember(source, detail);
             }
+            case HOME_REFUSED -> {
+                homeRefusals++;
+                requestConnection();
+            }
+            case HOME_ANSWER_TOO_LARGE -> {
+                homeRefusals = MAXIMUM_HOME_REFUSALS;
+                requestConnection();
+            }
             case NOT_PRIMARY, PREPARED_UNKNOWN -> requestConnection();
             case OVERLOADED -> {
                 if (primaryOverloaded) {
@@ -555,8 +570,11 @@
         if (phase == ExecutionPhase.FINISHED) {
             return;
         }
-        finish(error.name(), detail, lease);
-        listener.onFailure(error, detail);
+        SessionError reported = error == SessionError.HOME_REFUSED || error == SessionError.HOME_ANSWER_TOO_LARGE
+                ? SessionError.OVERLOADED
+                : error;
+        finish(reported.name(), detail, lease);
+        listener.onFailure(reported, detail);
     }
 
     /** Returns a connection after an answer; a transaction that is open on it is rolled back first. */
