Apply the prefix of a watch in the store stand-in

Cause: the stand-in answered each watch with the changes of all keys, whatever prefix it named, unlike the platform's store. Change: a watch is answered with the changes of the keys under its prefix. Result: compiled with the module; no test of the stand-in itself.

--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/StoreStandIn.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/StoreStandIn.java
@@ -50,7 +50,7 @@
     private record Change(String key, long revision, byte[] value, long leaseId, boolean removed) {}
 
     private record PendingWatch(
-            long afterRevision, UnaryOperator<String> rewrite, CompletableFuture<JsonReply> reply) {}
+            String prefix, long afterRevision, UnaryOperator<String> rewrite, CompletableFuture<JsonReply> reply) {}
 
     /** Starts an empty store on a free port. */
     public StoreStandIn() {
@@ -175,7 +175,11 @@
                 return completed(listRange(request.queryText("prefix", ""), request.queryText("after", ""), rewrite));
             }
             if (path.startsWith("/api/kv-watch")) {
-                return startWatch(request.queryNumber("after", 0), request.queryNumber("wait_ms", 1_000), rewrite);
+                return startWatch(
+                        request.queryText("prefix", ""),
+                        request.queryNumber("after", 0),
+                        request.queryNumber("wait_ms", 1_000),
+                        rewrite);
             }
             if (path.startsWith("/api/kv-keep/")) {
                 return completed(renewLease(Long.parseLong(path.substring(path.lastIndexOf('/') + 1))));
@@ -212,11 +216,11 @@
     }
 
     private CompletableFuture<JsonReply> startWatch(
-            long afterRevision, long waitMillis, UnaryOperator<String> rewrite) {
+            String prefix, long afterRevision, long waitMillis, UnaryOperator<String> rewrite) {
         if (afterRevision < oldestWatchableRevision || afterRevision > revision) {
             return completed(JsonReply.empty(410));
         }
-        PendingWatch watch = new PendingWatch(afterRevision, rewrite, new CompletableFuture<>());
+        PendingWatch watch = new PendingWatch(prefix, afterRevision, rewrite, new CompletableFuture<>());
         pendingWatches.add(watch);
         completeWatches();
         return watch.reply()
@@ -229,7 +233,8 @@
     private void completeWatches() {
         pendingWatches.removeIf(watch -> {
             List<Map<String, Object>> events = changes.stream()
-                    .filter(change -> change.revision() > watch.afterRevision())
+                    .filter(change -> change.revision() > watch.afterRevision()
+                            && change.key().startsWith(watch.prefix()))
                     .map(change -> toEvent(change, watch.rewrite()))
                     .toList();
             return !events.isEmpty()
