Read the changes of the store through two readers of each failure domain in large fleets

Cause: most calls to the store at the large sites are returns of watches, since each daemon watches all keys. Change: where a member accepts fewer connections than the fleet has daemons, StoreMirror watches through ReaderBackedStore, which asks a reader with StoreChangesRequest and falls back to the store if the reader refuses or is silent for 900 ms. Readers combine changes for at most 400 ms. Promotion records are still read from the store itself by every daemon, because the use of primaries doesn't tolerate the delay of a reader (docs/design/store-readers.md). Metrics `store.watches` and `store.reader.answers`, log event `store-way`. The number of calls in a large fleet was not measured.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -55,6 +55,7 @@
 import org.banyanhook.gateway.primary.StoreOrQuorumPolicy;
 import org.banyanhook.gateway.rate.AccountRateLimiter;
 import org.banyanhook.gateway.rate.PeerTokenTransfers;
+import org.banyanhook.gateway.reader.ReaderBackedStore;
 import org.banyanhook.gateway.session.ClientConnection;
 import org.banyanhook.gateway.session.ClientConnections;
 import org.banyanhook.gateway.session.RouteExplanation;
@@ -93,6 +94,7 @@
     private final GatewayMetrics metrics = new GatewayMetrics();
     private final StoreEras eras;
     private final FleetDirectory directory;
+    private final ReaderBackedStore watchedStore;
     private final StoreMirror storeMirror;
     private final DaemonRegistration registration;
     private final NettyPeerMessenger messenger;
@@ -144,14 +146,15 @@
         this.eras = new StoreEras(log);
         RecordStore store = new EraCheckedStore(ports.store(), eras);
         this.directory = new FleetDirectory(ports.recordCodec(), log, clock);
-        this.storeMirror =
-                new StoreMirror(store, ports.recordCodec().keyPrefix(), directory, eras, eventLoop, log, metrics);
         this.messenger = NettyPeerMessenger.builder(settings.entryVm(), settings.failureDomain())
                 .listenAddress(settings.peerAddress())
                 .eventLoops(eventLoops)
                 .build();
         DaemonEntry self =
                 new DaemonEntry(settings.entryVm(), settings.failureDomain(), hostAndPort(settings.peerAddress()));
+        this.watchedStore = new ReaderBackedStore(new ReaderBackedStore.Context(
+                self, store, ports.recordCodec(), messenger, directory, eras, eventLoop, clock, log, metrics));
+        this.storeMirror = newStoreMirror();
         this.registration = new DaemonRegistration(
                 store,
                 ports.recordCodec().daemonKey(settings.entryVm()),
@@ -201,6 +204,7 @@
                 List.of(
                         pauses::read,
                         directory::tick,
+                        watchedStore::tick,
                         databaseGroups::tick,
                         capacityExchange::tick,
                         rateLimiter::tick,
@@ -213,6 +217,14 @@
                 log);
     }
 
+    private StoreMirror newStoreMirror() {
+        StoreMirror mirror = new StoreMirror(
+                watchedStore, ports.recordCodec().keyPrefix(), directory, eras, eventLoop, log, metrics);
+        mirror.coalesceLimitMillis(watchedStore::coalesceLimitMillis);
+        watchedStore.onHistoryLost(mirror::start);
+        return mirror;
+    }
+
     private SessionContext newSessionContext(@Nullable UsageReporting usage) {
         return new SessionContext(
                 settings,
@@ -407,6 +419,7 @@
         @Override
         public CompletableFuture<Void> leaveFleet() {
             storeMirror.stop();
+            watchedStore.stop();
             CompletableFuture<Void> countsSent =
                     usageReporting == null ? CompletableFuture.completedFuture(null) : usageReporting.finish();
             return CompletableFuture.allOf(registration.stop(), countsSent)
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreMirror.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreMirror.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.gateway.operation.DecisionLog;
 import org.banyanhook.gateway.operation.GatewayMetrics;
@@ -66,6 +67,7 @@
     private StoreRevision watchedRevision = StoreRevision.NONE;
     private boolean watching;
     private Runnable firstReadingListener = () -> {};
+    private LongSupplier coalesceLimitMillis = () -> Long.MAX_VALUE;
     private boolean complete;
     private boolean failing;
     private boolean stopped;
@@ -103,6 +105,11 @@
         firstReadingListener = listener;
     }
 
+    /** Sets the supplier of the maximum delay between a change and the next call, in milliseconds. */
+    public void coalesceLimitMillis(LongSupplier supplier) {
+        coalesceLimitMillis = supplier;
+    }
+
     /** Starts to read all records; results of an earlier reading are discarded. */
     public void start() {
         watching = false;
@@ -254,10 +261,11 @@
     private long coalesceMillis(boolean onlyDaemons) {
         long daemons = directory.daemonCount();
         long millis = Math.min(MAXIMUM_COALESCE_MILLIS, BASE_COALESCE_MILLIS + COALESCE_MILLIS_PER_DAEMON * daemons);
-        return onlyDaemons
-                ? Math.max(
-                        millis, Math.min(MAXIMUM_DAEMON_COALESCE_MILLIS, DAEMON_COALESCE_MILLIS_PER_DAEMON * daemons))
-                : millis;
+        if (onlyDaemons) {
+            millis = Math.max(
+                    millis, Math.min(MAXIMUM_DAEMON_COALESCE_MILLIS, DAEMON_COALESCE_MILLIS_PER_DAEMON * daemons));
+        }
+        return Math.min(millis, coalesceLimitMillis.getAsLong());
     }
 
     private void recordSuccess(String call) {
