Readers: watch the store for a second at a time

Cause: readers sent a watch every 400 ms. Change: a watch of a reader waits up to 1 s, and its log counts as current for 2.4 s. The model's bound is taken from the 5 s within which a configuration must be in force, instead of from the aim of at most 1.5 s more, which 400 ms served.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/store/StoreChangeLog.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/store/StoreChangeLog.java
@@ -26,7 +26,7 @@
      * {@link StoreReaders#READER_COALESCE}) by the time that a slow store takes to answer, and bounds by how much a
      * reader that was frozen or cut off from the store delays a change.
      */
-    public static final Duration MAXIMUM_AGE = Duration.ofMillis(1_500);
+    public static final Duration MAXIMUM_AGE = Duration.ofMillis(2_400);
 
     private final int maximumChanges;
     private final long maximumBytes;
--- a/banyanhook-core/src/main/java/org/banyanhook/core/store/StoreReaders.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/store/StoreReaders.java
@@ -28,8 +28,11 @@
     /** How long a daemon waits for a reader; leaves 400 ms for the answer of a busy one. */
     public static final Duration ANSWER_TIMEOUT = Duration.ofMillis(900);
 
-    /** How long the store may hold the watch of a reader, so that the reader knows that it still follows the store. */
-    public static final Duration READER_WATCH_WAIT = Duration.ofMillis(400);
+    /**
+     * How long the store may hold the watch of a reader, so that the reader knows that it still follows the store. Each
+     * wait that ends without a change costs a call; with 400 ms the readers would make most calls of a fleet.
+     */
+    public static final Duration READER_WATCH_WAIT = Duration.ofSeconds(1);
 
     /** The maximum time between a change and a reader's next watch, by which changes reach other daemons later. */
     public static final Duration READER_COALESCE = Duration.ofMillis(400);
