--- a/banyanhook-core/src/main/java/org/banyanhook/core/rate/AllotmentCoordinator.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/rate/AllotmentCoordinator.java
@@ -256,8 +256,8 @@
             actions.add(new AllotmentAction.RenewLeaseAtPeer(
                     peers.get((int) Long.remainderUnsigned(random, peers.size()))));
         }
-        // Only the platform renews the lease of a process without peers. A renewal at half of the lease would leave it a
-        // quarter of the lease when the platform fails.
+        // Only the platform renews the lease of a process without peers. If it were renewed at half of its length, a
+        // quarter could be left when the platform fails.
         if (peers.isEmpty() || leaseExpiryNanos - nowNanos < timings.leaseNanos() / 2) {
             readNeeded = true;
         }
--- a/banyanhook-core/src/test/java/org/banyanhook/core/store/StoreReadersModelTest.java
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/store/StoreReadersModelTest.java
@@ -31,7 +31,8 @@
     private static final long COALESCE_MILLIS = 600;
 
     /**
-     * A configuration must be in force within 5 s; of them, 1.4 s are the longest delay of the mirror and 100 ms a call.
+     * A configuration must be in force within 5 s; of them, 1.4 s are the longest delay of the mirror and 100 ms a
+     * call.
      */
     private static final long MAXIMUM_DELAY_MILLIS = 5_000 - 1_400 - 100;
 
