--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/GatewayFleet.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/GatewayFleet.java
@@ -37,6 +37,7 @@
     private final AtomicInteger promotionRequestCount = new AtomicInteger();
     private final Map<String, Long> withdrawnSinceNanos = new HashMap<>();
     private int configurationVersion;
+    private int connectionLimit = 16;
     private int launchCount;
 
     /**
@@ -197,13 +198,24 @@
                 "{\"version\":" + configurationVersion + ",\"routes\":[" + routeJson("current", "primary", 0) + ","
                         + routeJson("bounded", "bounded_staleness", 1_500) + ","
                         + routeJson("own", "read_your_writes", 2_500)
-                        + "],\"backends\":[{\"name\":\"group\",\"max_conns\":16}],\"limits\":{\"idle_tx_ms\":1500},"
+                        + "],\"backends\":[{\"name\":\"group\",\"max_conns\":" + connectionLimit
+                        + "}],\"limits\":{\"idle_tx_ms\":1500},"
                         + "\"tenants\":[" + accounts + "]}");
         API_KEYS.stream()
                 .filter(key -> !enabledKeys.contains(key))
                 .forEach(key -> withdrawnSinceNanos.putIfAbsent(key, System.nanoTime()));
     }
 
+    /** Sets how many connections a member accepts according to the configurations that are written from now on. */
+    public synchronized void connectionLimit(int value) {
+        connectionLimit = value;
+    }
+
+    /** Returns the version of the newest configuration. */
+    public synchronized int configurationVersion() {
+        return configurationVersion;
+    }
+
     /** Returns the keys that the newest configuration grants. */
     public synchronized List<String> enabledKeys() {
         return API_KEYS.stream()
