--- a/banyanhook-core/src/test/java/org/banyanhook/core/store/StoreReadersModelTest.java
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/store/StoreReadersModelTest.java
@@ -124,7 +124,7 @@
     }
 
     private void fail(Daemon victim) {
-        long millis = 200 + random.nextInt(6_000);
+        long millis = 200L + random.nextInt(6_000);
         victim.faultyUntilMillis = nowMillis + millis + 8_000;
         switch (random.nextInt(6)) {
             case 0 -> victim.frozenUntilMillis = nowMillis + millis;
