Report a write with a too large answer as unknown

Cause: a home refused any first command whose answer exceeded the bound, also a write, with an error that guarantees no effect. The daemon of the caller then ran the write again on a direct connection. Change: only a read outside a transaction is refused; a write gets no answer, so that its outcome is unknown.

The test failed before: the write was answered with success after a second run.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLease.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLease.java
@@ -162,11 +162,15 @@
         for (String row : added) {
             characters += row.length();
         }
-        boolean read = terms == current && current.getCommandsList().stream().noneMatch(HomeMessages::writes);
-        tooLarge = characters > (read ? MAXIMUM_READ_CHARACTERS : MAXIMUM_CHARACTERS);
+        tooLarge = characters > (isRepeatableRead() ? MAXIMUM_READ_CHARACTERS : MAXIMUM_CHARACTERS);
         return !tooLarge;
     }
 
+    /** Returns whether the commands in progress are a read outside a transaction, which may run again. */
+    private boolean isRepeatableRead() {
+        return terms == current && current.getCommandsList().stream().noneMatch(HomeMessages::writes);
+    }
+
     private void onAnswer(ConnectionLease source, @Nullable MemberAnswer received, long sentNanos) {
         if (ended) {
             settle(source, received);
@@ -226,7 +230,7 @@
     private void respond() {
         HomeAnswers.Builder message =
                 context.newAnswers().addAllAnswers(answers).setMemberMicros(TimeUnit.NANOSECONDS.toMicros(memberNanos));
-        if (tooLarge && answers.isEmpty() && terms == current) {
+        if (tooLarge && answers.isEmpty() && isRepeatableRead()) {
             message.setRefused(true)
                     .setTooLarge(true)
                     .setDetail("the answer is too large to be passed on; the read is run again");
--- /dev/null
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
@@ -0,0 +1,69 @@
+package org.banyanhook.gateway.home;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.util.Objects.requireNonNull;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.List;
+import org.banyanhook.gateway.GatewayFixture;
+import org.banyanhook.gateway.ScriptedMember;
+import org.banyanhook.gateway.message.ClientAnswer;
+import org.banyanhook.gateway.message.SessionError;
+import org.banyanhook.gateway.message.SessionStatement;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Failures of a home, of its link and of the daemon of the caller. */
+final class HomeFailuresTest {
+
+    private static final SessionStatement WRITE = new SessionStatement.Write("item data");
+
+    private final HomeFixture fleet = new HomeFixture();
+    private final ScriptedMember primary = fleet.listPrimary();
+    private final EmbeddedChannel session = fleet.caller().openSession();
+
+    @AfterEach
+    void close() {
+        fleet.close();
+    }
+
+    /** Guards against a write that runs twice because its answer is too large to be passed on. */
+    @Test
+    void writeWithAnAnswerThatIsTooLargeIsNotRepeated() {
+        startWriteAtHome();
+        primary.links().get(0).run();
+        primary.links().get(0).sendRows(List.of("x".repeat(7 << 20)));
+        settle();
+        direct().answerAll();
+        assertThat(failure()).isEqualTo(SessionError.OUTCOME_UNKNOWN);
+        assertThat(direct().runs()).isEmpty();
+    }
+
+    private void startWriteAtHome() {
+        run("w0", WRITE);
+        session.readOutbound();
+        GatewayFixture.send(session, "w1", WRITE);
+        fleet.deliverAll();
+    }
+
+    private SessionError failure() {
+        return ((ClientAnswer.Failed) requireNonNull(session.<Object>readOutbound())).error();
+    }
+
+    private ScriptedMember direct() {
+        return fleet.caller().member("primary");
+    }
+
+    private void run(String id, SessionStatement statement) {
+        GatewayFixture.send(session, id, statement);
+        settle();
+    }
+
+    private void settle() {
+        for (int round = 0; round < 3; round++) {
+            fleet.deliverAll();
+            primary.answerAll();
+            fleet.deliverAll();
+        }
+    }
+}
