Count answers at a home in bytes

Cause: the bound of 6 Mi characters allowed answers of 18 MB, or of any size with empty rows. A peer that receives a message of more than 8 MB closes the link, so that all statements on it lose their answers. Change: the bound counts UTF-8 bytes and the overhead of each row.

The test failed before: an answer of 9 MB was passed on.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLease.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLease.java
@@ -1,5 +1,6 @@
 package org.banyanhook.gateway.home;
 
+import io.netty.buffer.ByteBufUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
 import java.util.List;
@@ -28,10 +29,13 @@
 final class HomeLease implements ConnectionRequestListener {
 
     /** Larger answers to reads are not collected here; the sender runs the read on a connection of its own. */
-    private static final int MAXIMUM_READ_CHARACTERS = 512 << 10;
+    private static final int MAXIMUM_READ_BYTES = 512 << 10;
 
     /** Answers of transactions and writes cannot be repeated; the peer links carry messages of up to 8 MB. */
-    private static final int MAXIMUM_CHARACTERS = 6 << 20;
+    private static final int MAXIMUM_BYTES = 6 << 20;
+
+    /** The tag and the length of a row in the message. */
+    private static final int ROW_OVERHEAD_BYTES = 6;
 
     private final HomeLeases.Context context;
     private final DatabaseGroup group;
@@ -45,7 +49,7 @@
     private @Nullable ConnectionLease lease;
     private @Nullable ScheduledFuture<?> expiry;
     private int unanswered;
-    private int characters;
+    private int answerBytes;
     private boolean tooLarge;
     private long memberNanos;
     private long lastActivityNanos;
@@ -135,7 +139,7 @@
 
     private void send(ConnectionLease held) {
         answers.clear();
-        characters = 0;
+        answerBytes = 0;
         unanswered = current.getCommandsCount();
         held.applySessionVariables(current.getSessionValuesMap());
         for (HomeCommand message : current.getCommandsList()) {
@@ -160,9 +164,9 @@
     private boolean collect(List<String> added) {
         rows.addAll(added);
         for (String row : added) {
-            characters += row.length();
+            answerBytes += ByteBufUtil.utf8Bytes(row) + ROW_OVERHEAD_BYTES;
         }
-        tooLarge = characters > (isRepeatableRead() ? MAXIMUM_READ_CHARACTERS : MAXIMUM_CHARACTERS);
+        tooLarge = answerBytes > (isRepeatableRead() ? MAXIMUM_READ_BYTES : MAXIMUM_BYTES);
         return !tooLarge;
     }
 
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
@@ -39,6 +39,16 @@
         assertThat(direct().runs()).isEmpty();
     }
 
+    /** Guards against an answer that exceeds the size of a peer message, which closes the link for all statements. */
+    @Test
+    void sizeOfAnAnswerIsCountedInBytes() {
+        startWriteAtHome();
+        primary.links().get(0).run();
+        primary.links().get(0).sendRows(List.of("\u4e00".repeat(3 << 20)));
+        settle();
+        assertThat(failure()).isEqualTo(SessionError.OUTCOME_UNKNOWN);
+    }
+
     private void startWriteAtHome() {
         run("w0", WRITE);
         session.readOutbound();
