Close work at homes when the primary is not used any more

Cause: a connection at a home was not among the connections that stopUsingPrimary and endWorkAtFormerPrimaries close, so a daemon that had to stop using the primary waited for answers that rely on it. Change: the allocator lists connections at homes with the others.

The test failed before: the write got no answer.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionAllocator.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionAllocator.java
@@ -43,7 +43,9 @@
         this.owner = owner;
     }
 
-    /** Returns all connections of the group, including those to members that are not listed any more. */
+    /**
+     * Returns all connections of the group, including those at homes and those to members that are not listed any more.
+     */
     List<MemberConnection> connections() {
         return List.copyOf(connections);
     }
@@ -116,6 +118,7 @@
             return false;
         }
         connection.useHome(home.get());
+        connections.add(connection);
         server.homeConnections().add(connection);
         request.listener().onConnectionLeased(connection.lease(placement.primary()), placement);
         return true;
@@ -146,11 +149,11 @@
     }
 
     void onClosed(MemberConnection connection, String reason, Consumer<ConnectionRequest> resubmit) {
+        connections.remove(connection);
         if (connection.isAtHome()) {
             connection.server().homeConnections().remove(connection);
             return;
         }
-        connections.remove(connection);
         connection.server().connections().remove(connection);
         context.metrics().count("member.connections", "change", "closed");
         context.log()
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
@@ -49,6 +49,17 @@
         assertThat(failure()).isEqualTo(SessionError.OUTCOME_UNKNOWN);
     }
 
+    /** Guards against work at a replaced primary that goes on because only the home could end it. */
+    @Test
+    void workAtAHomeEndsWhenItsDaemonStopsUsingThePrimary() {
+        startWriteAtHome();
+        fleet.caller().inContact(false);
+        fleet.caller().groups().tick();
+        assertThat(failure()).isEqualTo(SessionError.OUTCOME_UNKNOWN);
+        fleet.deliverAll();
+        assertThat(fleet.leases().isActive()).isFalse();
+    }
+
     private void startWriteAtHome() {
         run("w0", WRITE);
         session.readOutbound();
