Bound unanswered commands of lost daemons at a home

Cause: a lease with an unanswered command did not count as idle. If its daemon was killed, or the message that ends the lease was lost, and the member did not answer, the connection was never released and a planned stop waited for it. Change: it is closed 1 s after the entry of the daemon ended, or after 31 s, 1 s longer than a daemon waits for an answer.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLease.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLease.java
@@ -128,6 +128,7 @@
             return;
         }
         lease = leased;
+        lastActivityNanos = context.clock().nowNanos();
         leased.discardExcessStatements();
         send(leased);
     }
@@ -294,9 +295,14 @@
         }
     }
 
-    /** Returns for how long no commands have been in progress, in nanoseconds; 0 while some are. */
-    long idleNanos(long nowNanos) {
-        return unanswered > 0 || lease == null ? 0 : nowNanos - lastActivityNanos;
+    /** Returns how long ago commands were sent or answered, in nanoseconds; 0 while they wait for a connection. */
+    long silentNanos(long nowNanos) {
+        return lease == null ? 0 : nowNanos - lastActivityNanos;
+    }
+
+    /** Returns whether the member has not answered all commands yet. */
+    boolean isUnanswered() {
+        return unanswered > 0;
     }
 
     private void markEnded() {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLeases.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLeases.java
@@ -34,6 +34,10 @@
     /** How much later than the daemon of the caller a home rolls back an idle transaction. */
     private static final long IDLE_MARGIN_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /** Exceeds how long the daemon of the caller waits for an answer, after which it has ended the lease. */
+    private static final long UNANSWERED_LIMIT_NANOS =
+            HomeTransport.ANSWER_TIMEOUT.plusSeconds(1).toNanos();
+
     private final Context context;
     private final long incarnation;
     private final DatabaseGroups groups;
@@ -226,16 +230,17 @@
         for (Map.Entry<LeaseKey, HomeLease> entry : List.copyOf(leases.entrySet())) {
             HomeLease lease = entry.getValue();
             lease.refuseIfUnusable();
-            long idle = lease.idleNanos(now);
-            boolean senderLost = idle >= LOST_SENDER_NANOS
+            long silent = lease.silentNanos(now);
+            long limit = lease.isUnanswered() ? Math.max(idleLimit, UNANSWERED_LIMIT_NANOS) : idleLimit;
+            boolean senderLost = silent >= LOST_SENDER_NANOS
                     && !directory.daemons().containsKey(entry.getKey().sender());
-            if (idle >= idleLimit || senderLost) {
+            if (silent >= limit || senderLost) {
                 log.line("home-transaction")
                         .with("from", entry.getKey().sender())
-                        .with("change", "rolled-back")
-                        .with("reason", senderLost ? "the daemon has left the fleet" : "idle")
+                        .with("change", lease.isUnanswered() ? "closed" : "rolled-back")
+                        .with("reason", senderLost ? "the daemon has left the fleet" : "silent")
                         .write();
-                lease.end("idle");
+                lease.end("the other daemon has not ended its work");
             }
         }
     }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeTransport.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeTransport.java
@@ -34,7 +34,7 @@
 final class HomeTransport implements MemberTransport {
 
     /** Exceeds how long a member may work on a statement; the caller's time-out ends a statement earlier. */
-    private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(30);
+    static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(30);
 
     /** How much earlier than the caller's time-out the home gives up waiting, so that its refusal arrives in time. */
     private static final long REFUSAL_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
@@ -60,6 +60,31 @@
         assertThat(fleet.leases().isActive()).isFalse();
     }
 
+    /** Guards against a connection that is never released because the member does not answer a lost daemon. */
+    @Test
+    void unansweredCommandIsClosedWhenItsDaemonLeavesTheFleet() {
+        startWriteAtHome();
+        fleet.cut(true);
+        fleet.home().listDaemonGone(HomeFixture.CALLER);
+        fleet.home().advanceMillis(1_500);
+        fleet.leases().tick();
+        assertThat(fleet.leases().isActive()).isFalse();
+        assertThat(primary.links().get(0).isOpen()).isFalse();
+    }
+
+    /** Guards against a connection that is never released because the message that ends the lease was lost. */
+    @Test
+    void unansweredCommandIsClosedAfterALongSilence() {
+        startWriteAtHome();
+        fleet.cut(true);
+        fleet.home().advanceMillis(5_000);
+        fleet.leases().tick();
+        assertThat(fleet.leases().isActive()).isTrue();
+        fleet.home().advanceMillis(40_000);
+        fleet.leases().tick();
+        assertThat(fleet.leases().isActive()).isFalse();
+    }
+
     private void startWriteAtHome() {
         run("w0", WRITE);
         session.readOutbound();
