Keep leases of daemons that are not listed yet

Cause: the entry of a new daemon may reach a home later than its first commands, since changes are combined for up to 1,400 ms. The home rolled back its transaction after 1 s without a statement. Change: a daemon counts as lost only if it was listed during the lease.

The test failed before.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLease.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLease.java
@@ -53,6 +53,7 @@
     private boolean tooLarge;
     private long memberNanos;
     private long lastActivityNanos;
+    private boolean senderListed;
     private boolean ended;
 
     /**
@@ -300,6 +301,15 @@
         return lease == null ? 0 : nowNanos - lastActivityNanos;
     }
 
+    /**
+     * Records whether the entry of the other daemon is listed, and returns whether it has ended since the lease began.
+     * The entry of a daemon that has just started may arrive after its first commands.
+     */
+    boolean recordSender(boolean listed) {
+        senderListed |= listed;
+        return senderListed && !listed;
+    }
+
     /** Returns whether the member has not answered all commands yet. */
     boolean isUnanswered() {
         return unanswered > 0;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLeases.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLeases.java
@@ -196,10 +196,15 @@
                 reply,
                 () -> leases.remove(key));
         leases.put(key, lease);
+        var unused = lease.recordSender(isListed(sender));
         lease.acquire();
         return reply;
     }
 
+    private boolean isListed(String sender) {
+        return directory.daemons().containsKey(sender);
+    }
+
     /** Returns why new work is not accepted, or an empty text. */
     private String refusal(HomeCommands commands) {
         long now = context.clock().nowNanos();
@@ -232,8 +237,7 @@
             lease.refuseIfUnusable();
             long silent = lease.silentNanos(now);
             long limit = lease.isUnanswered() ? Math.max(idleLimit, UNANSWERED_LIMIT_NANOS) : idleLimit;
-            boolean senderLost = silent >= LOST_SENDER_NANOS
-                    && !directory.daemons().containsKey(entry.getKey().sender());
+            boolean senderLost = lease.recordSender(isListed(entry.getKey().sender())) && silent >= LOST_SENDER_NANOS;
             if (silent >= limit || senderLost) {
                 log.line("home-transaction")
                         .with("from", entry.getKey().sender())
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
@@ -85,6 +85,18 @@
         assertThat(fleet.leases().isActive()).isFalse();
     }
 
+    /** Guards against a rollback of the transactions of a daemon whose entry the home has not read yet. */
+    @Test
+    void transactionOfADaemonThatIsNotListedYetIsKept() {
+        fleet.home().listDaemonGone(HomeFixture.CALLER);
+        run("t", new SessionStatement.Begin(false));
+        run("t", WRITE);
+        fleet.home().advanceMillis(1_500);
+        fleet.leases().tick();
+        run("t", new SessionStatement.Commit());
+        assertThat(primary.committed()).hasSize(1);
+    }
+
     private void startWriteAtHome() {
         run("w0", WRITE);
         session.readOutbound();
