Close connections without a prepared statement at a home

Cause: after PREPARED_UNKNOWN a home released the connection, which went on naming the missing statement, so that each attempt could fail there. A direct connection is closed in this case. Change: the home closes it as well.

The test failed before.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLease.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLease.java
@@ -226,7 +226,9 @@
         if (answer == null || !source.isUsable()) {
             return;
         }
-        if (answer.state() == TransactionState.IDLE) {
+        if (answer.error() == SessionError.PREPARED_UNKNOWN) {
+            source.close("member does not have the prepared statement");
+        } else if (answer.state() == TransactionState.IDLE) {
             group.release(source);
         } else {
             group.rollBack(source);
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
@@ -97,6 +97,19 @@
         assertThat(primary.committed()).hasSize(1);
     }
 
+    /** Guards against a connection without the prepared statement that the home goes on using. */
+    @Test
+    void connectionWithoutThePreparedStatementIsClosed() {
+        run("p", new SessionStatement.Prepare("find", new SessionStatement.PreparedShape(false, "item")));
+        run("e", new SessionStatement.Execute("find", "data"));
+        GatewayFixture.send(session, "f", new SessionStatement.Execute("find", "data"));
+        fleet.deliverAll();
+        assertThat(primary.links().get(0).refuse(SessionError.PREPARED_UNKNOWN)).isTrue();
+        settle();
+        assertThat(primary.links().get(0).isOpen()).isFalse();
+        assertThat(primary.runs()).hasSize(2);
+    }
+
     private void startWriteAtHome() {
         run("w0", WRITE);
         session.readOutbound();
