Check the deadline again when a home obtains a connection

Cause: when a frozen home goes on, the answer that opens a connection may be handled before the timer of the deadline, so a write ran after its caller was told of the time-out. Change: the deadline is checked when the connection is leased.

The test failed before: the write ran.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLease.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLease.java
@@ -128,6 +128,12 @@
             group.release(leased);
             return;
         }
+        // The timer of the deadline runs after the answer of the member if both are due when a frozen process goes on.
+        if (context.clock().nowNanos() - request.deadlineNanos() >= 0) {
+            refuse("no connection was available in time");
+            group.release(leased);
+            return;
+        }
         lease = leased;
         lastActivityNanos = context.clock().nowNanos();
         leased.discardExcessStatements();
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
@@ -377,6 +377,11 @@
         timers.runPendingTasks();
     }
 
+    /** Stops the process for a while: time passes, but nothing that is due runs. */
+    public void freezeMillis(long millis) {
+        nowNanos += TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
     /** Suspends the machine, whose monotonic clock does not count the time. */
     public void suspendMillis(long millis) {
         suspendedMillis += millis;
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
@@ -110,6 +110,17 @@
         assertThat(primary.runs()).hasSize(2);
     }
 
+    /** Guards against a write that a frozen home sends after its caller was told that the time is over. */
+    @Test
+    void frozenHomeDoesNotSendCommandsAfterTheirDeadline() {
+        GatewayFixture.send(session, "w", WRITE);
+        fleet.deliverAll();
+        assertThat(primary.links()).hasSize(1);
+        fleet.home().freezeMillis(GatewayFixture.STATEMENT_TIMEOUT_MILLIS);
+        primary.answerAll();
+        assertThat(primary.runs()).isEmpty();
+    }
+
     private void startWriteAtHome() {
         run("w0", WRITE);
         session.readOutbound();
