--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeTransport.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeTransport.java
@@ -191,8 +191,12 @@
                 failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
         boolean notSent = cause instanceof PeerException exception && !exception.maybeSent();
         if (notSent) {
+            boolean inTransaction = heldAtHome;
+            if (inTransaction) {
+                link.endLease(terms.getIncarnation(), terms.getLease());
+            }
             outstanding++;
-            refuse(batch, SessionError.HOME_REFUSED, NOT_SENT);
+            refuse(batch, inTransaction ? SessionError.TRANSACTION_ABORTED : SessionError.HOME_REFUSED, NOT_SENT);
         } else {
             lose("no answer of the home: " + cause);
         }
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
@@ -121,6 +121,20 @@
         assertThat(primary.runs()).isEmpty();
     }
 
+    /** Guards against a transaction that stays open at the home because a later statement could not be sent. */
+    @Test
+    void transactionIsAbortedWhenALaterStatementCannotBeSent() {
+        run("t", new SessionStatement.Begin(false));
+        run("t", WRITE);
+        session.readOutbound();
+        session.readOutbound();
+        fleet.link().refuseNext();
+        run("t", WRITE);
+        assertThat(failure()).isEqualTo(SessionError.TRANSACTION_ABORTED);
+        assertThat(fleet.leases().isActive()).isFalse();
+        assertThat(primary.committed()).isEmpty();
+    }
+
     private void startWriteAtHome() {
         run("w0", WRITE);
         session.readOutbound();
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFixture.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFixture.java
@@ -19,20 +19,11 @@
             HOME,
             (directory, eventLoop, clock) ->
                     new ConnectionHomes(HOME, 2, link.messenger(HOME, eventLoop), directory, eventLoop, clock));
-    private final HomeLeases leases;
+    private HomeLeases leases;
 
     /** Creates a fleet with more daemons than the member accepts connections. */
     public HomeFixture() {
-        leases = new HomeLeases(
-                2,
-                home.groups(),
-                home.directory(),
-                home.groupContext().primaryAccess(),
-                home.eventLoop(),
-                home.clock(),
-                home.log(),
-                home.metrics());
-        leases.serve(link.messenger(HOME, home.eventLoop()));
+        leases = serve(2);
         for (GatewayFixture gateway : new GatewayFixture[] {caller, home}) {
             gateway.listDaemon(CALLER, "west");
             gateway.listDaemon(HOME, "east");
@@ -42,6 +33,29 @@
         }
     }
 
+    private HomeLeases serve(long incarnation) {
+        HomeLeases served = new HomeLeases(
+                incarnation,
+                home.groups(),
+                home.directory(),
+                home.groupContext().primaryAccess(),
+                home.eventLoop(),
+                home.clock(),
+                home.log(),
+                home.metrics());
+        served.serve(link.messenger(HOME, home.eventLoop()));
+        return served;
+    }
+
+    /** Replaces the home by another run of it, which knows none of the leases. */
+    void restartHome() {
+        leases = serve(3);
+    }
+
+    ScriptedLink link() {
+        return link;
+    }
+
     /** Lists the primary at both daemons; returns it as the home reaches it. */
     public ScriptedMember listPrimary() {
         caller.list("primary", true);
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/ScriptedLink.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/ScriptedLink.java
@@ -19,6 +19,7 @@
     private final Map<String, Map<PeerEnvelope.BodyCase, PeerMessageHandler>> handlers = new HashMap<>();
     private final Deque<Runnable> inTransit = new ArrayDeque<>();
     private boolean cut;
+    private boolean refuseNext;
 
     /** Delivers the oldest message; returns whether there was one. */
     boolean deliver() {
@@ -37,12 +38,22 @@
         }
     }
 
+    /** Makes the next request fail before it is sent, as if the connection had just been closed. */
+    void refuseNext() {
+        refuseNext = true;
+    }
+
     /** Creates the messenger of a daemon, whose address is its name. */
     PeerMessenger messenger(String entryVm, EventLoop eventLoop) {
         return new PeerMessenger() {
             @Override
             public CompletableFuture<PeerEnvelope> request(String address, PeerEnvelope body, Duration timeout) {
                 CompletableFuture<PeerEnvelope> reply = new CompletableFuture<>();
+                if (refuseNext) {
+                    refuseNext = false;
+                    reply.completeExceptionally(new PeerException("the connection is closed", false));
+                    return reply;
+                }
                 var unused = eventLoop.schedule(
                         () -> reply.completeExceptionally(new PeerException("no reply in time", true)),
                         timeout.toMillis(),
