Count the text of a prepared statement before using a home

Cause: the limit of 64 Ki characters for statements sent to homes did not count the text that EXECUTE runs, which travels with each of them. Change: it counts.

The test failed before.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/message/ClientRequest.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/message/ClientRequest.java
@@ -1,5 +1,8 @@
 package org.banyanhook.gateway.message;
 
+import org.banyanhook.gateway.message.SessionStatement.PreparedShape;
+import org.jspecify.annotations.Nullable;
+
 /** A message from a caller to the gateway. */
 public sealed interface ClientRequest {
 
@@ -22,9 +25,14 @@
         /** Statements over this length are not sent to another daemon, so that they are held by one daemon only. */
         private static final int MAXIMUM_FORWARDED_CHARACTERS = 64 << 10;
 
-        /** Returns whether the statement is too large to be passed on to another daemon. */
-        public boolean isLarge() {
-            return statement.arguments().length() > MAXIMUM_FORWARDED_CHARACTERS;
+        /**
+         * Returns whether the statement is too large to be passed on to another daemon.
+         *
+         * @param prepared the prepared statement that it runs, or null
+         */
+        public boolean isLarge(@Nullable PreparedShape prepared) {
+            int preparedLength = prepared == null ? 0 : prepared.text().length();
+            return statement.arguments().length() + preparedLength > MAXIMUM_FORWARDED_CHARACTERS;
         }
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
@@ -255,7 +255,7 @@
         if (!failedMember.isEmpty()) {
             newRequest.exclude(failedMember);
         }
-        if (homeRefusals >= MAXIMUM_HOME_REFUSALS || request.isLarge()) {
+        if (homeRefusals >= MAXIMUM_HOME_REFUSALS || request.isLarge(preparedStatement)) {
             newRequest.avoidHomes();
         }
         pendingConnectionRequest = newRequest;
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
@@ -135,6 +135,17 @@
         assertThat(primary.committed()).isEmpty();
     }
 
+    /** Guards against a large prepared statement that is held by two daemons. */
+    @Test
+    void largePreparedStatementIsNotSentToAHome() {
+        String text = "x".repeat(70 << 10);
+        run("p", new SessionStatement.Prepare("find", new SessionStatement.PreparedShape(false, text)));
+        run("e", new SessionStatement.Execute("find", "data"));
+        direct().answerAll();
+        assertThat(direct().runs()).hasSize(1);
+        assertThat(primary.runs()).isEmpty();
+    }
+
     private void startWriteAtHome() {
         run("w0", WRITE);
         session.readOutbound();
