Choose the homes again when daemons change

Cause: the directory notifies no listener of changes of daemons alone, so ConnectionHomes kept the homes of a former fleet until a member or the configuration changed, and daemons disagreed on them. Change: ConnectionHomes compares the list of daemons that it knows with the present one.

The test failed before.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/ConnectionHomes.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/ConnectionHomes.java
@@ -40,6 +40,7 @@
     private final Map<String, List<String>> homesByAccount = new HashMap<>();
     private long lastLease;
     private boolean linksOpened;
+    private Map<String, DaemonEntry> knownDaemons = Map.of();
 
     /**
      * Creates the view of a daemon.
@@ -67,7 +68,16 @@
         directory.addListener(this::onFleetChange);
     }
 
+    /** Forgets the homes of a former list of daemons; changes of daemons alone are not notified. */
+    @SuppressWarnings("ReferenceEquality") // each list is a new immutable map
+    private void refresh() {
+        if (directory.daemons() != knownDaemons) {
+            onFleetChange();
+        }
+    }
+
     private void onFleetChange() {
+        knownDaemons = directory.daemons();
         homesByMember.clear();
         homesByAccount.clear();
         linksOpened = false;
@@ -84,6 +94,7 @@
      * periodically; a daemon of a large fleet has dozens of such links.
      */
     public void tick() {
+        refresh();
         if (linksOpened) {
             return;
         }
@@ -108,6 +119,7 @@
         if (limit == 0) {
             return OptionalInt.empty();
         }
+        refresh();
         List<String> homes = homes(server.entry());
         if (homes.isEmpty()) {
             return OptionalInt.empty();
@@ -146,6 +158,7 @@
         if (connectionLimit(server.entry()) == 0) {
             return null;
         }
+        refresh();
         List<String> ordered = homesByAccount.computeIfAbsent(
                 server.name() + '\n' + account,
                 key -> MemberHomes.forAccount(homes(server.entry()), server.name(), account));
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
@@ -5,8 +5,11 @@
 
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.List;
+import org.banyanhook.core.routing.MemberHomes;
 import org.banyanhook.gateway.GatewayFixture;
 import org.banyanhook.gateway.ScriptedMember;
+import org.banyanhook.gateway.backend.HomeConnector;
+import org.banyanhook.gateway.backend.MemberServer;
 import org.banyanhook.gateway.message.ClientAnswer;
 import org.banyanhook.gateway.message.SessionError;
 import org.banyanhook.gateway.message.SessionStatement;
@@ -146,6 +149,28 @@
         assertThat(primary.runs()).isEmpty();
     }
 
+    /** Guards against a home that sends on the work of the accounts that it serves first. */
+    @Test
+    void homeSendsOnOnlyTheAccountsOfOthers() {
+        List<String> all = List.of(HomeFixture.HOME, "east-1", "east-2");
+        all.forEach(daemon -> fleet.home().listDaemon(daemon, "east"));
+        for (int number = 0; number < 20; number++) {
+            String account = "account-" + number;
+            boolean first =
+                    MemberHomes.forAccount(all, "primary", account).get(0).equals(HomeFixture.HOME);
+            assertThat(homes(fleet.home()).isReachable(server(fleet.home()), account))
+                    .isEqualTo(!first);
+        }
+    }
+
+    private static HomeConnector homes(GatewayFixture gateway) {
+        return gateway.groupContext().homes();
+    }
+
+    private static MemberServer server(GatewayFixture gateway) {
+        return gateway.group().server("primary").orElseThrow();
+    }
+
     private void startWriteAtHome() {
         run("w0", WRITE);
         session.readOutbound();
