Test restarts, idle transactions and large answers at homes

Covers the idle transaction at a home, the read whose answer is too large, a home that is restarted before a write and within a transaction, the share of connections of homes and of other daemons, and a small fleet.

--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
@@ -5,6 +5,7 @@
 
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.List;
+import java.util.OptionalInt;
 import org.banyanhook.core.routing.MemberHomes;
 import org.banyanhook.gateway.GatewayFixture;
 import org.banyanhook.gateway.ScriptedMember;
@@ -149,6 +150,90 @@
         assertThat(primary.runs()).isEmpty();
     }
 
+    /** Guards against a transaction that stays open at the member while its daemon is cut off. */
+    @Test
+    void idleTransactionIsRolledBack() {
+        run("t", new SessionStatement.Begin(false));
+        run("t", WRITE);
+        fleet.cut(true);
+        fleet.home().advanceMillis(9_000);
+        fleet.leases().tick();
+        assertThat(fleet.leases().isActive()).isTrue();
+        fleet.home().advanceMillis(3_000);
+        fleet.leases().tick();
+        primary.answerAll();
+        assertThat(fleet.leases().isActive()).isFalse();
+        assertThat(fleet.home().logged()).contains("home-transaction");
+    }
+
+    /** Guards against a large answer that is collected at the home, and against a read without an answer. */
+    @Test
+    void readWithAnAnswerThatIsTooLargeRunsOnADirectConnection() {
+        GatewayFixture.send(session, "r", new SessionStatement.Read("item"));
+        fleet.deliverAll();
+        primary.answerAll();
+        session.readOutbound();
+        GatewayFixture.send(session, "s", new SessionStatement.Read("item"));
+        fleet.deliverAll();
+        primary.links().get(0).run();
+        primary.links().get(0).sendRows(List.of("x".repeat(600 << 10)));
+        settle();
+        direct().answerAll();
+        assertThat(direct().runs()).hasSize(1);
+        assertThat(fleet.leases().isActive()).isFalse();
+    }
+
+    /** Guards against commands that a restarted home runs by the deadline of its previous run. */
+    @Test
+    void restartedHomeRefusesUntilItsClockIsKnown() {
+        run("w0", WRITE);
+        fleet.restartHome();
+        run("w1", WRITE);
+        direct().answerAll();
+        assertThat(primary.runs()).hasSize(1);
+        assertThat(direct().runs()).hasSize(1);
+        fleet.advanceMillis(600);
+        GatewayFixture.send(fleet.caller().openSession(), "w2", WRITE);
+        settle();
+        assertThat(primary.runs().size() + direct().runs().size()).isEqualTo(3);
+    }
+
+    /** Guards against a transaction that goes on at a home that has lost its first statements. */
+    @Test
+    void transactionIsAbortedWhenTheHomeHasRestarted() {
+        run("t", new SessionStatement.Begin(false));
+        run("t", WRITE);
+        session.readOutbound();
+        session.readOutbound();
+        fleet.restartHome();
+        run("t", new SessionStatement.Commit());
+        assertThat(failure()).isEqualTo(SessionError.TRANSACTION_ABORTED);
+        assertThat(primary.committed()).isEmpty();
+    }
+
+    /** Guards against connections of daemons that are not homes, which exceed the limit of the member. */
+    @Test
+    void onlyHomesKeepConnections() {
+        assertThat(homes(fleet.caller()).ownShare(server(fleet.caller()))).isEqualTo(OptionalInt.of(0));
+        assertThat(homes(fleet.home()).ownShare(server(fleet.home())).orElse(0)).isGreaterThan(0);
+        assertThat(homes(fleet.caller()).isReachable(server(fleet.caller()), "account"))
+                .isTrue();
+    }
+
+    /** Guards against homes in a fleet whose daemons all have connections. */
+    @Test
+    void smallFleetHasNoHomes() {
+        for (int number = 0; number < 6; number++) {
+            fleet.caller().listDaemonGone("other-" + number);
+        }
+        // A former number of daemons is taken into account for 20 s.
+        fleet.caller().advanceMillis(21_000);
+        fleet.caller().directory().tick();
+        assertThat(homes(fleet.caller()).ownShare(server(fleet.caller()))).isEqualTo(OptionalInt.empty());
+        assertThat(homes(fleet.caller()).isReachable(server(fleet.caller()), "account"))
+                .isFalse();
+    }
+
     /** Guards against a home that sends on the work of the accounts that it serves first. */
     @Test
     void homeSendsOnOnlyTheAccountsOfOthers() {
