Avoid java.util.concurrent in LinkHealth

Cause: LinkHealth imported TimeUnit, which the rule for decisions in the core forbids, so that DecisionPurityTest failed. Change: the durations are multiples of NANOS_PER_MILLI, as in ReleasePace.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/routing/LinkHealth.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/routing/LinkHealth.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 
 /**
  * What is known of the link to a home: whether it is reachable, and the state of its clock.
@@ -12,19 +11,21 @@
  */
 public final class LinkHealth {
 
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     /** A write without a transaction is sent only over a link that has answered within this time. */
-    private static final long VERIFIED_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long VERIFIED_NANOS = 1_000 * NANOS_PER_MILLI;
 
     /** With each statement, a link that has been silent for this long is probed. */
-    private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+    private static final long SILENCE_NANOS = 300 * NANOS_PER_MILLI;
 
-    private static final long PROBE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+    private static final long PROBE_INTERVAL_NANOS = 300 * NANOS_PER_MILLI;
 
     /** How long a home is not used for a member after it has refused a lease, because it cannot use the member. */
-    private static final long REFUSAL_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final long REFUSAL_PAUSE_NANOS = 500 * NANOS_PER_MILLI;
 
     /** Clocks run apart by far less than a thousandth; older readings are not relied on. */
-    private static final long READING_MAXIMUM_AGE_NANOS = TimeUnit.SECONDS.toNanos(60);
+    private static final long READING_MAXIMUM_AGE_NANOS = 60_000 * NANOS_PER_MILLI;
 
     private boolean failed;
     private boolean answered;
