Do not count answers of a home as answers of the member

Cause: the answers to changes of the session state, to refused commands and to commands of an ended transaction come from the home or from this daemon, but cleared the record of failures to reach the member. A killed primary appeared reachable again with each refusal, which delays its replacement. Change: such answers through a home, which have no position, are not recorded.

The test failed before: the primary counted as reachable after a refusal.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
@@ -504,7 +504,7 @@
 
         @Override
         public void onAnswer(MemberConnection connection, MemberAnswer answer, long sentNanos) {
-            if (answer.error() != null && answer.error().isOfHome()) {
+            if (connection.isAtHome() && !isOfMember(answer)) {
                 return;
             }
             MemberServer server = connection.server();
@@ -531,6 +531,16 @@
             }
         }
 
+        /**
+         * Returns whether an answer that arrived through a home is one of the member. The home, or this daemon, answers
+         * refused commands, changes of the session state and the commands of an ended transaction instead.
+         */
+        private static boolean isOfMember(MemberAnswer answer) {
+            SessionError error = answer.error();
+            boolean own = error == null || error == SessionError.TRANSACTION_ABORTED || error.isOfHome();
+            return answer.position() != null || !own;
+        }
+
         @Override
         public void onClosed(MemberConnection connection, String reason) {
             allocator.onClosed(connection, reason, DatabaseGroup.this::submit);
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
@@ -248,6 +248,26 @@
         }
     }
 
+    /** Guards against a promotion that is delayed because a refusal of a home counts as an answer of the primary. */
+    @Test
+    void refusalOfAHomeIsNoAnswerOfTheMember() {
+        EmbeddedChannel other = fleet.caller().openSession();
+        GatewayFixture.send(other, "s", new SessionStatement.SetValue("zone", "utc"));
+        fleet.leases().drain();
+        run("w", WRITE);
+        direct().links().get(0).close();
+        assertThat(unreachableNanos()).isAtLeast(0);
+        fleet.advanceMillis(600);
+        GatewayFixture.send(other, "t", new SessionStatement.Begin(false));
+        GatewayFixture.send(other, "t", WRITE);
+        fleet.deliverAll();
+        assertThat(unreachableNanos()).isAtLeast(0);
+    }
+
+    private long unreachableNanos() {
+        return server(fleet.caller()).unreachableNanos(fleet.caller().clock().nowNanos());
+    }
+
     private static HomeConnector homes(GatewayFixture gateway) {
         return gateway.groupContext().homes();
     }
