--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLease.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLease.java
@@ -1,5 +1,6 @@
 package org.banyanhook.gateway.home;
 
+import io.netty.buffer.ByteBufUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
 import java.util.List;
@@ -28,10 +29,13 @@
 final class HomeLease implements ConnectionRequestListener {
 
     /** Larger answers to reads are not collected here; the sender runs the read on a connection of its own. */
-    private static final int MAXIMUM_READ_CHARACTERS = 512 << 10;
+    private static final int MAXIMUM_READ_BYTES = 512 << 10;
 
     /** Answers of transactions and writes cannot be repeated; the peer links carry messages of up to 8 MB. */
-    private static final int MAXIMUM_CHARACTERS = 6 << 20;
+    private static final int MAXIMUM_BYTES = 6 << 20;
+
+    /** The tag and the length of a row in the message. */
+    private static final int ROW_OVERHEAD_BYTES = 6;
 
     private final HomeLeases.Context context;
     private final DatabaseGroup group;
@@ -45,10 +49,11 @@
     private @Nullable ConnectionLease lease;
     private @Nullable ScheduledFuture<?> expiry;
     private int unanswered;
-    private int characters;
+    private int answerBytes;
     private boolean tooLarge;
     private long memberNanos;
     private long lastActivityNanos;
+    private boolean senderListed;
     private boolean ended;
 
     /**
@@ -123,7 +128,14 @@
             group.release(leased);
             return;
         }
+        // The timer of the deadline runs after the answer of the member if both are due when a frozen process goes on.
+        if (context.clock().nowNanos() - request.deadlineNanos() >= 0) {
+            refuse("no connection was available in time");
+            group.release(leased);
+            return;
+        }
         lease = leased;
+        lastActivityNanos = context.clock().nowNanos();
         leased.discardExcessStatements();
         send(leased);
     }
@@ -135,7 +147,7 @@
 
     private void send(ConnectionLease held) {
         answers.clear();
-        characters = 0;
+        answerBytes = 0;
         unanswered = current.getCommandsCount();
         held.applySessionVariables(current.getSessionValuesMap());
         for (HomeCommand message : current.getCommandsList()) {
@@ -160,13 +172,17 @@
     private boolean collect(List<String> added) {
         rows.addAll(added);
         for (String row : added) {
-            characters += row.length();
+            answerBytes += ByteBufUtil.utf8Bytes(row) + ROW_OVERHEAD_BYTES;
         }
-        boolean read = terms == current && current.getCommandsList().stream().noneMatch(HomeMessages::writes);
-        tooLarge = characters > (read ? MAXIMUM_READ_CHARACTERS : MAXIMUM_CHARACTERS);
+        tooLarge = answerBytes > (isRepeatableRead() ? MAXIMUM_READ_BYTES : MAXIMUM_BYTES);
         return !tooLarge;
     }
 
+    /** Returns whether the commands in progress are a read outside a transaction, which may run again. */
+    private boolean isRepeatableRead() {
+        return terms == current && current.getCommandsList().stream().noneMatch(HomeMessages::writes);
+    }
+
     private void onAnswer(ConnectionLease source, @Nullable MemberAnswer received, long sentNanos) {
         if (ended) {
             settle(source, received);
@@ -216,7 +232,9 @@
         if (answer == null || !source.isUsable()) {
             return;
         }
-        if (answer.state() == TransactionState.IDLE) {
+        if (answer.error() == SessionError.PREPARED_UNKNOWN) {
+            source.close("member does not have the prepared statement");
+        } else if (answer.state() == TransactionState.IDLE) {
             group.release(source);
         } else {
             group.rollBack(source);
@@ -226,7 +244,7 @@
     private void respond() {
         HomeAnswers.Builder message =
                 context.newAnswers().addAllAnswers(answers).setMemberMicros(TimeUnit.NANOSECONDS.toMicros(memberNanos));
-        if (tooLarge && answers.isEmpty() && terms == current) {
+        if (tooLarge && answers.isEmpty() && isRepeatableRead()) {
             message.setRefused(true)
                     .setTooLarge(true)
                     .setDetail("the answer is too large to be passed on; the read is run again");
@@ -286,9 +304,23 @@
         }
     }
 
-    /** Returns for how long no commands have been in progress, in nanoseconds; 0 while some are. */
-    long idleNanos(long nowNanos) {
-        return unanswered > 0 || lease == null ? 0 : nowNanos - lastActivityNanos;
+    /** Returns how long ago commands were sent or answered, in nanoseconds; 0 while they wait for a connection. */
+    long silentNanos(long nowNanos) {
+        return lease == null ? 0 : nowNanos - lastActivityNanos;
+    }
+
+    /**
+     * Records whether the entry of the other daemon is listed, and returns whether it has ended since the lease began.
+     * The entry of a daemon that has just started may arrive after its first commands.
+     */
+    boolean recordSender(boolean listed) {
+        senderListed |= listed;
+        return senderListed && !listed;
+    }
+
+    /** Returns whether the member has not answered all commands yet. */
+    boolean isUnanswered() {
+        return unanswered > 0;
     }
 
     private void markEnded() {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeTransport.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeTransport.java
@@ -34,7 +34,7 @@
 final class HomeTransport implements MemberTransport {
 
     /** Exceeds how long a member may work on a statement; the caller's time-out ends a statement earlier. */
-    private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(30);
+    static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(30);
 
     /** How much earlier than the caller's time-out the home gives up waiting, so that its refusal arrives in time. */
     private static final long REFUSAL_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
@@ -191,8 +191,12 @@
                 failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
         boolean notSent = cause instanceof PeerException exception && !exception.maybeSent();
         if (notSent) {
+            boolean inTransaction = heldAtHome;
+            if (inTransaction) {
+                link.endLease(terms.getIncarnation(), terms.getLease());
+            }
             outstanding++;
-            refuse(batch, SessionError.HOME_REFUSED, NOT_SENT);
+            refuse(batch, inTransaction ? SessionError.TRANSACTION_ABORTED : SessionError.HOME_REFUSED, NOT_SENT);
         } else {
             lose("no answer of the home: " + cause);
         }
