Refuse commands at a home that were delayed by a suspension

Cause: the clock of a home does not count a suspension of its machine, so the deadline of a command that was in transit meanwhile was too late, and a write could run after its time-out. Commands for a member in a failure domain that is taken out waited until their deadline. Both were found by the review, by reading. Change: a suspension begins a new run of the home's clock, on which deadlines of the former one are refused; a home refuses work at members that are taken out. Result: HomeFailuresTest with both cases, HomeLeasesTest and SharedConnectionModelTest pass; the two new tests were not run against the former code.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLease.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLease.java
@@ -42,6 +42,7 @@
     private final HomeCommands terms;
     private final Runnable onEnd;
     private final ConnectionRequest request;
+    private final long requestedNanos;
     private final List<HomeAnswer> answers = new ArrayList<>();
     private final List<String> rows = new ArrayList<>();
     private HomeCommands current;
@@ -81,6 +82,7 @@
         this.onEnd = onEnd;
         long now = context.clock().nowNanos();
         this.lastActivityNanos = now;
+        this.requestedNanos = now;
         this.request = new ConnectionRequest(
                 terms.getClientAccount(),
                 Math.max(1, terms.getWeight()),
@@ -129,7 +131,8 @@
             return;
         }
         // The timer of the deadline runs after the answer of the member if both are due when a frozen process goes on.
-        if (context.clock().nowNanos() - request.deadlineNanos() >= 0) {
+        boolean late = context.clock().nowNanos() - request.deadlineNanos() >= 0;
+        if (late || context.clock().jumpedSince(requestedNanos)) {
             refuse("no connection was available in time");
             group.release(leased);
             return;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLeases.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLeases.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.banyanhook.daemon.peer.PeerMessenger;
 import org.banyanhook.gateway.backend.DatabaseGroup;
@@ -39,11 +40,11 @@
             HomeTransport.ANSWER_TIMEOUT.plusSeconds(1).toNanos();
 
     private final Context context;
-    private final long incarnation;
     private final DatabaseGroups groups;
     private final FleetDirectory directory;
     private final DecisionLog log;
     private final Map<LeaseKey, HomeLease> leases = new HashMap<>();
+    private long incarnation;
     private boolean draining;
 
     private record LeaseKey(String sender, long incarnation, long lease) {}
@@ -51,14 +52,17 @@
     /**
      * What all leases share.
      *
-     * @param incarnation distinguishes the runs of this daemon
+     * @param incarnation distinguishes the runs of this daemon, and the readings of its clock before and after a
+     *     suspension
+     * @param directory tells which failure domains are taken out
      * @param primaryAccess decides whether primaries may be used
      * @param eventLoop the event loop on which everything runs
      * @param clock the monotonic clock
      * @param metrics counts the commands
      */
     record Context(
-            long incarnation,
+            LongSupplier incarnation,
+            FleetDirectory directory,
             PrimaryAccessPolicy primaryAccess,
             EventLoop eventLoop,
             MonotonicClock clock,
@@ -70,6 +74,9 @@
             if (server == null || !server.acceptsRequests()) {
                 return "the member accepts no requests";
             }
+            if (directory.isEvacuated(server.entry().failureDomain())) {
+                return "the failure domain of the member is taken out";
+            }
             if (server.unreachableNanos(clock.nowNanos()) >= 0) {
                 return "the member could not be reached";
             }
@@ -80,7 +87,10 @@
         }
 
         HomeAnswers.Builder newAnswers() {
-            return HomeAnswers.newBuilder().setIncarnation(incarnation).setClockNanos(clock.nowNanos());
+            long now = clock.nowNanos();
+            return HomeAnswers.newBuilder()
+                    .setIncarnation(incarnation.getAsLong())
+                    .setClockNanos(now);
         }
 
         /** Returns the answer that nothing was sent to the member. */
@@ -121,22 +131,18 @@
             MonotonicClock clock,
             DecisionLog log,
             GatewayMetrics metrics) {
-        this.context = new Context(incarnation, primaryAccess, eventLoop, clock, metrics);
+        this.context = new Context(() -> this.incarnation, directory, primaryAccess, eventLoop, clock, metrics);
         this.incarnation = incarnation;
         this.groups = groups;
         this.directory = directory;
         this.log = log;
+        // The clock does not count a suspension, so deadlines on its former readings are too late.
+        clock.addJumpListener(() -> this.incarnation++);
     }
 
     /** Starts to receive the commands of other daemons. */
     public void serve(PeerMessenger messenger) {
-        messenger.registerHandler(
-                PeerEnvelope.BodyCase.LINK_PROBE,
-                message -> onEventLoop(() -> PeerEnvelope.newBuilder()
-                        .setLinkProbeAnswer(LinkProbeAnswer.newBuilder()
-                                .setIncarnation(incarnation)
-                                .setClockNanos(context.clock().nowNanos()))
-                        .build()));
+        messenger.registerHandler(PeerEnvelope.BodyCase.LINK_PROBE, message -> onEventLoop(this::answerProbe));
         messenger.registerHandler(
                 PeerEnvelope.BodyCase.HOME_COMMANDS,
                 message -> CompletableFuture.supplyAsync(
@@ -160,6 +166,15 @@
                 }));
     }
 
+    private PeerEnvelope answerProbe() {
+        // The clock is read first, since it notices a suspension.
+        long now = context.clock().nowNanos();
+        return PeerEnvelope.newBuilder()
+                .setLinkProbeAnswer(
+                        LinkProbeAnswer.newBuilder().setIncarnation(incarnation).setClockNanos(now))
+                .build();
+    }
+
     private CompletableFuture<PeerEnvelope> onEventLoop(Supplier<PeerEnvelope> reply) {
         return CompletableFuture.supplyAsync(reply, context.eventLoop());
     }
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeFailuresTest.java
@@ -43,6 +43,33 @@
         assertThat(direct().runs()).isEmpty();
     }
 
+    /**
+     * Guards against a write that runs after its time-out because the clock of the home does not count a suspension.
+     */
+    @Test
+    void commandsThatWereInTransitDuringASuspensionOfTheHomeDoNotRun() {
+        GatewayFixture.send(session, "w0", WRITE);
+        settle();
+        int runs = primary.runs().size();
+        GatewayFixture.send(session, "w1", WRITE);
+        fleet.home().suspendMillis(5_000);
+        settle();
+        assertThat(primary.runs()).hasSize(runs);
+    }
+
+    /** Guards against commands that wait for a member whose failure domain operators have taken out. */
+    @Test
+    void homeRefusesWorkAtAMemberThatIsTakenOut() {
+        GatewayFixture.send(session, "w0", WRITE);
+        settle();
+        int runs = primary.runs().size();
+        fleet.home().takeOut("east");
+        GatewayFixture.send(session, "w1", WRITE);
+        settle();
+        assertThat(primary.runs()).hasSize(runs);
+        assertThat(fleet.leases().isActive()).isFalse();
+    }
+
     /** Guards against an answer that exceeds the size of a peer message, which closes the link for all statements. */
     @Test
     void sizeOfAnAnswerIsCountedInBytes() {
