Report the timeout of a request whose connection it closes

The timer that ends requests which the client never reports closes the connection first; the client then reports it as lost, which came before the timeout, so that idle connections to the silent member were kept and the next statement waited on one of them. Change: only the first end of a request counts. Result: the new test of BackendConnectionTest fails without the change; BackendConnectionTest and BackendConnectionPoolTest pass with it.

--- a/banyanhook-daemon/src/main/java/org/banyanhook/daemon/backend/BackendConnection.java
+++ b/banyanhook-daemon/src/main/java/org/banyanhook/daemon/backend/BackendConnection.java
@@ -97,6 +97,7 @@
     private final class Exchange extends BufferingResponseListener {
         private final CompletableFuture<BackendResponse> result = new CompletableFuture<>();
         private final @Nullable String answerId;
+        private final AtomicBoolean ended = new AtomicBoolean();
         private volatile boolean sendingStarted;
         private volatile boolean hasDelimitedLength;
 
@@ -145,9 +146,15 @@
         private void parseResponse(int status) {
             try {
                 BackendResponse response = BackendResponseParser.parse(status, getContent(), answerId);
+                if (!ended.compareAndSet(false, true)) {
+                    return;
+                }
                 busy.set(false);
                 result.complete(response);
             } catch (BackendException exception) {
+                if (!ended.compareAndSet(false, true)) {
+                    return;
+                }
                 if (exception.kind() == BackendException.Kind.REFUSED) {
                     busy.set(false);
                 } else {
@@ -157,8 +164,14 @@
             }
         }
 
-        /** Fails the request and closes the connection; the busy flag stays set so that it is not reused. */
+        /**
+         * Fails the request and closes the connection; the busy flag stays set so that it is not reused. Only the first
+         * failure counts: closing makes the client report the connection as lost, which would hide a timeout.
+         */
         private void fail(Throwable cause) {
+            if (!ended.compareAndSet(false, true)) {
+                return;
+            }
             close();
             String description = cause instanceof TimeoutException
                     ? "timed out waiting for a response from "
