--- a/review/standins-2/ClientSession.java
+++ b/review/standins-2/ClientSession.java
@@ -48,6 +48,18 @@
         return answer();
     }
 
+    /** Sends requests ahead, without waiting for their answers; returns the answer to the last one. */
+    Answer pipeline(List<String> requests) throws IOException {
+        StringBuilder lines = new StringBuilder();
+        requests.forEach(request -> lines.append("QUERY ").append(request).append("\r\n"));
+        socket.getOutputStream().write(lines.toString().getBytes(StandardCharsets.ISO_8859_1));
+        Answer last = null;
+        for (int number = 0; number < requests.size(); number++) {
+            last = answer();
+        }
+        return last;
+    }
+
     private void write(String line) throws IOException {
         socket.getOutputStream().write((line + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
     }
--- a/review/standins-2/Gateways.java
+++ b/review/standins-2/Gateways.java
@@ -106,11 +106,25 @@
                                 settings.node(), settings.ip(), settings.zone(), settings.zones().get(settings.zone()), peer, peer + 15, zones,
                                 settings.ip(), client, settings.ip(), readiness, settings.ip(), metrics, settings.store(), settings.cloud()));
         Path log = folder.resolve(settings.node() + ".log");
-        ProcessBuilder builder = new ProcessBuilder(command).directory(root.toFile()).redirectErrorStream(true).redirectOutput(log.toFile());
+        return new Gateway(settings, launch(file, log), client, readiness, metrics, file, log);
+    }
+
+    /** Starts a gateway again that has ended, with the same settings. */
+    Gateway startAgain(Gateway ended) throws IOException {
+        return new Gateway(
+                ended.settings(), launch(ended.file(), ended.log()), ended.clientPort(), ended.readinessPort(), ended.metricsPort(),
+                ended.file(), ended.log());
+    }
+
+    private synchronized Process launch(Path file, Path log) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(command)
+                .directory(root.toFile())
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
         builder.environment().put("BANYANHOOK_SETTINGS", file.toString());
         Process process = builder.start();
         processes.add(process);
-        return new Gateway(settings, process, client, readiness, metrics, file, log);
+        return process;
     }
 
     /** Returns whether a gateway reports itself ready. */
@@ -138,7 +152,7 @@
     }
 
     @Override
-    public void close() {
+    public synchronized void close() {
         processes.forEach(Process::destroyForcibly);
         for (Process process : processes) {
             try {
