--- a/review/standins-2/Configuration.java
+++ b/review/standins-2/Configuration.java
@@ -12,14 +12,24 @@
 
     /** Returns a configuration with two tenants, each with one key that is "key-" and its name. */
     static String text(int version, int syncReplicas) {
+        return text(version, syncReplicas, 0, List.of("parish", "coop"));
+    }
+
+    /** Returns a configuration with further routes, in which only some tenants have their key. */
+    static String text(int version, int syncReplicas, int furtherRoutes, List<String> tenantsWithKey) {
         List<String> tenants = new ArrayList<>();
         for (String name : List.of("parish", "coop")) {
-            tenants.add("{\"name\":\"" + name + "\",\"api_keys\":[\"key-" + name
-                    + "\"],\"priority\":1,\"rate_per_s\":86,\"burst\":86,\"allowed_regions\":[]}");
+            String key = tenantsWithKey.contains(name) ? "\"key-" + name + "\"" : "";
+            tenants.add("{\"name\":\"" + name + "\",\"api_keys\":[" + key
+                    + "],\"priority\":1,\"rate_per_s\":86,\"burst\":86,\"allowed_regions\":[]}");
+        }
+        StringBuilder further = new StringBuilder();
+        for (int number = 0; number < furtherRoutes; number++) {
+            further.append(',').append(route("idle" + number, "primary", 1_000, 1, 0));
         }
         return "{\"version\":" + version + ",\"routes\":[" + route(PRIMARY, "primary", 1_000, 1, 0) + ","
                 + route(BOUNDED, "bounded_staleness", 2_000, 2, 1_500) + ","
-                + route(OWN_WRITES, "read_your_writes", 1_000, 2, 2_500) + "],\"backends\":[{\"name\":\"" + SERVICE
+                + route(OWN_WRITES, "read_your_writes", 1_000, 2, 2_500) + further + "],\"backends\":[{\"name\":\"" + SERVICE
                 + "\",\"health_check_path\":\"/health\",\"max_conns\":37,\"protocol\":\"h1\",\"tls\":false,\"warmup_s\":0.0,"
                 + "\"warmup_per_s\":0.0,\"sync_replicas\":" + syncReplicas + "}],\"limits\":{\"max_header_bytes\":16384,"
                 + "\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000,\"idle_tx_ms\":3000},"
--- a/review/standins-2/StoreServer.java
+++ b/review/standins-2/StoreServer.java
@@ -11,16 +11,19 @@
 /** The platform's key-value store: revisions, conditional writes, leases and watches. */
 final class StoreServer implements AutoCloseable {
     private static final int PAGE_ITEMS = 500;
+    /** A watch from before the changes that are kept gets 410. */
+    private static final long HISTORY_NANOS = TimeUnit.SECONDS.toNanos(20);
     private final HttpServer2 server;
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final List<Event> events = new ArrayList<>();
     private final Map<Long, Lease> leases = new HashMap<>();
     private long revision = 10;
     private long lastLease;
+    private long discardedRevision;
 
     private record Item(String value, long revision, long created, long lease) {}
 
-    private record Event(String key, long revision, Item item) {}
+    private record Event(String key, long revision, Item item, long writtenNanos) {}
 
     private record Lease(long ttlMillis, long expiresNanos) {}
 
@@ -61,13 +64,13 @@
         Item before = items.get(key);
         Item item = new Item(value, revision, before == null ? revision : before.created(), lease);
         items.put(key, item);
-        events.add(new Event(key, revision, item));
+        events.add(new Event(key, revision, item, System.nanoTime()));
     }
 
     private void drop(String key) {
         if (items.remove(key) != null) {
             revision++;
-            events.add(new Event(key, revision, null));
+            events.add(new Event(key, revision, null, System.nanoTime()));
         }
     }
 
@@ -195,6 +198,14 @@
     private synchronized HttpServer2.Response watch(Map<String, String> query) throws InterruptedException {
         String prefix = query.getOrDefault("prefix", "");
         long after = Long.parseLong(query.get("after"));
+        events.removeIf(event -> {
+            boolean old = System.nanoTime() - event.writtenNanos() > HISTORY_NANOS;
+            discardedRevision = old ? Math.max(discardedRevision, event.revision()) : discardedRevision;
+            return old;
+        });
+        if (after < discardedRevision || after > revision) {
+            return HttpServer2.Response.of(410, "{}");
+        }
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Long.parseLong(query.getOrDefault("wait_ms", "1000")));
         while (true) {
             StringBuilder list = new StringBuilder();
