Add review case 9: an empty member is promoted over two complete ones

After all gateways have started again, a recorded promotion that was complete long ago counts as open for ten seconds, so its member is promoted first, whatever its log holds.

--- a/review/standins-2/MemberServer.java
+++ b/review/standins-2/MemberServer.java
@@ -21,7 +21,7 @@
     final String id;
     final String zone;
     final int slots;
-    final long bornMillis = System.currentTimeMillis();
+    volatile long bornMillis = System.currentTimeMillis();
     final List<ReplicaGroup.Entry> log = new ArrayList<>();
     volatile boolean alive = true;
     volatile boolean primary;
@@ -62,7 +62,7 @@
 
     private String position() {
         synchronized (group) {
-            return log.isEmpty() ? "3.0" : log.get(log.size() - 1).term() + "." + log.get(log.size() - 1).number();
+            return log.isEmpty() ? "0.0" : log.get(log.size() - 1).term() + "." + log.get(log.size() - 1).number();
         }
     }
 
@@ -81,6 +81,10 @@
         return sockets.size();
     }
 
+    void resetConnections() {
+        sockets.forEach(MemberServer::reset);
+    }
+
     void closeConnections() {
         try {
             listener.close();
--- a/review/standins-2/ReplicaGroup.java
+++ b/review/standins-2/ReplicaGroup.java
@@ -209,6 +209,19 @@
         Threads.later(3 * HEARTBEAT_MILLIS, () -> store.remove("servers/" + member.id));
     }
 
+    /** Starts a member again under its id; it holds and knows nothing of before. */
+    void startAnewEmpty(MemberServer member) {
+        member.resetConnections();
+        synchronized (this) {
+            member.log.clear();
+            member.primary = false;
+            member.term = 0;
+            member.sequence = 0;
+            member.bornMillis = System.currentTimeMillis();
+            report(member);
+        }
+    }
+
     /** Returns the acknowledged commits that were not in the log of the member that was promoted. */
     synchronized Set<String> lostAtPromotions() {
         return Set.copyOf(lostAtPromotions);
