Add a review case: a former primary commits in its old term

Cause: a gateway takes the claim of a member that is to be promoted again as soon as the promotion is recorded, before it has been made.

--- a/review/standins-2/MemberServer.java
+++ b/review/standins-2/MemberServer.java
@@ -28,6 +28,8 @@
     volatile boolean draining;
     /** Receives nothing of the primary's log while set. */
     volatile boolean deaf;
+    /** Lives on, but nothing that is sent to it or by it arrives while set. */
+    volatile boolean dark;
     volatile long term;
     volatile long workMillis = 2;
     int sequence;
@@ -81,6 +83,12 @@
         return sockets.size();
     }
 
+    private void awaitLight() {
+        while (dark) {
+            Threads.sleep(10);
+        }
+    }
+
     void resetConnections() {
         sockets.forEach(MemberServer::reset);
     }
@@ -123,10 +131,14 @@
             OutputStream out = socket.getOutputStream();
             for (String line = in.readLine(); line != null && !line.equals("TERMINATE"); line = in.readLine()) {
                 StringBuilder answer = new StringBuilder();
-                boolean keep = connection.handle(line, answer);
+                boolean keep = !dark && connection.handle(line, answer);
                 if (!alive) {
                     return;
                 }
+                if (dark) {
+                    awaitLight();
+                    return;
+                }
                 out.write(answer.toString().getBytes(StandardCharsets.ISO_8859_1));
                 out.flush();
                 if (!keep) {
--- a/review/standins-2/ReplicaGroup.java
+++ b/review/standins-2/ReplicaGroup.java
@@ -20,6 +20,7 @@
     private final Set<String> acknowledged = new HashSet<>();
     private final Set<String> lostAtPromotions = new HashSet<>();
     private final List<String> promotions = new ArrayList<>();
+    private final Set<String> afterTakeOver = new HashSet<>();
     private long newestTerm = 3;
 
     record Entry(long term, long number, String requestId, String item, String data, long committedNanos) {}
@@ -54,7 +55,7 @@
 
     /** Writes the entry of a member to the store; one that has crashed writes nothing. */
     synchronized void report(MemberServer member) {
-        if (!member.alive) {
+        if (!member.alive || member.dark) {
             return;
         }
         member.sequence++;
@@ -69,7 +70,7 @@
     synchronized MemberServer primary() {
         MemberServer found = null;
         for (MemberServer member : members) {
-            if (member.alive && member.primary && (found == null || member.term > found.term)) {
+            if (member.alive && !member.dark && member.primary && (found == null || member.term > found.term)) {
                 found = member;
             }
         }
@@ -83,6 +84,9 @@
         }
         long number = member.lastNumber() + 1;
         long now = System.nanoTime();
+        if (member.term < newestTerm) {
+            afterTakeOver.add(requestId);
+        }
         for (String[] write : writes) {
             member.log.add(new Entry(member.term, number, requestId, write[0], write[1], now));
         }
@@ -119,7 +123,7 @@
         }
         long now = System.nanoTime();
         for (MemberServer replica : members) {
-            if (replica == primary || !replica.alive || replica.primary || replica.deaf) {
+            if (replica == primary || !replica.alive || replica.primary || replica.deaf || replica.dark || primary.dark) {
                 continue;
             }
             if (replica.term < primary.term) {
@@ -147,7 +151,7 @@
     int promote(String id) {
         MemberServer chosen = members.stream().filter(member -> member.id.equals(id)).findFirst().orElse(null);
         synchronized (this) {
-            if (chosen == null || !chosen.alive) {
+            if (chosen == null || !chosen.alive || chosen.dark) {
                 return 409;
             }
             if (chosen.primary && chosen.term == newestTerm) {
@@ -182,17 +186,49 @@
             }
             report(chosen);
         }
-        // A former primary learns of it a second after it can reach the new one.
-        Threads.later(1_000, () -> {
-            synchronized (this) {
-                superseded.forEach(member -> {
-                    member.primary = false;
-                    report(member);
-                });
+        superseded.forEach(former -> Threads.start("superseded", () -> awaitSuccessor(former, chosen)));
+    }
+
+    /** A former primary goes on until a second after it can reach the new one, or until it is promoted again. */
+    private void awaitSuccessor(MemberServer former, MemberServer successor) {
+        long reachedMillis = 0;
+        while (reachedMillis < 1_000) {
+            Threads.sleep(20);
+            reachedMillis = former.dark || successor.dark || !successor.alive ? 0 : reachedMillis + 20;
+            if (!former.alive || !former.primary || former.term == newestTerm) {
+                return;
+            }
+        }
+        synchronized (this) {
+            if (former.term < newestTerm) {
+                former.primary = false;
+                report(former);
+            }
+        }
+    }
+
+    /** Makes a member silent; it lives on. Its entry expires after three heartbeats. */
+    void goDark(MemberServer member) {
+        member.dark = true;
+        Threads.later(3 * HEARTBEAT_MILLIS, () -> {
+            if (member.dark) {
+                store.remove("servers/" + member.id);
             }
         });
     }
 
+    /** Ends the silence of a member; what was sent to it meanwhile is lost. */
+    void endDark(MemberServer member) {
+        member.resetConnections();
+        member.dark = false;
+        report(member);
+    }
+
+    /** Returns the commits that a primary made after another member had taken over. */
+    synchronized Set<String> commitsAfterTakeOver() {
+        return Set.copyOf(afterTakeOver);
+    }
+
     synchronized void stepDown(MemberServer member, long term) {
         if (member.primary && member.term < term) {
             member.primary = false;
