Order the review cases, record them and report on both parts

The gravest come first. The sources of the plays stand with the stand-ins, so that the build of the earlier review does not take them in.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review-2
 mkdir -p target/review-2
-find review/standins-2 review/6 review/7 review/8 review/9 review/10 -name '*.java' 2>/dev/null > target/review-2/sources.txt || true
+find review/standins-2 -name "*.java" > target/review-2/sources.txt
 javac --release 17 -d target/review-2 @target/review-2/sources.txt
--- a/review/standins-2/Gateways.java
+++ b/review/standins-2/Gateways.java
@@ -34,6 +34,7 @@
             throw new IOException("deploy/system.toml contains no command");
         }
         this.command = Arrays.asList(run.group(1).split(" "));
+        Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     }
 
     private static int freePort(String ip) throws IOException {
--- a/review/9/EmptyMemberPromoted.java
+++ b/review/standins-2/cases/EmptyMemberPromoted.java
@@ -24,7 +24,7 @@
     public static void main(String[] arguments) throws Exception {
         Path root = Path.of(arguments[0]);
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Path folder = Files.createTempDirectory("review-9-");
+        Path folder = Files.createTempDirectory("review-7-");
         int code;
         try (Recorder record = new Recorder(Path.of(arguments[1]))) {
             code = play(root, folder, record, trouble);
@@ -50,7 +50,7 @@
             List<Gateways.Gateway> all = new ArrayList<>();
             for (String zone : zones.keySet()) {
                 all.add(gateways.start(new Gateways.Settings(
-                        "edge-" + zone + "-1", zone, "127.0.9." + (all.size() + 1), zones, store.address(), promotions.address())));
+                        "edge-" + zone + "-1", zone, "127.0.7." + (all.size() + 1), zones, store.address(), promotions.address())));
             }
             if (!Gateways.awaitReady(all, 25_000)) {
                 record.line("the gateways did not become ready");
--- a/review/10/FormerPrimaryActsAgain.java
+++ b/review/standins-2/cases/FormerPrimaryActsAgain.java
@@ -26,7 +26,7 @@
     public static void main(String[] arguments) throws Exception {
         Path root = Path.of(arguments[0]);
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Path folder = Files.createTempDirectory("review-10-");
+        Path folder = Files.createTempDirectory("review-8-");
         int code;
         try (Recorder record = new Recorder(Path.of(arguments[1]))) {
             code = play(root, folder, record, trouble);
@@ -52,7 +52,7 @@
             List<Gateways.Gateway> all = new CopyOnWriteArrayList<>();
             for (String zone : zones.keySet()) {
                 all.add(gateways.start(new Gateways.Settings(
-                        "edge-" + zone + "-1", zone, "127.0.10." + (all.size() + 1), zones, store.address(), promotions.address())));
+                        "edge-" + zone + "-1", zone, "127.0.8." + (all.size() + 1), zones, store.address(), promotions.address())));
             }
             if (!Gateways.awaitReady(all, 25_000)) {
                 record.line("the gateways did not become ready");
--- a/review/7/ValuesFillHeap.java
+++ b/review/standins-2/cases/ValuesFillHeap.java
@@ -23,7 +23,7 @@
     private static final int BROKEN = 1;
     private static final int NOT_RUN = 2;
     /** The sessions that fill one after the other and leave, and those that stay and go on with small values. */
-    private static final int LEAVING_SESSIONS = 18;
+    private static final int LEAVING_SESSIONS = 22;
 
     private static final int STAYING_SESSIONS = 8;
     private static final int VALUES_OF_LEAVING_SESSION = 144;
@@ -43,7 +43,7 @@
     public static void main(String[] arguments) throws Exception {
         Path root = Path.of(arguments[0]);
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Path folder = Files.createTempDirectory("review-7-");
+        Path folder = Files.createTempDirectory("review-9-");
         int code;
         try (Recorder record = new Recorder(Path.of(arguments[1]))) {
             code = play(root, folder, record, trouble);
@@ -67,7 +67,7 @@
             List<Gateways.Gateway> all = new ArrayList<>();
             for (String zone : zones.keySet()) {
                 all.add(gateways.start(new Gateways.Settings(
-                        "edge-" + zone + "-1", zone, "127.0.7." + (all.size() + 1), zones, store.address(), promotions.address())));
+                        "edge-" + zone + "-1", zone, "127.0.9." + (all.size() + 1), zones, store.address(), promotions.address())));
             }
             if (!Gateways.awaitReady(all, 25_000)) {
                 record.line("the gateways did not become ready");
@@ -171,7 +171,10 @@
             record.line(node + " is alive; the clients that filled it have left");
             Threads.sleep(OBSERVATION_MILLIS / 2);
             int before = answered.get();
-            Threads.sleep(OBSERVATION_MILLIS / 2);
+            long soon = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(OBSERVATION_MILLIS / 2);
+            while (answered.get() == before && System.nanoTime() - soon < 0) {
+                Threads.sleep(100);
+            }
             if (answered.get() > before) {
                 record.line(node + " answers ordinary requests");
                 return;
@@ -195,23 +198,25 @@
             return String.join(" | ", lines.stream().filter(line -> !line.startsWith("{")).toList());
         }
 
-        /** Fills the process for up to 15 s. */
+        /** Fills the process for up to 12 s. */
         private void fill() {
             Gateways.Gateway target = gateway;
             AtomicBoolean filling = new AtomicBoolean(true);
             List<Filler> fillers = new ArrayList<>();
             List<Socket> halves = Collections.synchronizedList(new ArrayList<>());
-            long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(15);
+            long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(12);
             record.line(target.settings().node() + ": " + (LEAVING_SESSIONS + STAYING_SESSIONS) + " sessions of one key begin transactions");
             try {
                 for (int number = 0; number < LEAVING_SESSIONS + STAYING_SESSIONS; number++) {
                     fillers.add(new Filler(target, number));
                 }
                 Threads.start("keeper", () -> keep(fillers, filling));
+                int values = 0;
                 for (Filler filler : fillers.subList(0, LEAVING_SESSIONS)) {
                     filler.fillAndLeave();
+                    values += filler.values;
                 }
-                record.line(target.settings().node() + ": " + LEAVING_SESSIONS + " of them have each set " + VALUES_OF_LEAVING_SESSION + " values of "
+                record.line(target.settings().node() + ": " + LEAVING_SESSIONS + " of them have set " + values + " values of "
                         + LARGE_VALUE + " bytes and left; " + STAYING_SESSIONS + " go on with values of " + SMALL_VALUE
                         + " bytes, and others send half a message");
                 for (Filler filler : fillers.subList(LEAVING_SESSIONS, fillers.size())) {
--- a/review/8/WatchAnswerTooLong.java
+++ b/review/standins-2/cases/WatchAnswerTooLong.java
@@ -28,7 +28,7 @@
     public static void main(String[] arguments) throws Exception {
         Path root = Path.of(arguments[0]);
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Path folder = Files.createTempDirectory("review-8-");
+        Path folder = Files.createTempDirectory("review-10-");
         int code;
         try (Recorder record = new Recorder(Path.of(arguments[1]))) {
             code = play(root, folder, record, trouble);
@@ -55,7 +55,7 @@
             for (String zone : zones.keySet()) {
                 String storeAddress = all.isEmpty() ? link.address() : store.address();
                 all.add(gateways.start(new Gateways.Settings(
-                        "edge-" + zone + "-1", zone, "127.0.8." + (all.size() + 1), zones, storeAddress, promotions.address())));
+                        "edge-" + zone + "-1", zone, "127.0.10." + (all.size() + 1), zones, storeAddress, promotions.address())));
             }
             if (!Gateways.awaitReady(all, 25_000)) {
                 record.line("the gateways did not become ready");
