Wait for the logs of all possible holders before a promotion

Cause: a promotion asked only the members that may serve, and counted only those that answered within 500 ms; all others counted as members without commits. sync_replicas was read nowhere. A leaving replica that alone had the last commits was left out, and one that lagged by 2 s was promoted.

The same loss came with a replica that was taken out, overloaded, slow or silent.

Change: sync_replicas is read and an unreadable value refused. SuccessorChoice promotes the longest log only once at most that many possible holders have not reported, and names those that it waits for. All members are asked. CommitHolders keeps members that departed or started again among the possible holders until others have caught up. A planned switchover needs a successor that has caught up. An earlier promotion is repeated only for a member that kept its log. With sync_replicas 0 the choice is as before.

Why it works: an acknowledged commit is on the primary and as many replicas. If no more members are silent, one that has reported holds it.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/primary/UnresolvedPromotions.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/UnresolvedPromotions.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.banyanhook.core.replication.LogPosition;
 import org.banyanhook.core.store.StoreRevision;
 import org.jspecify.annotations.Nullable;
 
@@ -36,7 +37,16 @@
      */
     public record RecordedPromotion(String member, StoreRevision revision, long learnedNanos) {}
 
-    private record UnansweredRequest(String member, StoreRevision revision) {}
+    /**
+     * A promotion whose outcome is not known.
+     *
+     * @param member the member to be promoted
+     * @param position the end of its log when it was chosen, or null if another daemon chose it
+     * @param mayBeCarriedOut whether the platform may still carry it out unless it is requested again
+     */
+    public record EarlierPromotion(String member, @Nullable LogPosition position, boolean mayBeCarriedOut) {}
+
+    private record UnansweredRequest(String member, StoreRevision revision, LogPosition position, long sentNanos) {}
 
     /**
      * Records that this daemon sent a request to promote a member and received no answer.
@@ -44,9 +54,12 @@
      * @param group the database group
      * @param member the member
      * @param revision the revision of the record of this promotion
+     * @param position the end of the member's log when it was chosen
+     * @param nowNanos the time
      */
-    public void recordUnanswered(String group, String member, StoreRevision revision) {
-        unansweredRequests.put(group, new UnansweredRequest(member, revision));
+    public void recordUnanswered(
+            String group, String member, StoreRevision revision, LogPosition position, long nowNanos) {
+        unansweredRequests.put(group, new UnansweredRequest(member, revision, position, nowNanos));
     }
 
     /**
@@ -78,25 +91,28 @@
     }
 
     /**
-     * Returns the member that has to be promoted before any other.
+     * Returns the promotion that comes before the choice of another member.
      *
      * @param group the database group
      * @param recorded the last recorded promotion, or null if there is none
      * @param candidates the members that can be promoted now
      * @param nowNanos the time
-     * @return the member, or empty if the choice is free
+     * @return the promotion, or empty if the choice is free
      */
-    public Optional<String> memberToPromoteFirst(
+    public Optional<EarlierPromotion> earlierPromotion(
             String group, @Nullable RecordedPromotion recorded, Set<String> candidates, long nowNanos) {
         UnansweredRequest unanswered = unansweredRequests.get(group);
         if (unanswered != null) {
-            return Optional.of(unanswered.member());
+            boolean mayBeCarriedOut = nowNanos - unanswered.sentNanos() < RECORD_RELEVANCE_NANOS;
+            return Optional.of(new EarlierPromotion(unanswered.member(), unanswered.position(), mayBeCarriedOut));
         }
         if (recorded == null
                 || !recorded.revision().isAfter(completedRevisions.getOrDefault(group, StoreRevision.NONE))
                 || nowNanos - recorded.learnedNanos() >= RECORD_RELEVANCE_NANOS) {
             return Optional.empty();
         }
-        return Optional.of(recorded.member()).filter(candidates::contains);
+        return Optional.of(recorded.member())
+                .filter(candidates::contains)
+                .map(member -> new EarlierPromotion(member, null, true));
     }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionProbe.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionProbe.java
@@ -1,5 +1,6 @@
 package org.banyanhook.gateway.backend;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -14,9 +15,6 @@
  */
 public final class ConnectionProbe implements MemberProbe {
 
-    /** Exceeds the round trip between any two regions plus the time for a new connection and a short queue. */
-    private static final int PROBE_TIMEOUT_MILLIS = 500;
-
     private final GroupContext context;
 
     /**
@@ -29,10 +27,11 @@
     }
 
     @Override
-    public CompletableFuture<Optional<MemberReport>> send(MemberServer server, MemberCommand command) {
+    public CompletableFuture<Optional<MemberReport>> send(
+            MemberServer server, MemberCommand command, Duration timeout) {
         for (MemberConnection idle : server.connections()) {
             if (idle.isIdle()) {
-                return sendOn(idle, command);
+                return sendOn(idle, command, timeout);
             }
         }
         CompletableFuture<Optional<MemberReport>> result = new CompletableFuture<>();
@@ -42,19 +41,20 @@
         }
         MemberConnection connection =
                 new MemberConnection(server, accounts.get(0).name(), context.clock(), new ProbeOwner(command, result));
-        connection.connect(context, PROBE_TIMEOUT_MILLIS);
+        connection.connect(context, (int) timeout.toMillis());
         var timer = context.eventLoops()
                 .next()
-                .schedule(() -> connection.close("probe timed out"), PROBE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+                .schedule(() -> connection.close("probe timed out"), timeout.toMillis(), TimeUnit.MILLISECONDS);
         return result.whenComplete((report, failure) -> timer.cancel(false));
     }
 
-    private CompletableFuture<Optional<MemberReport>> sendOn(MemberConnection connection, MemberCommand command) {
+    private CompletableFuture<Optional<MemberReport>> sendOn(
+            MemberConnection connection, MemberCommand command, Duration timeout) {
         CompletableFuture<Optional<MemberReport>> result = new CompletableFuture<>();
         ConnectionLease lease = connection.lease(false);
         var timer = context.eventLoops()
                 .next()
-                .schedule(() -> connection.close("probe timed out"), PROBE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+                .schedule(() -> connection.close("probe timed out"), timeout.toMillis(), TimeUnit.MILLISECONDS);
         connection.send(command, (answer, sentNanos) -> {
             timer.cancel(false);
             connection.endLease(lease);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.core.configuration.GroupLimits;
+import org.banyanhook.core.primary.CommitHolders;
 import org.banyanhook.core.primary.GroupTerms;
 import org.banyanhook.core.primary.PrimaryReliance;
 import org.banyanhook.core.primary.PrimaryReport;
@@ -18,6 +19,7 @@
 import org.banyanhook.gateway.message.MemberAnswer;
 import org.banyanhook.gateway.message.MemberReport;
 import org.banyanhook.gateway.message.SessionError;
+import org.banyanhook.gateway.port.MemberEntry;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -40,6 +42,7 @@
     private final BusyRetries busyRetries;
     private final PositionHistory positionHistory = new PositionHistory();
     private final GroupTerms terms = new GroupTerms();
+    private final CommitHolders commitHolders = new CommitHolders();
     private final MemberSelection memberSelection;
     private final GroupCapacity capacity;
     private @Nullable MemberServer primary;
@@ -94,6 +97,17 @@
         return terms;
     }
 
+    /** Returns how many replicas receive a commit before it is acknowledged. */
+    public int synchronousReplicas() {
+        GroupLimits limits = context.directory().configuration().groups().get(name);
+        return limits == null ? 0 : limits.synchronousReplicas();
+    }
+
+    /** Returns the members that may hold acknowledged commits, which are known if there are synchronous replicas. */
+    public CommitHolders commitHolders() {
+        return commitHolders;
+    }
+
     /** Returns the retries at the overloaded primary. */
     public BusyRetries busyRetries() {
         return busyRetries;
@@ -276,6 +290,10 @@
      */
     public void onReport(MemberServer server, MemberReport report, long sentNanos) {
         terms.recordHeld(server.name(), report.term(), context.clock().nowNanos());
+        if (isPrimary(server) || !report.primary()) {
+            commitHolders.recordReport(
+                    server.name(), report.primary(), report.position(), sentNanos, synchronousReplicas());
+        }
         if (!report.primary() && sentNanos - server.primaryReportedNanos() >= 0) {
             onNotPrimary(server);
         }
@@ -300,6 +318,14 @@
     /** Applies the members that the directory lists. */
     void update(Map<String, MemberRecord> listed) {
         long now = context.clock().nowNanos();
+        if (synchronousReplicas() > 0) {
+            commitHolders.update(
+                    listed.values().stream()
+                            .map(MemberRecord::entry)
+                            .map(DatabaseGroup::holderOf)
+                            .toList(),
+                    now);
+        }
         listed.forEach((member, memberRecord) -> {
             MemberServer known = servers.get(member);
             if (known != null
@@ -324,6 +350,11 @@
         dispatch();
     }
 
+    private static CommitHolders.ListedMember holderOf(MemberEntry entry) {
+        return new CommitHolders.ListedMember(
+                entry.member(), entry.startedAtMillis(), entry.address().toString(), entry.leaving());
+    }
+
     /** Ends an expired pause, checks access to the primary and refuses requests that have waited too long. */
     void tick() {
         long now = context.clock().nowNanos();
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
@@ -36,6 +36,12 @@
     /** How much longer a daemon waits for each daemon that ranks before it. */
     private static final long RANK_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+    /** How often it is checked whether the others have caught up after a member has departed. */
+    private static final long DEPARTURE_CHECK_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** How many daemons check a group after a departure; the first ones to act if its primary fails. */
+    private static final int DEPARTURE_CHECKERS = 3;
+
     /** The delay between an attempt and the next one. */
     private static final long RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
@@ -66,8 +72,13 @@
         private Optional<Reason> reason = Optional.empty();
         private long reasonSinceNanos;
         private long nextAttemptNanos;
+        private long nextDepartureCheckNanos;
         private boolean running;
         private final Set<String> rejected = new HashSet<>();
+
+        private GroupState(long nowNanos) {
+            this.nextDepartureCheckNanos = nowNanos;
+        }
     }
 
     /**
@@ -131,8 +142,9 @@
     }
 
     private void evaluate(DatabaseGroup group, long now) {
-        GroupState state = groupStates.computeIfAbsent(group.name(), name -> new GroupState());
+        GroupState state = groupStates.computeIfAbsent(group.name(), name -> new GroupState(now));
         workflow.observePrimary(group);
+        checkDepartures(group, state, now);
         Optional<Reason> reason = findReason(group, now);
         if (!reason.equals(state.reason)) {
             state.reason = reason;
@@ -171,6 +183,26 @@
                         eventLoop);
     }
 
+    /**
+     * Asks the primary and then the other members for their positions while a departed member is missed. Traffic need
+     * not reach this daemon, and a failed primary could not be asked any more.
+     */
+    private void checkDepartures(DatabaseGroup group, GroupState state, long now) {
+        MemberServer primary = group.primary().orElse(null);
+        if (primary == null
+                || group.synchronousReplicas() == 0
+                || !group.commitHolders().hasDepartures()
+                || now - state.nextDepartureCheckNanos < 0
+                || rank(group.name()) >= DEPARTURE_CHECKERS) {
+            return;
+        }
+        state.nextDepartureCheckNanos = now + DEPARTURE_CHECK_INTERVAL_NANOS;
+        var unused = voter.isResponding(group, primary)
+                .thenAccept(answered -> List.copyOf(group.servers()).stream()
+                        .filter(server -> server != primary)
+                        .forEach(server -> voter.isResponding(group, server)));
+    }
+
     /**
      * Probes the primary again before the other daemons are asked to vote. The failures on record may date from before
      * the member became primary, and a promoted member reports its new term only with its first commit.
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
@@ -13,6 +13,8 @@
 import org.banyanhook.core.primary.PromotionPermission;
 import org.banyanhook.core.primary.PromotionPermission.VoteTally;
 import org.banyanhook.core.primary.SilentDaemon;
+import org.banyanhook.core.primary.SuccessorChoice;
+import org.banyanhook.core.primary.SuccessorChoice.LogReport;
 import org.banyanhook.core.primary.UnresolvedPromotions;
 import org.banyanhook.core.primary.UnresolvedPromotions.RecordedPromotion;
 import org.banyanhook.core.replication.LogPosition;
@@ -32,12 +34,11 @@
 import org.banyanhook.gateway.port.PromotionAuthority;
 import org.banyanhook.gateway.port.RecordStore;
 import org.banyanhook.gateway.port.StoreLease;
-import org.banyanhook.gateway.primary.PromotionCandidates.Candidate;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Performs a promotion: acquires the promotion lease, makes sure that no daemon uses the old primary, chooses the
- * member with the longest log and has the platform promote it. Used on the event loop only.
+ * Performs a promotion: acquires the promotion lease, makes sure that no daemon uses the old primary, asks the members
+ * for their logs and has the platform promote the one that {@link SuccessorChoice} names. Used on the event loop only.
  */
 public final class PromotionWorkflow {
 
@@ -45,6 +46,10 @@
     static final long PROMOTION_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
 
     private static final long CATCH_UP_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+    /** How long a replica may take to catch up with a primary with synchronous replicas that is still in use. */
+    private static final long READY_SUCCESSOR_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     private static final long POLL_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
     private static final int MAXIMUM_PROMOTION_REQUESTS = 4;
     private static final long PROMOTION_RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
@@ -70,12 +75,13 @@
      * The result of recording a promotion in the store.
      *
      * @param promotion the promotion
+     * @param position the end of the member's log when it was chosen
      * @param revision the revision of the record, or none if it was not written
      */
-    private record Recording(FleetRecord.Promotion promotion, StoreRevision revision) {}
+    private record Recording(FleetRecord.Promotion promotion, LogPosition position, StoreRevision revision) {}
 
-    /** The state before a step-down: the members that can take over, and the status of the old primary. */
-    private record StepDownStart(List<Candidate> candidates, Optional<MemberReport> status) {}
+    /** The state before a step-down: the reports of the other members, and the status of the old primary. */
+    private record StepDownStart(List<LogReport> reports, Optional<MemberReport> status) {}
 
     private record VoteOutcome(
             long requestedNanos,
@@ -153,6 +159,9 @@
         if (!eras.mayDecideIn(eras.newest())) {
             return CompletableFuture.completedFuture("not all records of the store's new era have been read");
         }
+        if (directory.configuration().version() == 0) {
+            return CompletableFuture.completedFuture("no configuration has been read, which may require replicas");
+        }
         return collectVotes(group, reason.planned()).thenCompose(outcome -> {
             QuorumApproval approval = outcome.approval();
             if (approval == null) {
@@ -238,11 +247,15 @@
                     .find(group, rejected)
                     .thenCombine(status, StepDownStart::new)
                     .thenCompose(start -> {
-                        if (start.candidates().isEmpty()) {
+                        if (start.reports().stream().noneMatch(LogReport::eligible)) {
                             return CompletableFuture.completedFuture("no member is eligible for promotion");
                         }
-                        return stepDownAndPromote(
-                                group, oldPrimary, start.status().orElse(null), token, rejected, approval);
+                        MemberReport report = start.status().orElse(null);
+                        return awaitReadySuccessor(group, report, rejected)
+                                .thenCompose(ready -> ready
+                                        ? stepDownAndPromote(group, oldPrimary, report, token, rejected, approval)
+                                        : CompletableFuture.completedFuture(
+                                                "no eligible member has caught up with the old primary"));
                     });
         });
     }
@@ -272,35 +285,47 @@
         });
     }
 
-    private CompletableFuture<Void> awaitCatchUp(
-            DatabaseGroup group, Set<String> rejected, LogPosition finalPosition, long untilNanos) {
+    /**
+     * Waits for an eligible member that receives the commits of a primary with synchronous replicas. Such a primary
+     * must not step down without one, since nobody could take over from it without a loss.
+     *
+     * @param status the last status of the primary, or null if it did not answer
+     */
+    private CompletableFuture<Boolean> awaitReadySuccessor(
+            DatabaseGroup group, @Nullable MemberReport status, Set<String> rejected) {
+        if (group.synchronousReplicas() == 0) {
+            return CompletableFuture.completedFuture(true);
+        }
+        return status == null
+                ? CompletableFuture.completedFuture(false)
+                : awaitCatchUp(group, rejected, status.position(), clock.nowNanos() + READY_SUCCESSOR_TIMEOUT_NANOS);
+    }
+
+    private CompletableFuture<Boolean> awaitCatchUp(
+            DatabaseGroup group, Set<String> rejected, LogPosition position, long untilNanos) {
         return candidates.find(group, rejected).thenCompose(found -> {
-            boolean caughtUp =
-                    found.stream().anyMatch(candidate -> candidate.position().covers(finalPosition));
+            boolean caughtUp = found.stream()
+                    .anyMatch(report -> report.eligible() && report.position().covers(position));
             if (caughtUp || clock.nowNanos() - untilNanos >= 0) {
-                return CompletableFuture.<Void>completedFuture(null);
+                return CompletableFuture.completedFuture(caughtUp);
             }
-            return delay(POLL_INTERVAL_NANOS)
-                    .thenCompose(done -> awaitCatchUp(group, rejected, finalPosition, untilNanos));
+            return delay(POLL_INTERVAL_NANOS).thenCompose(done -> awaitCatchUp(group, rejected, position, untilNanos));
         });
     }
 
     private CompletableFuture<String> promoteBest(
             DatabaseGroup group, StoreRevision token, Set<String> rejected, QuorumApproval approval) {
-        return candidates.find(group, rejected).thenCompose(found -> {
-            Optional<String> unresolved = unresolvedPromotions.memberToPromoteFirst(
-                    group.name(),
-                    recordedPromotion(group),
-                    found.stream().map(Candidate::member).collect(ImmutableSet.toImmutableSet()),
-                    clock.nowNanos());
-            Optional<String> chosen =
-                    unresolved.or(() -> PromotionCandidates.longestLog(found).map(Candidate::member));
-            if (chosen.isEmpty()) {
+        boolean steppedDown = !approval.targetPosition().equals(LogPosition.START);
+        CompletableFuture<List<LogReport>> reports =
+                steppedDown ? candidates.find(group, rejected) : candidates.findIncludingSlow(group, rejected);
+        return reports.thenCompose(found -> {
+            SuccessorChoice.Decision decision = chooseSuccessor(group, found, approval);
+            logDecision(group, decision, found.size(), token, approval);
+            if (decision.member().isEmpty()) {
                 rejected.clear();
-                return CompletableFuture.completedFuture("no member is eligible for promotion");
+                return CompletableFuture.completedFuture(decision.reason());
             }
-            logChoice(group, chosen.get(), unresolved.isPresent(), found, token, approval);
-            return recordPromotion(group, chosen.get(), token, approval)
+            return recordPromotion(group, decision.member().get(), decision.position(), token, approval)
                     .thenCompose(recording -> recording.revision().equals(StoreRevision.NONE)
                             ? CompletableFuture.completedFuture(
                                     "not recorded: the votes of the other daemons are too old, or the store was restored since")
@@ -308,39 +333,49 @@
         });
     }
 
-    private void logChoice(
+    private SuccessorChoice.Decision chooseSuccessor(
+            DatabaseGroup group, List<LogReport> reports, QuorumApproval approval) {
+        ImmutableSet<String> members = reports.stream().map(LogReport::member).collect(ImmutableSet.toImmutableSet());
+        return SuccessorChoice.builder()
+                .synchronousReplicas(group.synchronousReplicas())
+                .reports(reports)
+                .possibleHolders(group.commitHolders().possibleHolders())
+                .requiredPosition(approval.targetPosition())
+                .earlierPromotion(unresolvedPromotions.earlierPromotion(
+                        group.name(), recordedPromotion(group), members, clock.nowNanos()))
+                .build()
+                .decide();
+    }
+
+    private void logDecision(
             DatabaseGroup group,
-            String member,
-            boolean unresolved,
-            List<Candidate> found,
+            SuccessorChoice.Decision decision,
+            int reports,
             StoreRevision token,
             QuorumApproval approval) {
         log.line("promotion-choice")
                 .with("group", group.name())
-                .with("member", member)
-                .with("earlierRequest", unresolved)
-                .with(
-                        "position",
-                        found.stream()
-                                .filter(candidate -> candidate.member().equals(member))
-                                .map(candidate -> candidate.position().toString())
-                                .findFirst()
-                                .orElse(null))
+                .with("member", decision.member().orElse(null))
+                .with("reason", decision.reason())
+                .with("earlierRequest", decision.repeated())
+                .with("position", decision.position().toString())
                 .with("wanted", approval.targetPosition().toString())
-                .with("candidates", found.size())
+                .with("candidates", reports)
+                .with("awaited", String.join(", ", decision.awaited()))
+                .with("synchronousReplicas", group.synchronousReplicas())
                 .with("token", token.fencingToken())
                 .write();
     }
 
     /** Records the promotion in the store, unless the votes are too old or of an older era of the store. */
     private CompletableFuture<Recording> recordPromotion(
-            DatabaseGroup group, String member, StoreRevision token, QuorumApproval approval) {
+            DatabaseGroup group, String member, LogPosition position, StoreRevision token, QuorumApproval approval) {
         FleetRecord.Promotion promotion =
                 new FleetRecord.Promotion(group.name(), member, new StoreRevision(token.era(), 0));
         if (clock.nowNanos() - approval.requestedNanos() > GrantedVotes.RECORDING_TIMEOUT_NANOS
                 || approval.era() != token.era()
                 || !eras.mayDecideIn(token.era())) {
-            return CompletableFuture.completedFuture(new Recording(promotion, StoreRevision.NONE));
+            return CompletableFuture.completedFuture(new Recording(promotion, position, StoreRevision.NONE));
         }
         long silenceNanos = approval.unresponsive().isEmpty() ? 0 : PromotionPermission.STOPPED_AFTER_NANOS;
         group.pausePrimary(clock.nowNanos() + PROMOTION_TIMEOUT_NANOS + silenceNanos);
@@ -350,7 +385,7 @@
                         directory.storedPromotionRevision(group.name()),
                         recordCodec.promotionLeaseKey(group.name()),
                         token)
-                .thenApply(revision -> new Recording(promotion, revision));
+                .thenApply(revision -> new Recording(promotion, position, revision));
     }
 
     /**
@@ -449,7 +484,8 @@
                     }
                     case REFUSED -> retryPromotion(group, recording, token, rejected, attempt);
                     case NO_ANSWER -> {
-                        unresolvedPromotions.recordUnanswered(group.name(), member, recording.revision());
+                        unresolvedPromotions.recordUnanswered(
+                                group.name(), member, recording.revision(), recording.position(), clock.nowNanos());
                         yield retryPromotion(group, recording, token, rejected, attempt);
                     }
                 });
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/GatewayFixture.java
@@ -94,6 +94,7 @@
     private long suspendedMillis;
     private long revision = 10;
     private long configurationVersion;
+    private int synchronousReplicas;
     private boolean inContact = true;
 
     /** Creates what connects a gateway to the homes of members. */
@@ -178,7 +179,13 @@
         apply("config", new FleetRecord.Configuration(configuration(++configurationVersion, List.of(keys))));
     }
 
-    private static SessionConfiguration configuration(long version, List<String> keys) {
+    /** Applies a new configuration in which so many replicas receive a commit before it is acknowledged. */
+    public void configureSynchronousReplicas(int value) {
+        synchronousReplicas = value;
+        grantKeys();
+    }
+
+    private SessionConfiguration configuration(long version, List<String> keys) {
         List<GrantedKey> granted = keys.stream()
                 .map(key -> new GrantedKey(key, KeyHashes.hash(key)))
                 .toList();
@@ -187,7 +194,7 @@
                 List.of(new ClientAccount("account", granted, 100, 100, 1)),
                 Map.of(),
                 Map.of(DATABASE, route(DATABASE, true), PRIVATE_DATABASE, route(PRIVATE_DATABASE, false)),
-                Map.of(GROUP, new GroupLimits(GROUP, CONNECTION_LIMIT, 0)),
+                Map.of(GROUP, new GroupLimits(GROUP, CONNECTION_LIMIT, 0, synchronousReplicas)),
                 TimeUnit.SECONDS.toMillis(10));
     }
 
@@ -306,9 +313,27 @@
         apply("members/" + name, new FleetRecord.Member(entry("east", name, primary, true)));
     }
 
+    /** Lists a replica that has started again under its name. */
+    public void listRestarted(String name, long startedAtMillis) {
+        apply("members/" + name, new FleetRecord.Member(entry("east", name, false, false, startedAtMillis)));
+    }
+
     private static MemberEntry entry(String failureDomain, String name, boolean primary, boolean leaving) {
+        return entry(failureDomain, name, primary, leaving, 1);
+    }
+
+    private static MemberEntry entry(
+            String failureDomain, String name, boolean primary, boolean leaving, long startedAtMillis) {
         return new MemberEntry(
-                name, GROUP, InetSocketAddress.createUnresolved(name, 1), failureDomain, 2, leaving, primary, 0, 1);
+                name,
+                GROUP,
+                InetSocketAddress.createUnresolved(name, 1),
+                failureDomain,
+                2,
+                leaving,
+                primary,
+                0,
+                startedAtMillis);
     }
 
     /** Records that operators take a failure domain out. */
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/ScriptedProbe.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/ScriptedProbe.java
@@ -1,5 +1,6 @@
 package org.banyanhook.gateway.primary;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -54,7 +55,8 @@
     }
 
     @Override
-    public CompletableFuture<Optional<MemberReport>> send(MemberServer server, MemberCommand command) {
+    public CompletableFuture<Optional<MemberReport>> send(
+            MemberServer server, MemberCommand command, Duration timeout) {
         if (failing) {
             throw new IllegalStateException("expected by the test");
         }
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/reader/ReaderBackedStoreTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/reader/ReaderBackedStoreTest.java
@@ -202,7 +202,7 @@
                             List.of(),
                             Map.of(),
                             Map.of(),
-                            Map.of("group", new GroupLimits("group", connectionLimit, 0)),
+                            Map.of("group", new GroupLimits("group", connectionLimit, 0, 0)),
                             1)));
             directory.apply(record("config", 0, 1));
             for (String other : NAMES) {
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/PrioritySchedulingTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/session/PrioritySchedulingTest.java
@@ -129,7 +129,7 @@
                 List.of(new ClientAccount("account", List.of(), 100, 100, 1)),
                 Map.of(),
                 Map.of(URGENT, route(URGENT, urgentPriority), REPORTS, route(REPORTS, reportPriority)),
-                Map.of(GatewayFixture.GROUP, new GroupLimits(GatewayFixture.GROUP, connections, 0)),
+                Map.of(GatewayFixture.GROUP, new GroupLimits(GatewayFixture.GROUP, connections, 0, 0)),
                 10_000);
         gateway.recordCodec().prepare("config", new FleetRecord.Configuration(configuration));
         gateway.directory().apply(new StoreRecord("config", new StoreRevision(0, 100), new byte[0], StoreLease.NONE));
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/GatewayFleet.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/GatewayFleet.java
@@ -38,6 +38,7 @@
     private final Map<String, Long> withdrawnSinceNanos = new HashMap<>();
     private int configurationVersion;
     private int connectionLimit = 16;
+    private int synchronousReplicas;
     private int launchCount;
 
     /**
@@ -199,7 +200,7 @@
                         + routeJson("bounded", "bounded_staleness", 1_500) + ","
                         + routeJson("own", "read_your_writes", 2_500)
                         + "],\"backends\":[{\"name\":\"group\",\"max_conns\":" + connectionLimit
-                        + "}],\"limits\":{\"idle_tx_ms\":1500},"
+                        + ",\"sync_replicas\":" + synchronousReplicas + "}],\"limits\":{\"idle_tx_ms\":1500},"
                         + "\"tenants\":[" + accounts + "]}");
         API_KEYS.stream()
                 .filter(key -> !enabledKeys.contains(key))
@@ -211,6 +212,14 @@
         connectionLimit = value;
     }
 
+    /**
+     * Sets how many replicas receive a commit before it is acknowledged, according to the configurations that are
+     * written from now on.
+     */
+    public synchronized void synchronousReplicas(int value) {
+        synchronousReplicas = value;
+    }
+
     /** Returns the version of the newest configuration. */
     public synchronized int configurationVersion() {
         return configurationVersion;
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/LineMember.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/LineMember.java
@@ -25,6 +25,8 @@
     private volatile boolean unresponsive;
     private volatile boolean dropsAnswers;
     private volatile long workMillis;
+    private volatile boolean overloaded;
+    private volatile long statusMillis;
 
     LineMember(String name, LineGroup group) throws IOException {
         this.name = name;
@@ -63,6 +65,20 @@
         workMillis = value;
     }
 
+    /** Refuses to report its status while set. */
+    public void overloaded(boolean value) {
+        overloaded = value;
+    }
+
+    boolean isOverloaded() {
+        return overloaded;
+    }
+
+    /** Sets how long the member takes to report its status, in milliseconds. */
+    public void statusMillis(long value) {
+        statusMillis = value;
+    }
+
     /** Closes the port and all connections abruptly, like a killed process. */
     @Override
     public void close() throws IOException {
@@ -104,6 +120,9 @@
                 if (workMillis > 0 && hasRequestId) {
                     Thread.sleep(workMillis);
                 }
+                if (line.endsWith(" STATUS")) {
+                    Thread.sleep(statusMillis);
+                }
                 for (String text : answer) {
                     writer.write(text + "\r\n");
                 }
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/LineSession.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/LineSession.java
@@ -114,6 +114,9 @@
                 preparedStatements.put(nameAndStatement[0], nameAndStatement[1]);
                 break;
             case "STATUS":
+                if (member.isOverloaded()) {
+                    return "BUSY";
+                }
                 answer.add("DATAROW " + group.status(member));
                 break;
             case "STEPDOWN":
