Make a former primary step down before its new promotion is recorded

Cause: the report of a member that takes itself for the primary counts as the promoted primary's once its promotion is on record, up to seconds before the order. A daemon that has just started knows no term that tells them apart.

Change: the decision says whether the member takes itself for the primary. If so, it is told to step down, and its promotion is recorded only once it has confirmed. A member that has stepped down refuses writes, whatever a daemon believes of it.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/primary/SuccessorChoice.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/SuccessorChoice.java
@@ -46,14 +46,17 @@
      * @param position the end of the log that it has received
      * @param eligible whether it may serve as the primary for longer: it is neither leaving nor taken out, and the
      *     platform has not refused to promote it
+     * @param primary whether it takes itself for the primary, of an earlier term if another member has taken over
      */
-    public record LogReport(String member, LogPosition position, boolean eligible) {}
+    public record LogReport(String member, LogPosition position, boolean eligible, boolean primary) {}
 
     /**
      * A decision on the successor of a primary.
      *
      * @param member the member to promote, or empty if none may be promoted now
      * @param position the end of the member's log, or the start of the log if no member may be promoted
+     * @param stepsDownFirst whether the member takes itself for the primary. Until it has stepped down, a daemon that
+     *     knows of the promotion, but not of the term above the member's own, would take it for the promoted primary
      * @param repeated whether an earlier promotion of the member may still be carried out
      * @param awaited the members whose reports are missing, sorted; empty if the decision does not depend on them
      * @param reason the reason, for the log
@@ -61,6 +64,7 @@
     public record Decision(
             Optional<String> member,
             LogPosition position,
+            boolean stepsDownFirst,
             boolean repeated,
             ImmutableList<String> awaited,
             String reason) {}
@@ -130,7 +134,8 @@
      */
     private boolean hasKeptItsLog(EarlierPromotion earlier, @Nullable LogReport longest) {
         LogPosition needed = earlier.position();
-        LogPosition reported = reportedPosition(earlier.member()).orElse(null);
+        LogPosition reported =
+                reportOf(earlier.member()).map(LogReport::position).orElse(null);
         if (needed == null) {
             return longest != null && longest.position().equals(reported);
         }
@@ -138,26 +143,26 @@
         return reported == null || reported.covers(needed);
     }
 
-    private Optional<LogPosition> reportedPosition(String member) {
-        return reports.stream()
-                .filter(report -> report.member().equals(member))
-                .map(LogReport::position)
-                .findFirst();
+    private Optional<LogReport> reportOf(String member) {
+        return reports.stream().filter(report -> report.member().equals(member)).findFirst();
     }
 
     private Decision repeat(EarlierPromotion earlier) {
-        LogPosition position = reportedPosition(earlier.member())
+        Optional<LogReport> report = reportOf(earlier.member());
+        LogPosition position = report.map(LogReport::position)
                 .orElse(earlier.position() == null ? LogPosition.START : earlier.position());
         String reason = "an earlier promotion may still be carried out";
-        return new Decision(Optional.of(earlier.member()), position, true, ImmutableList.of(), reason);
+        boolean stepsDownFirst = report.filter(LogReport::primary).isPresent();
+        return new Decision(Optional.of(earlier.member()), position, stepsDownFirst, true, ImmutableList.of(), reason);
     }
 
     private static Decision promote(LogReport report, String reason) {
-        return new Decision(Optional.of(report.member()), report.position(), false, ImmutableList.of(), reason);
+        return new Decision(
+                Optional.of(report.member()), report.position(), report.primary(), false, ImmutableList.of(), reason);
     }
 
     private static Decision await(Collection<String> awaited, String reason) {
-        return new Decision(Optional.empty(), LogPosition.START, false, ImmutableList.copyOf(awaited), reason);
+        return new Decision(Optional.empty(), LogPosition.START, false, false, ImmutableList.copyOf(awaited), reason);
     }
 
     /** Builds a choice. Not thread-safe. */
--- a/banyanhook-core/src/test/java/org/banyanhook/core/primary/SuccessorChoiceTest.java
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/primary/SuccessorChoiceTest.java
@@ -16,13 +16,13 @@
 
     private static final LogPosition BEHIND = new LogPosition(3, 40);
     private static final LogPosition COMPLETE = new LogPosition(3, 70);
-    private static final LogReport LEAVING_HOLDER = new LogReport("b", COMPLETE, false);
-    private static final LogReport REPLICA = new LogReport("c", BEHIND, true);
+    private static final LogReport LEAVING_HOLDER = new LogReport("b", COMPLETE, false, false);
+    private static final LogReport REPLICA = new LogReport("c", BEHIND, true, false);
 
     @Test
     void longestEligibleLogIsChosenWithoutSynchronousReplicas() {
         Decision decision = SuccessorChoice.builder()
-                .reports(List.of(LEAVING_HOLDER, REPLICA, new LogReport("d", LogPosition.START, true)))
+                .reports(List.of(LEAVING_HOLDER, REPLICA, new LogReport("d", LogPosition.START, true, false)))
                 .possibleHolders(Set.of("a", "b", "c", "d", "e"))
                 .build()
                 .decide();
@@ -57,7 +57,7 @@
     void asManyMembersMayBeSilentAsReplicasReceiveACommit() {
         SuccessorChoice.Builder choice = SuccessorChoice.builder()
                 .possibleHolders(Set.of("a", "b", "c", "d", "e"))
-                .reports(List.of(LEAVING_HOLDER, REPLICA, new LogReport("d", BEHIND, true)));
+                .reports(List.of(LEAVING_HOLDER, REPLICA, new LogReport("d", BEHIND, true, false)));
         assertThat(choice.synchronousReplicas(1).build().decide().member()).isEmpty();
         assertThat(choice.synchronousReplicas(2).build().decide().member()).hasValue("b");
     }
@@ -74,7 +74,7 @@
         EarlierPromotion own = new EarlierPromotion("c", BEHIND, true);
         assertThat(after(own, LEAVING_HOLDER, REPLICA).member()).hasValue("c");
         assertThat(after(own, LEAVING_HOLDER).member()).hasValue("c");
-        assertThat(after(own, LEAVING_HOLDER, new LogReport("c", LogPosition.START, true))
+        assertThat(after(own, LEAVING_HOLDER, new LogReport("c", LogPosition.START, true, false))
                         .member())
                 .isEmpty();
     }
@@ -97,6 +97,27 @@
         assertThat(after(lost, LEAVING_HOLDER, REPLICA).member()).hasValue("b");
     }
 
+    /** Guards against a former primary that is used in its old term as soon as its new promotion is recorded. */
+    @Test
+    void memberThatTakesItselfForThePrimaryStepsDownFirst() {
+        LogReport former = new LogReport("b", COMPLETE, true, true);
+        assertThat(SuccessorChoice.builder()
+                        .reports(List.of(former))
+                        .build()
+                        .decide()
+                        .stepsDownFirst())
+                .isTrue();
+        assertThat(after(new EarlierPromotion("b", COMPLETE, true), former, REPLICA)
+                        .stepsDownFirst())
+                .isTrue();
+        assertThat(synchronous()
+                        .reports(List.of(LEAVING_HOLDER, REPLICA))
+                        .build()
+                        .decide()
+                        .stepsDownFirst())
+                .isFalse();
+    }
+
     @Test
     void negativeNumberOfReplicasIsRefused() {
         assertThrows(
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionCandidates.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionCandidates.java
@@ -73,7 +73,7 @@
         return probe.send(server, new MemberCommand.Status(), timeout)
                 .thenApply(report -> report.map(found -> {
                     group.onReport(server, found, sentNanos);
-                    return new LogReport(server.name(), found.position(), eligible);
+                    return new LogReport(server.name(), found.position(), eligible, found.primary());
                 }));
     }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
@@ -325,14 +325,40 @@
                 rejected.clear();
                 return CompletableFuture.completedFuture(decision.reason());
             }
-            return recordPromotion(group, decision.member().get(), decision.position(), token, approval)
-                    .thenCompose(recording -> recording.revision().equals(StoreRevision.NONE)
-                            ? CompletableFuture.completedFuture(
-                                    "not recorded: the votes of the other daemons are too old, or the store was restored since")
-                            : promoteRecorded(group, recording, token, rejected, approval));
+            return endEarlierLeadership(group, decision)
+                    .thenCompose(ended -> ended
+                            ? recordAndPromote(group, decision, token, rejected, approval)
+                            : CompletableFuture.completedFuture("the member to promote did not step down"));
         });
     }
 
+    /** Makes the member to promote step down if it takes itself for the primary of an earlier term. */
+    private CompletableFuture<Boolean> endEarlierLeadership(DatabaseGroup group, SuccessorChoice.Decision decision) {
+        if (!decision.stepsDownFirst()) {
+            return CompletableFuture.completedFuture(true);
+        }
+        return decision.member()
+                .flatMap(group::server)
+                .map(server -> stepDown.perform(group, server, null)
+                        .thenApply(report ->
+                                report.filter(found -> !found.primary()).isPresent()))
+                .orElseGet(() -> CompletableFuture.completedFuture(false));
+    }
+
+    private CompletableFuture<String> recordAndPromote(
+            DatabaseGroup group,
+            SuccessorChoice.Decision decision,
+            StoreRevision token,
+            Set<String> rejected,
+            QuorumApproval approval) {
+        String member = decision.member().orElseThrow();
+        return recordPromotion(group, member, decision.position(), token, approval)
+                .thenCompose(recording -> recording.revision().equals(StoreRevision.NONE)
+                        ? CompletableFuture.completedFuture(
+                                "not recorded: the votes of the other daemons are too old, or the store was restored since")
+                        : promoteRecorded(group, recording, token, rejected, approval));
+    }
+
     private SuccessorChoice.Decision chooseSuccessor(
             DatabaseGroup group, List<LogReport> reports, QuorumApproval approval) {
         ImmutableSet<String> members = reports.stream().map(LogReport::member).collect(ImmutableSet.toImmutableSet());
@@ -357,6 +383,7 @@
                 .with("group", group.name())
                 .with("member", decision.member().orElse(null))
                 .with("reason", decision.reason())
+                .with("stepsDownFirst", decision.stepsDownFirst())
                 .with("earlierRequest", decision.repeated())
                 .with("position", decision.position().toString())
                 .with("wanted", approval.targetPosition().toString())
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionWorkflowTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionWorkflowTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -114,6 +115,38 @@
         assertThat(requests).containsExactly("c");
     }
 
+    /**
+     * Guards against commits of a former primary in its old term (review case 8): a daemon that reads the record of its
+     * new promotion takes its old report for the new one.
+     */
+    @Test
+    void formerPrimaryStepsDownBeforeItsNewPromotionIsRecorded() {
+        gateway.recordPromotion("b");
+        members.remove("b");
+        workflow = promotions.newWorkflow();
+        gateway.advanceMillis(10_000);
+        List<Boolean> recordedBefore = new ArrayList<>();
+        members.beforeStepDown(
+                () -> recordedBefore.add(!promotions.store().expectedRevisions().isEmpty()));
+        replace(PromotionController.Reason.ABSENT);
+        assertThat(recordedBefore).containsExactly(false);
+        assertThat(members.report("a").primary()).isFalse();
+        assertThat(requests).containsExactly("a");
+    }
+
+    /** Guards against the same commits where the former primary ignores the command. */
+    @Test
+    void formerPrimaryThatDoesNotStepDownIsNotPromoted() {
+        gateway.recordPromotion("b");
+        members.remove("b");
+        members.obstinate(true);
+        workflow = promotions.newWorkflow();
+        gateway.advanceMillis(10_000);
+        assertThat(replace(PromotionController.Reason.ABSENT)).contains("did not step down");
+        assertThat(promotions.store().expectedRevisions()).isEmpty();
+        assertThat(requests).isEmpty();
+    }
+
     /** A record that was written although its answer was lost must not replace a later one. */
     @Test
     void promotionIsRecordedOnlyIfItsRecordHasNotChanged() {
