Do not promote a recorded member whose log is empty before others

Cause: a daemon that has just started takes the recorded promotion for open for 10 s and repeats it first, without a look at the log of its member.

Without synchronous replicas the recorded member still came first: both new tests fail without this change.

Change: without synchronous replicas too, the recorded member is not promoted while its log is empty and another's is not; once its order has lost its effect, 10 s at most, the choice is free.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/primary/SuccessorChoice.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/SuccessorChoice.java
@@ -48,7 +48,12 @@
      *     platform has not refused to promote it
      * @param primary whether it takes itself for the primary, of an earlier term if another member has taken over
      */
-    public record LogReport(String member, LogPosition position, boolean eligible, boolean primary) {}
+    public record LogReport(String member, LogPosition position, boolean eligible, boolean primary) {
+
+        private boolean isEmpty() {
+            return position.position() == 0;
+        }
+    }
 
     /**
      * A decision on the successor of a primary.
@@ -88,9 +93,14 @@
     }
 
     private Decision decideByEligibility() {
-        if (earlierPromotion != null) {
+        if (earlierPromotion != null && !isEmptyBesideOthers(earlierPromotion)) {
             return repeat(earlierPromotion);
         }
+        if (earlierPromotion != null && earlierPromotion.mayBeCarriedOut()) {
+            return await(
+                    List.of(),
+                    "an earlier promotion of " + earlierPromotion.member() + " is pending, but its log is empty");
+        }
         return reports.stream()
                 .filter(LogReport::eligible)
                 .max(BY_LOG)
@@ -143,6 +153,14 @@
         return reported == null || reported.covers(needed);
     }
 
+    /**
+     * Returns whether the member of an earlier promotion has started again without its log, which others still have.
+     */
+    private boolean isEmptyBesideOthers(EarlierPromotion earlier) {
+        return reportOf(earlier.member()).filter(LogReport::isEmpty).isPresent()
+                && reports.stream().anyMatch(report -> !report.isEmpty());
+    }
+
     private Optional<LogReport> reportOf(String member) {
         return reports.stream().filter(report -> report.member().equals(member)).findFirst();
     }
--- a/banyanhook-core/src/test/java/org/banyanhook/core/primary/SuccessorChoiceTest.java
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/primary/SuccessorChoiceTest.java
@@ -97,6 +97,35 @@
         assertThat(after(lost, LEAVING_HOLDER, REPLICA).member()).hasValue("b");
     }
 
+    /** Guards against the loss of all commits to a member that started again without its log (review case 7). */
+    @Test
+    void earlierPromotionOfAMemberWithAnEmptyLogIsNotRepeatedWithoutSynchronousReplicasEither() {
+        SuccessorChoice.Builder choice =
+                SuccessorChoice.builder().reports(List.of(new LogReport("b", LogPosition.START, true, false), REPLICA));
+        assertThat(choice.earlierPromotion(Optional.of(new EarlierPromotion("b", null, true)))
+                        .build()
+                        .decide()
+                        .member())
+                .isEmpty();
+        assertThat(choice.earlierPromotion(Optional.of(new EarlierPromotion("b", COMPLETE, false)))
+                        .build()
+                        .decide()
+                        .member())
+                .hasValue("c");
+    }
+
+    @Test
+    void earlierPromotionIsRepeatedInAGroupWithoutCommits() {
+        Decision decision = SuccessorChoice.builder()
+                .reports(List.of(
+                        new LogReport("b", LogPosition.START, true, false),
+                        new LogReport("c", LogPosition.START, true, false)))
+                .earlierPromotion(Optional.of(new EarlierPromotion("b", null, true)))
+                .build()
+                .decide();
+        assertThat(decision.member()).hasValue("b");
+    }
+
     /** Guards against a former primary that is used in its old term as soon as its new promotion is recorded. */
     @Test
     void memberThatTakesItselfForThePrimaryStepsDownFirst() {
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionWorkflowTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PromotionWorkflowTest.java
@@ -147,6 +147,22 @@
         assertThat(requests).isEmpty();
     }
 
+    /**
+     * Guards against the loss of all commits to a recorded member that started again without its log (review case 7).
+     */
+    @Test
+    void recordedMemberWithoutItsLogIsNotPromotedBeforeOthers() {
+        gateway.recordPromotion("c");
+        members.remove("a");
+        members.set("c", false, 0, LogPosition.START);
+        workflow = promotions.newWorkflow();
+        assertThat(replace(PromotionController.Reason.ABSENT)).contains("its log is empty");
+        assertThat(requests).isEmpty();
+        gateway.advanceMillis(10_000);
+        replace(PromotionController.Reason.ABSENT);
+        assertThat(requests).containsExactly("b");
+    }
+
     /** A record that was written although its answer was lost must not replace a later one. */
     @Test
     void promotionIsRecordedOnlyIfItsRecordHasNotChanged() {
