Review case 12: a script of it, with machines that join during the cut

A region with 3 of 5 daemons and the primary is cut off for 25 s, and two daemons are started outside. With their votes another member is promoted 6 s after the start of the cut, while the daemons inside go on with the old primary. The steps are shared with case 11. Daemons that start later get the setting bootstrap = false. The stand-ins of the former case 15 leave.

Cause: each daemon counts the majority over the daemons that it knows itself.

--- /dev/null
+++ b/review/12/run.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# A region with the primary is cut off, and machines are added outside. Exit 1: rule broken, 0: held, 2: could not run.
+cd "$(dirname "$0")" || exit 2
+java -Xmx128m -cp ../../target/review-3 MachinesAdded ../.. .
+case $? in
+    0) exit 0 ;;
+    10) exit 1 ;;
+    *) exit 2 ;;
+esac
--- a/review/standins-3/Fleet.java
+++ b/review/standins-3/Fleet.java
@@ -24,6 +24,7 @@
 
     static final String KEY = "u3f1k8s2m4";
     private static final long READY_TIMEOUT_MILLIS = 20_000;
+    private static final int GRACE_SECONDS = 6;
     private static final int FIRST_PORT = 15_000;
     private static final int LAST_PORT = 30_000;
 
@@ -38,6 +39,7 @@
     private final Map<String, Integer> readinessPorts = new LinkedHashMap<>();
     private final Map<String, String> peerAddresses = new LinkedHashMap<>();
     private final HttpServer promotions;
+    private boolean begun;
 
     /**
      * Prepares a fleet.
@@ -105,6 +107,18 @@
         trace.line(daemon, "process started");
     }
 
+    /** Stops a daemon with SIGTERM, as for planned work, and starts it again. */
+    void restart(String daemon) throws IOException, InterruptedException {
+        trace.line(daemon, "SIGTERM");
+        Process process = processes.get(daemon);
+        process.destroy();
+        if (!process.waitFor(GRACE_SECONDS, TimeUnit.SECONDS)) {
+            process.destroyForcibly().waitFor();
+        }
+        trace.line(daemon, "has ended");
+        start(daemon);
+    }
+
     /** Waits until daemons report themselves ready. */
     void awaitReady(Iterable<String> daemons) throws IOException, InterruptedException {
         long deadline = System.nanoTime() + READY_TIMEOUT_MILLIS * 1_000_000;
@@ -116,6 +130,7 @@
                 Thread.sleep(50);
             }
         }
+        begun = true;
     }
 
     boolean isReady(String daemon) {
@@ -178,7 +193,7 @@
                 "region = \"" + regions.get(zone) + "\"",
                 "internal_ports = [" + peer.substring(peer.indexOf(':') + 1) + ","
                         + peer.substring(peer.indexOf(':') + 1) + "]",
-                "bootstrap = true",
+                "bootstrap = " + !begun,
                 "heartbeat_ms = 1200",
                 "[zones]",
                 zoneLines.toString(),
@@ -198,7 +213,7 @@
                 "[bounds]",
                 "contact_ms = 5000",
                 "drain_ms = 7000",
-                "grace_s = 6",
+                "grace_s = " + GRACE_SECONDS,
                 "config_apply_ms = 4000",
                 "evacuate_ms = 5000",
                 "require_fencing = false",
--- a/review/standins-3/RegionCutOff.java
+++ b/review/standins-3/RegionCutOff.java
@@ -1,196 +1,23 @@
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.concurrent.atomic.AtomicBoolean;
 
-/**
- * A region with most of the daemons, and the primary, is cut off from the other regions and from the platform for 50 s.
- * On both sides a client goes on to write and to read on a route of type primary.
- */
+/** A region with 5 of 8 daemons is cut off for 50 s. */
 final class RegionCutOff {
 
     private static final long CUT_MILLIS = 50_000;
-    private static final long AFTER_MILLIS = 6_000;
-    private static final long STEP_MILLIS = 400;
-    private static final String SASK = "sask-east";
-
-    private static final Map<String, String> ZONES = zones();
-    private static final Map<String, String> REGIONS = Map.of(
-            "yorkton-kiln", SASK,
-            "melville-annex", SASK,
-            "brandon-depot", "manitoba-west",
-            "edmonton-wh", "alberta-north");
 
     private RegionCutOff() {}
 
-    private static Map<String, String> zones() {
-        Map<String, String> zones = new LinkedHashMap<>();
-        zones.put("edge-yorkton-kiln-1", "yorkton-kiln");
-        zones.put("edge-yorkton-kiln-2", "yorkton-kiln");
-        zones.put("edge-yorkton-kiln-3", "yorkton-kiln");
-        zones.put("edge-melville-annex-1", "melville-annex");
-        zones.put("edge-melville-annex-2", "melville-annex");
-        zones.put("edge-brandon-depot-1", "brandon-depot");
-        zones.put("edge-brandon-depot-2", "brandon-depot");
-        zones.put("edge-edmonton-wh-1", "edmonton-wh");
-        return zones;
-    }
-
-    private static boolean isInside(String zone) {
-        return SASK.equals(REGIONS.get(zone));
-    }
-
     public static void main(String[] arguments) throws IOException {
-        Case.run(arguments, (trace, folder, repository, trouble) -> {
-            Map<String, Relay> relays = new LinkedHashMap<>();
-            Map<String, Boolean> sides = new LinkedHashMap<>();
-            try (Store store = new Store(trace, 20_000, (daemon, text) -> shown(daemon, text, relays, sides));
-                    Group group = new Group(
-                            trace,
-                            store,
-                            Setup.SERVICE,
-                            Setup.members("yorkton-kiln", "brandon-depot", "edmonton-wh"),
-                            20,
-                            300,
-                            0);
-                    Fleet fleet = new Fleet(trace, store, group, folder, repository, ZONES, REGIONS)) {
-                for (String daemon : ZONES.keySet()) {
-                    addRelay(relays, sides, fleet.peerAddress(daemon), isInside(ZONES.get(daemon)));
-                }
-                for (String member : Setup.MEMBERS) {
-                    addRelay(relays, sides, group.member(member).address(), isInside(group.member(member).zone));
-                }
-                Setup.configure(store, 1, 0);
-                for (String daemon : ZONES.keySet()) {
-                    fleet.start(daemon);
-                }
-                fleet.awaitReady(ZONES.keySet());
-                Thread.sleep(3_000);
-                return play(trace, store, group, fleet, relays, trouble);
-            } finally {
-                relays.values().forEach(Relay::close);
-            }
-        });
-    }
-
-    private static void addRelay(Map<String, Relay> relays, Map<String, Boolean> sides, String address, boolean inside)
-            throws IOException {
-        relays.put(address, new Relay(address));
-        sides.put(address, inside);
-    }
-
-    /** Daemons reach what is on the other side of the later cut through relays. */
-    private static String shown(
-            String daemon, String text, Map<String, Relay> relays, Map<String, Boolean> sides) {
-        boolean inside = isInside(ZONES.get(daemon));
-        String shown = text;
-        for (Map.Entry<String, Relay> relay : relays.entrySet()) {
-            if (sides.get(relay.getKey()) != inside) {
-                shown = shown.replace("\"" + relay.getKey() + "\"", "\"" + relay.getValue().address() + "\"");
-            }
-        }
-        return shown;
-    }
-
-    private static boolean play(
-            Trace trace, Store store, Group group, Fleet fleet, Map<String, Relay> relays, boolean trouble)
-            throws Exception {
-        List<String[]> acknowledged = new ArrayList<>();
-        AtomicBoolean broken = new AtomicBoolean();
-        AtomicBoolean ended = new AtomicBoolean();
-        List<String> insideWrites = new ArrayList<>();
-        try (Client before = fleet.connect("outside", "edge-brandon-depot-1", Setup.PRIMARY, Fleet.KEY)) {
-            if (!before.run("WRITE stock 0").succeeded()) {
-                throw new IOException("the first write failed");
-            }
-            acknowledged.add(new String[] {"0", Long.toString(trace.millis())});
-        }
-        if (trouble) {
-            cut(trace, store, group, relays, true);
-        }
-        Thread outside = new Thread(() -> writeOutside(trace, fleet, acknowledged, ended));
-        Thread inside = new Thread(() -> readInside(trace, fleet, acknowledged, insideWrites, broken, ended));
-        outside.start();
-        inside.start();
-        Thread.sleep(CUT_MILLIS);
-        ended.set(true);
-        outside.join();
-        inside.join();
-        if (trouble) {
-            cut(trace, store, group, relays, false);
-            Thread.sleep(AFTER_MILLIS);
-            for (String id : insideWrites) {
-                if (!group.holds(group.primary(), id)) {
-                    trace.line("case", "acknowledged inside, and not in the log of the primary now: " + id);
-                }
-            }
-        }
-        return !broken.get();
-    }
-
-    private static void cut(Trace trace, Store store, Group group, Map<String, Relay> relays, boolean value) {
-        trace.line("network", SASK + (value ? " is cut off from the others and the platform" : " is connected again"));
-        relays.values().forEach(relay -> relay.cut(value));
-        ZONES.forEach((daemon, zone) -> store.partition(daemon, value && isInside(zone)));
-        for (String member : Setup.MEMBERS) {
-            if (isInside(group.member(member).zone)) {
-                group.side(member, value ? SASK : "");
-                group.offStore(member, value);
-            }
-        }
-    }
-
-    private static void writeOutside(
-            Trace trace, Fleet fleet, List<String[]> acknowledged, AtomicBoolean ended) {
-        for (int number = 1; !ended.get(); number++) {
-            try (Client client = fleet.connect("outside", "edge-brandon-depot-1", Setup.PRIMARY, Fleet.KEY)) {
-                Client.Answer answer = client.run("WRITE stock " + number);
-                if (answer.succeeded()) {
-                    synchronized (acknowledged) {
-                        acknowledged.add(new String[] {Integer.toString(number), Long.toString(trace.millis())});
-                    }
-                }
-                Thread.sleep(STEP_MILLIS);
-            } catch (IOException exception) {
-                trace.line("outside", exception.toString());
-            } catch (InterruptedException exception) {
-                return;
-            }
-        }
-    }
-
-    /** Reads what the other client writes; each read has to see what was acknowledged before it was sent. */
-    private static void readInside(
-            Trace trace,
-            Fleet fleet,
-            List<String[]> acknowledged,
-            List<String> insideWrites,
-            AtomicBoolean broken,
-            AtomicBoolean ended) {
-        int number = 0;
-        while (!ended.get()) {
-            try (Client client = fleet.connect("inside", "edge-yorkton-kiln-1", Setup.PRIMARY, Fleet.KEY)) {
-                String expected;
-                synchronized (acknowledged) {
-                    expected = acknowledged.get(acknowledged.size() - 1)[0];
-                }
-                Client.Answer answer = client.run("READ stock");
-                if (answer.succeeded() && Integer.parseInt(answer.rows()) < Integer.parseInt(expected)) {
-                    trace.line("inside", "STALE: the read lacks the write of " + expected
-                            + ", which was acknowledged before it was sent");
-                    broken.set(true);
-                }
-                if (client.run("WRITE local " + ++number).succeeded()) {
-                    insideWrites.add(client.lastId());
-                }
-                Thread.sleep(STEP_MILLIS);
-            } catch (IOException exception) {
-                trace.line("inside", exception.toString());
-            } catch (InterruptedException exception) {
-                return;
-            }
-        }
+        List<String> daemons = List.of(
+                "edge-yorkton-kiln-1",
+                "edge-yorkton-kiln-2",
+                "edge-yorkton-kiln-3",
+                "edge-melville-annex-1",
+                "edge-melville-annex-2",
+                "edge-brandon-depot-1",
+                "edge-brandon-depot-2",
+                "edge-edmonton-wh-1");
+        new SplitRegion(daemons, List.of(), List.of(), CUT_MILLIS).run(arguments);
     }
 }
--- a/review/standins-3/Setup.java
+++ b/review/standins-3/Setup.java
@@ -21,29 +21,17 @@
         return members;
     }
 
-    /** Writes a configuration with the routes of the service and further ones; returns its revision. */
+    /** Writes a configuration with the routes of the service; returns its revision. */
     static long configure(Store store, int version, int synchronousReplicas) {
-        return configure(store, version, synchronousReplicas, 0, List.of(Fleet.KEY));
-    }
-
-    /** Writes a configuration. */
-    static long configure(Store store, int version, int synchronousReplicas, int furtherRoutes, List<String> keys) {
-        StringBuilder routes = new StringBuilder();
-        routes.append(route("r-e9itf", PRIMARY, "primary", 1_000, 0));
-        routes.append(',').append(route("r-8jmxwj", OWN, "read_your_writes", 1_000, 2_500));
-        for (int number = 0; number < furtherRoutes; number++) {
-            routes.append(',')
-                    .append(route("r-x" + number, "xapu" + number + "ny95", "bounded_staleness", 2_000, 1_500));
-        }
-        StringBuilder granted = new StringBuilder();
-        keys.forEach(key -> granted.append(granted.length() == 0 ? "" : ",").append('"').append(key).append('"'));
+        String routes = route("r-e9itf", PRIMARY, "primary", 1_000, 0) + ','
+                + route("r-8jmxwj", OWN, "read_your_writes", 1_000, 2_500);
         return store.put(
                 "op/config",
                 "{\"version\":" + version + ",\"routes\":[" + routes + "],\"backends\":[{\"name\":\"" + SERVICE
                         + "\",\"health_check_path\":\"/health\",\"max_conns\":37,\"protocol\":\"h1\",\"tls\":false,"
                         + "\"warmup_s\":0.0,\"warmup_per_s\":0.0,\"sync_replicas\":" + synchronousReplicas
-                        + "}],\"limits\":{\"idle_tx_ms\":3000},\"tenants\":[{\"name\":\"nypu920\",\"api_keys\":["
-                        + granted + "],\"priority\":1,\"rate_per_s\":400,\"burst\":400,\"allowed_regions\":[]}]}");
+                        + "}],\"limits\":{\"idle_tx_ms\":3000},\"tenants\":[{\"name\":\"nypu920\",\"api_keys\":[\""
+                        + Fleet.KEY + "\"],\"priority\":1,\"rate_per_s\":400,\"burst\":400,\"allowed_regions\":[]}]}");
     }
 
     private static String route(String name, String host, String type, int timeoutMillis, int stalenessMillis) {
