Review case 15: split brain while a region is cut off and a daemon restarts

A region with 5 of 8 daemons and the primary is cut off for 27 s, and 8 s later one daemon outside is stopped and started again. Another member is promoted 3 s after it is up, while the daemons inside go on with the old primary.

Cause: a daemon that has just started knows only the daemons whose entries stand in the store, and counts its majority over them.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# A daemon misses many versions of a large configuration. Exit 1: rule broken, 0: held, 2: could not run.
+# A region is cut off, and a daemon outside is restarted. Exit 1: rule broken, 0: held, 2: could not run.
 cd "$(dirname "$0")" || exit 2
-java -Xmx128m -cp ../../target/review-3 ManyVersions ../.. .
+java -Xmx128m -cp ../../target/review-3 RestartOutside ../.. .
 case $? in
     0) exit 0 ;;
     10) exit 1 ;;
