--- a/review/standins-3/UnlistedReplica.java
+++ b/review/standins-3/UnlistedReplica.java
@@ -3,11 +3,12 @@
 import java.util.Map;
 
 /**
- * A commit is acknowledged once one replica has received it. One replica is cut off from the store, and goes on to
- * receive; later the other one receives nothing, and the primary crashes.
+ * A commit is acknowledged once one replica has received it. A failure domain with one replica and one daemon is cut off
+ * from the platform, and the replica goes on to receive; later the other one receives nothing, and the primary crashes.
  */
 final class UnlistedReplica {
 
+    private static final String CUT_OFF_DAEMON = "edge-brandon-depot-1";
     private static final long CUT_MILLIS = 9_500;
     private static final long DEAF_MILLIS = 1_500;
     private static final long DEAF_AFTER_CRASH_MILLIS = 500;
@@ -19,7 +20,7 @@
         Case.run(arguments, (trace, folder, repository, trouble) -> {
             Map<String, String> zones = new LinkedHashMap<>();
             zones.put("edge-yorkton-kiln-1", "yorkton-kiln");
-            zones.put("edge-brandon-depot-1", "brandon-depot");
+            zones.put(CUT_OFF_DAEMON, "brandon-depot");
             zones.put("edge-edmonton-wh-1", "edmonton-wh");
             Map<String, String> regions =
                     Map.of("yorkton-kiln", "sask-east", "brandon-depot", "manitoba-west", "edmonton-wh", "alberta-north");
@@ -39,18 +40,20 @@
                 }
                 fleet.awaitReady(zones.keySet());
                 Thread.sleep(2_000);
-                return play(trace, group, fleet, trouble);
+                return play(trace, store, group, fleet, trouble);
             }
         });
     }
 
-    private static boolean play(Trace trace, Group group, Fleet fleet, boolean trouble) throws Exception {
+    private static boolean play(Trace trace, Store store, Group group, Fleet fleet, boolean trouble) throws Exception {
         String first = Setup.MEMBERS.get(0);
         String unlisted = Setup.MEMBERS.get(1);
         String deaf = Setup.MEMBERS.get(2);
         String lastAcknowledged = write(fleet, 0);
         if (trouble) {
             group.offStore(unlisted, true);
+            store.partition(CUT_OFF_DAEMON, true);
+            trace.line("network", "brandon-depot is cut off from the platform");
         }
         long cutUntil = trace.millis() + CUT_MILLIS;
         int number = 1;
@@ -87,9 +90,11 @@
                 + (held ? "contains " : "LACKS the acknowledged write ") + lastAcknowledged);
         if (trouble) {
             group.offStore(unlisted, false);
+            store.partition(CUT_OFF_DAEMON, false);
+            trace.line("network", "brandon-depot reaches the platform again");
         }
         Thread.sleep(1_500);
-        try (Client client = fleet.connect("reader", "edge-brandon-depot-1", Setup.PRIMARY, Fleet.KEY)) {
+        try (Client client = fleet.connect("reader", "edge-edmonton-wh-1", Setup.PRIMARY, Fleet.KEY)) {
             client.run("READ order");
         }
         return held;
