Review case 14: the member rejects the requests with BUSY

BUSY says that nothing was run, so it is beyond doubt that the SET had no effect. FAILED, which the script used before, counts as a run.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A member fails part of its requests. Exit 1: rule broken, 0: held, 2: could not run.
+# A member rejects part of its requests. Exit 1: rule broken, 0: held, 2: could not run.
 cd "$(dirname "$0")" || exit 2
 java -Xmx128m -cp ../../target/review-3 FailingSet ../.. .
 case $? in
--- a/review/standins-3/FailingSet.java
+++ b/review/standins-3/FailingSet.java
@@ -5,12 +5,12 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
- * A member fails part of its requests although it is healthy. Two clients of one tenant, whose session values differ,
+ * A member rejects part of its requests although it is healthy. Two clients of one tenant, whose session values differ,
  * write in turn.
  */
 final class FailingSet {
 
-    private static final double FAILED_SHARE = 0.4;
+    private static final double REJECTED_SHARE = 0.4;
     private static final int ROUNDS = 40;
     private static final String VALUE = "area";
 
@@ -60,10 +60,10 @@
         if (trouble) {
             Random random = new Random(58);
             String grey = group.primary();
-            trace.line(grey, "fails " + FAILED_SHARE + " of its requests from now on");
+            trace.line(grey, "rejects " + REJECTED_SHARE + " of its requests from now on");
             group.faults((member, statement) -> {
                 synchronized (random) {
-                    return member.equals(grey) && random.nextDouble() < FAILED_SHARE ? "FAILED" : null;
+                    return member.equals(grey) && random.nextDouble() < REJECTED_SHARE ? "BUSY" : null;
                 }
             });
         }
