Count the majority of voters that the store records

Reads inside on routes of type primary lacked what had been acknowledged outside; writes that were acknowledged inside were rolled back.

Cause: each daemon counted a majority of the daemons that it knew. Machines that join, a restart, or entries that are forgotten after 30 s made a second majority outside that shares no daemon with the one inside.

Change: one record of the store names up to nine voters, spread so that no region has more than half. A replacement needs half of them and the store, a daemon without the store more than half. A change of the voters counts both sets until half of each has read the record. A promotion is recorded only while the record of the voters that were counted is unchanged. The answer of a voter that has been without the store for 25 s counts only together with those of all voters; one without an entry for 27.2 s has departed for a replacement.

Why it works: all daemons count the same set, whatever they remember. A daemon that knows an older record meets, among more than half of its voters, one that knows the newer record, and any two quorums share a voter.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/primary/PeerContact.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/PeerContact.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
-import org.banyanhook.core.primary.PromotionPermission.VoteTally;
 
 /**
  * The answers of other daemons about replaced primaries, for a daemon without contact to the store. Not thread-safe.
@@ -18,12 +17,12 @@
      * Records the answers to one round of requests.
      *
      * @param askedNanos the time at which the requests were sent
-     * @param votes the number of daemons that were asked and that answered
+     * @param mayRely whether the voters that answered suffice ({@link VoterSets#mayRely})
      * @param groupsInDoubt the groups whose primary was replaced, or may have been, according to at least one answer
      */
-    public void recordRound(long askedNanos, VoteTally votes, Set<String> groupsInDoubt) {
+    public void recordRound(long askedNanos, boolean mayRely, Set<String> groupsInDoubt) {
         groupsInDoubt.forEach(group -> inDoubtNanos.put(group, askedNanos));
-        if (votes.majorityAnswered()) {
+        if (mayRely) {
             hasContact = true;
             lastContactNanos = askedNanos;
         }
--- a/banyanhook-core/src/main/java/org/banyanhook/core/primary/PromotionPermission.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/PromotionPermission.java
@@ -7,9 +7,9 @@
  *
  * <p>A daemon that reports that it does not reach the primary has stopped using it and keeps a record of its vote
  * ({@link GrantedVotes}). A daemon that does not answer stops using the primary after {@link #CONTACT_TIMEOUT_NANOS},
- * unless it is in contact with the store, where the promotion is recorded, or with a majority of the daemons, at least
- * one of which has voted. A replacement therefore requires answers from a majority of the voters, none of which reaches
- * the primary, and, while any daemon does not answer, a wait after the promotion is recorded.
+ * unless it is in contact with the store, where the promotion is recorded, or with a majority of the voters, at least
+ * one of which has voted. A replacement therefore requires answers from enough of the voters ({@link VoterSets}), none
+ * of which reaches the primary, and, while any daemon does not answer, a wait after the promotion is recorded.
  */
 public enum PromotionPermission {
     /** No daemon uses the primary any more. */
@@ -17,7 +17,7 @@
     /** The primary still serves other daemons. */
     STILL_REACHED("another daemon reaches the primary"),
     /** Too few voters answered: a majority that this daemon does not reach may continue to use the primary. */
-    NO_MAJORITY("no majority of the voters answered"),
+    NO_MAJORITY("too few of the voters answered"),
     /** A daemon that does not answer may not have stopped using the primary yet. */
     SILENT_DAEMONS("waiting until unresponsive daemons have stopped using the primary");
 
@@ -47,35 +47,15 @@
      * @param asked the number of daemons asked, including those seen recently
      * @param unreachable the number of daemons that do not reach the primary and have stopped using it
      * @param reachable the number of daemons that reach it
-     * @param voters the number of {@linkplain PromotionVoters voters}, including the asking daemon if it is one
-     * @param votersAnswered the number of voters that answered, including the asking daemon if it is one
      */
-    public record VoteTally(int asked, int unreachable, int reachable, int voters, int votersAnswered) {
+    public record VoteTally(int asked, int unreachable, int reachable) {
 
-        /** The tally before any answer, if the asking daemon is a voter. */
-        public static final VoteTally EMPTY_FOR_VOTER = new VoteTally(0, 0, 0);
-
-        /** The tally before any answer, if the asking daemon is not a voter. */
-        public static final VoteTally EMPTY_FOR_NON_VOTER = new VoteTally(0, 0, 0, 0, 0);
-
-        /** Creates the tally of a fleet in which all daemons are voters, including the asking one. */
-        public VoteTally(int asked, int unreachable, int reachable) {
-            this(asked, unreachable, reachable, asked + 1, unreachable + reachable + 1);
-        }
+        /** The tally before any answer. */
+        public static final VoteTally EMPTY = new VoteTally(0, 0, 0);
 
         /** Returns the sum of this tally and another. */
         public VoteTally plus(VoteTally other) {
-            return new VoteTally(
-                    asked + other.asked,
-                    unreachable + other.unreachable,
-                    reachable + other.reachable,
-                    voters + other.voters,
-                    votersAnswered + other.votersAnswered);
-        }
-
-        /** Returns whether a majority of all voters answered. */
-        public boolean majorityAnswered() {
-            return votersAnswered * 2 > voters;
+            return new VoteTally(asked + other.asked, unreachable + other.unreachable, reachable + other.reachable);
         }
 
         /** Returns the number of daemons that answered. */
@@ -93,14 +73,15 @@
      * Decides whether the primary may be replaced.
      *
      * @param votes the answers of the other daemons
+     * @param votersSuffice whether enough voters answered ({@link VoterSets#mayDecide})
      * @param recordedForNanos the time for which the promotion has been recorded, 0 if it is not recorded yet
      * @return {@link #GRANTED}, or the reason why the primary may not be replaced
      */
-    public static PromotionPermission decide(VoteTally votes, long recordedForNanos) {
+    public static PromotionPermission decide(VoteTally votes, boolean votersSuffice, long recordedForNanos) {
         if (votes.reachable() > 0) {
             return STILL_REACHED;
         }
-        if (!votes.majorityAnswered()) {
+        if (!votersSuffice) {
             return NO_MAJORITY;
         }
         return votes.unanswered() > 0 && recordedForNanos < STOPPED_AFTER_NANOS ? SILENT_DAEMONS : GRANTED;
--- a/banyanhook-core/src/main/java/org/banyanhook/core/primary/SilentDaemon.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/SilentDaemon.java
@@ -16,8 +16,8 @@
 
     /**
      * Returns whether the daemon may still use the primary. It may as long as it is in contact with the store or with a
-     * majority of the voters. A majority that has answered has a voter in common with any such majority, so a daemon
-     * that no voter reports is not in contact with one.
+     * majority of the voters. The voters that have answered include one of any such majority, so a daemon that no voter
+     * reports is not in contact with one.
      */
     public boolean mayUsePrimary() {
         return registered || nanosSinceEntryEnded < PromotionPermission.STOPPED_AFTER_NANOS || reportedByVoter;
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.banyanhook.core.execution.ShutdownSchedule;
+import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.core.usage.UsageSettings;
 import org.banyanhook.daemon.peer.NettyPeerMessenger;
 import org.banyanhook.gateway.backend.ConnectionProbe;
@@ -55,6 +56,7 @@
 import org.banyanhook.gateway.primary.PromotionVoter;
 import org.banyanhook.gateway.primary.PromotionWorkflow;
 import org.banyanhook.gateway.primary.StoreOrQuorumPolicy;
+import org.banyanhook.gateway.primary.VoterMaintainer;
 import org.banyanhook.gateway.rate.AccountRateLimiter;
 import org.banyanhook.gateway.rate.PeerTokenTransfers;
 import org.banyanhook.gateway.reader.ReaderBackedStore;
@@ -167,8 +169,9 @@
                 clock,
                 log,
                 metrics);
-        PeerVoteExchange voteExchange =
-                new PeerVoteExchange(settings.entryVm(), messenger, directory, eras, eventLoop, clock);
+        PeerVoteExchange.StoreProgress storeProgress = new ReadStoreProgress();
+        PeerVoteExchange voteExchange = new PeerVoteExchange(
+                settings.entryVm(), messenger, directory, ports.recordCodec(), eras, eventLoop, clock, storeProgress);
         this.primaryAccess = new StoreOrQuorumPolicy(
                 registration::nanosSinceContact, registration::contact, voteExchange, clock, eventLoop, log);
         // Differs between the runs of this daemon, and is not 0, which stands for an unknown run.
@@ -190,10 +193,9 @@
                 databaseGroups, directory, probe, registration::lastContactNanos, storeMirror::isComplete, clock);
         voteExchange.serve(promotionVoter);
         primaryAccess.groupsWithUnresolvedVotes(promotionVoter::groupsWithUnresolvedVotes);
-        PromotionLeases promotionLeases =
-                new PromotionLeases(settings.entryVm(), store, ports.recordCodec(), directory, clock, log);
-        LostPromotionWriter lostPromotions =
-                new LostPromotionWriter(settings.entryVm(), store, ports.recordCodec(), directory, eras, clock, log);
+        PromotionLeases promotionLeases = newPromotionLeases(store);
+        LostPromotionWriter lostPromotions = newLostPromotionWriter(store);
+        VoterMaintainer voterMaintainer = newVoterMaintainer(store, voteExchange);
         handleRestoredStore(promotionLeases, lostPromotions);
         storeMirror.onFirstReading(promotionLeases::endFormerLeases);
         this.promotionController = newPromotionController(store, promotionLeases, voteExchange, promotionVoter, probe);
@@ -214,12 +216,47 @@
                         primaryAccess::tick,
                         promotionController::tick,
                         lostPromotions::tick,
+                        voterMaintainer::tick,
                         clientConnections::tick,
                         () -> sessions.rollBackIdleTransactions(sessionContext),
                         log::flush),
                 log);
     }
 
+    private PeerVoteExchange newVoteExchange() {
+        return new PeerVoteExchange(
+                settings.entryVm(),
+                messenger,
+                directory,
+                ports.recordCodec(),
+                eras,
+                eventLoop,
+                clock,
+                new ReadStoreProgress());
+    }
+
+    private PromotionLeases newPromotionLeases(RecordStore store) {
+        return new PromotionLeases(settings.entryVm(), store, ports.recordCodec(), directory, clock, log);
+    }
+
+    private LostPromotionWriter newLostPromotionWriter(RecordStore store) {
+        return new LostPromotionWriter(settings.entryVm(), store, ports.recordCodec(), directory, eras, clock, log);
+    }
+
+    private VoterMaintainer newVoterMaintainer(RecordStore store, PeerVoteExchange voteExchange) {
+        return new VoterMaintainer(
+                settings.entryVm(),
+                store,
+                ports.recordCodec(),
+                directory,
+                eras,
+                voteExchange,
+                new ReadStoreProgress(),
+                settings::regionOf,
+                clock,
+                log);
+    }
+
     private GroupContext newGroupContext(ConnectionHomes homes) {
         return new GroupContext(
                 settings,
@@ -420,6 +457,19 @@
         eventLoop.execute(() -> log.line("reload").with("changed", changed).write());
     }
 
+    private final class ReadStoreProgress implements PeerVoteExchange.StoreProgress {
+
+        @Override
+        public long nanosSinceContact() {
+            return registration.nanosSinceContact();
+        }
+
+        @Override
+        public StoreRevision readRevision() {
+            return storeMirror.readRevision();
+        }
+    }
+
     private final class StoppingDaemon implements GracefulShutdown.Daemon {
 
         @Override
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/EraCheckedStore.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/EraCheckedStore.java
@@ -1,6 +1,9 @@
 package org.banyanhook.gateway.fleet;
 
+import com.google.common.collect.ImmutableList;
 import java.time.Duration;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
@@ -64,15 +67,22 @@
 
     @Override
     public CompletableFuture<StoreRevision> putGuarded(
-            String key, byte[] value, StoreRevision expectedRevision, String guardKey, StoreRevision guardRevision) {
-        BooleanSupplier outdated = () -> isOutdated(expectedRevision) || isOutdated(guardRevision);
+            String key, byte[] value, StoreRevision expectedRevision, Map<String, StoreRevision> guards) {
+        List<StoreRevision> required = ImmutableList.<StoreRevision>builder()
+                .add(expectedRevision)
+                .addAll(guards.values())
+                .build();
+        BooleanSupplier outdated = () -> required.stream().anyMatch(this::isOutdated);
         return outdated.getAsBoolean()
                 ? refused(
-                        StoreException.Kind.CONFLICT, "revision", Math.min(expectedRevision.era(), guardRevision.era()))
-                : checkAnswer(
-                        store.putGuarded(key, value, expectedRevision, guardKey, guardRevision),
-                        StoreRevision::era,
-                        outdated);
+                        StoreException.Kind.CONFLICT,
+                        "revision",
+                        required.stream()
+                                .filter(this::isOutdated)
+                                .mapToLong(StoreRevision::era)
+                                .min()
+                                .orElse(0))
+                : checkAnswer(store.putGuarded(key, value, expectedRevision, guards), StoreRevision::era, outdated);
     }
 
     @Override
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/FleetDirectory.java
@@ -52,6 +52,7 @@
     private final KnownDaemons daemons = new KnownDaemons();
     private final HeldBackChanges heldBack = new HeldBackChanges();
     private final RecordedPromotions promotions = new RecordedPromotions();
+    private final RecordedVoters voters = new RecordedVoters();
     private final Map<String, HeldPromotionLease> promotionLeases = new HashMap<>();
     private final Map<String, Long> takenOutSinceNanos = new HashMap<>();
     private @Nullable HeldDuty usageDuty;
@@ -187,8 +188,7 @@
 
     /** Returns the revision of a group's promotion record that the store holds, or none; the condition of a write. */
     public StoreRevision storedPromotionRevision(String group) {
-        String key = recordCodec.promotionKey(group);
-        return recordsByKey.containsKey(key) ? revisions.getOrDefault(key, StoreRevision.NONE) : StoreRevision.NONE;
+        return storedRevision(recordCodec.promotionKey(group));
     }
 
     /** Returns the groups with a promotion that was recorded after a revision. */
@@ -201,6 +201,30 @@
         return promotions.lostSince(era);
     }
 
+    /** Returns the voters on the replacement of primaries. */
+    public RecordedVoters voters() {
+        return voters;
+    }
+
+    /** Returns the revision of the record of the voters that the store holds, or none; the condition of a write. */
+    public StoreRevision storedVotersRevision() {
+        return storedRevision(recordCodec.votersKey());
+    }
+
+    private StoreRevision storedRevision(String key) {
+        return recordsByKey.containsKey(key) ? revisions.getOrDefault(key, StoreRevision.NONE) : StoreRevision.NONE;
+    }
+
+    /** Returns when a daemon's entry last appeared, changed or ended, on the monotonic clock. */
+    public long daemonsChangedNanos() {
+        return daemons.changedNanos();
+    }
+
+    /** Returns for how long the same daemons have had an entry, in nanoseconds. */
+    public long nanosSinceDaemonsChanged() {
+        return clock.nowNanos() - daemons.changedNanos();
+    }
+
     /** Returns the promotion leases that a daemon holds according to the store, by database group. */
     public Map<String, StoreLease> promotionLeasesOf(String entryVm) {
         Map<String, StoreLease> leases = new HashMap<>();
@@ -255,6 +279,16 @@
                 recordCodec.promotionKey(promotion.group()), revision, recordCodec.encode(promotion), StoreLease.NONE));
     }
 
+    /**
+     * Applies a record of the voters that another daemon has read from the store.
+     *
+     * @param value the bytes of the record
+     * @param revision its revision
+     */
+    public void applyVoters(byte[] value, StoreRevision revision) {
+        apply(new StoreRecord(recordCodec.votersKey(), revision, value, StoreLease.NONE));
+    }
+
     /** Applies a change. */
     public void apply(StoreRecord change) {
         apply(List.of(change));
@@ -291,6 +325,7 @@
         return record == null
                 || record instanceof FleetRecord.Daemon
                 || record instanceof FleetRecord.PromotionLeaseHolder
+                || record instanceof FleetRecord.Voters
                 || record instanceof FleetRecord.UsageDutyHolder
                 || record instanceof FleetRecord.UsageDecisions;
     }
@@ -344,6 +379,7 @@
         long now = clock.nowNanos();
         apply(heldBack.takeDue(now));
         daemons.tick(now);
+        voters.observeRegistered(daemons.byEntryVm().keySet(), now);
         boolean removed = false;
         for (Map.Entry<String, Long> removal :
                 ImmutableMap.copyOf(memberRemovalNanos).entrySet()) {
@@ -413,7 +449,7 @@
                     .with("revision", change.revision().number())
                     .write();
         } else if (record instanceof FleetRecord.Daemon found) {
-            daemons.add(found.entry(), change.lease());
+            daemons.add(found.entry(), change.lease(), clock.nowNanos());
         } else if (record instanceof FleetRecord.Promotion found) {
             boolean applied = promotions.apply(found, change.revision(), clock.nowNanos());
             log.line("promotion-record")
@@ -422,6 +458,19 @@
                     .with("change", applied ? null : "older-than-known")
                     .with("revision", change.revision().number())
                     .write();
+        } else if (record instanceof FleetRecord.Voters found) {
+            boolean applied = voters.apply(found, change.revision());
+            log.line("voters")
+                    .with("version", found.sets().version())
+                    .with("voters", String.join(",", found.sets().voters()))
+                    .with(
+                            "former",
+                            found.sets().isChanging()
+                                    ? String.join(",", found.sets().former())
+                                    : null)
+                    .with("change", applied ? null : "older-than-known")
+                    .with("revision", change.revision().number())
+                    .write();
         } else if (record instanceof FleetRecord.PromotionLeaseHolder found) {
             promotionLeases.put(found.group(), new HeldPromotionLease(found.entryVm(), change.lease()));
         } else if (record instanceof FleetRecord.UsageDutyHolder found) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/KnownDaemons.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/KnownDaemons.java
@@ -25,14 +25,17 @@
     private final Deque<DaemonCount> counts = new ArrayDeque<>();
     private final Map<String, Integer> countsByDomain = new HashMap<>();
     private Map<String, DaemonEntry> byEntryVm = Map.of();
+    private long changedNanos;
     private Map<String, String> recentFailureDomains = Map.of();
 
     private record DaemonCount(long observedNanos, int count) {}
 
     private record EndedDaemon(long endedNanos, DaemonEntry entry) {}
 
-    void add(DaemonEntry entry, StoreLease lease) {
-        daemons.put(entry.entryVm(), entry);
+    void add(DaemonEntry entry, StoreLease lease, long nowNanos) {
+        if (!entry.equals(daemons.put(entry.entryVm(), entry))) {
+            changedNanos = nowNanos;
+        }
         leases.put(entry.entryVm(), lease);
         endedDaemons.remove(entry.entryVm());
     }
@@ -40,6 +43,7 @@
     void remove(DaemonEntry entry, long nowNanos) {
         counts.addLast(new DaemonCount(nowNanos, daemons.size()));
         daemons.remove(entry.entryVm());
+        changedNanos = nowNanos;
         leases.remove(entry.entryVm());
         endedDaemons.put(entry.entryVm(), new EndedDaemon(nowNanos, entry));
     }
@@ -68,6 +72,11 @@
         return byEntryVm;
     }
 
+    /** Returns when a daemon's entry last appeared, changed or ended. */
+    long changedNanos() {
+        return changedNanos;
+    }
+
     int count() {
         return daemons.size();
     }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreMirror.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/fleet/StoreMirror.java
@@ -65,6 +65,7 @@
     private final List<CompletableFuture<Void>> pendingReloads = new ArrayList<>();
     private long readGeneration;
     private StoreRevision watchedRevision = StoreRevision.NONE;
+    private StoreRevision readRevision = StoreRevision.NONE;
     private boolean watching;
     private Runnable firstReadingListener = () -> {};
     private LongSupplier coalesceLimitMillis = () -> Long.MAX_VALUE;
@@ -147,6 +148,11 @@
         return complete;
     }
 
+    /** Returns the revision up to which all changes have been read. */
+    public StoreRevision readRevision() {
+        return readRevision;
+    }
+
     /** Reads a page; the result is discarded if a newer reading has been started. */
     private void readPage(
             long generation, List<StoreRecord> records, Optional<String> after, Optional<StoreRevision> firstRevision) {
@@ -183,6 +189,7 @@
                 directory.replaceAll(records, revision);
                 return true;
             });
+            readRevision = revision;
             eras.recordReading(revision.era());
             if (!complete) {
                 complete = true;
@@ -233,6 +240,7 @@
     private void onChanges(long generation, StorePage page, StoreRevision revision) {
         boolean othersChanged = applyOrLog("changes", () -> directory.apply(page.records()));
         StoreRevision next = page.revision().isAfter(revision) ? page.revision() : revision;
+        readRevision = next;
         if (page.records().isEmpty()) {
             watch(generation, next);
         } else {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/FleetRecord.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/FleetRecord.java
@@ -1,7 +1,10 @@
 package org.banyanhook.gateway.port;
 
+import com.google.common.collect.ImmutableMap;
 import com.google.protobuf.ByteString;
+import java.util.Map;
 import org.banyanhook.core.configuration.SessionConfiguration;
+import org.banyanhook.core.primary.VoterSets;
 import org.banyanhook.core.store.StoreRevision;
 
 /** A decoded record of the store. */
@@ -64,6 +67,22 @@
         }
     }
 
+    /**
+     * The voters on the replacement of primaries.
+     *
+     * @param sets the voters
+     * @param entries the entries of all of them, by entry VM
+     */
+    record Voters(VoterSets sets, Map<String, DaemonEntry> entries) implements FleetRecord {
+
+        /** Before any voters have been recorded. */
+        public static final Voters NONE = new Voters(VoterSets.NONE, Map.of());
+
+        public Voters {
+            entries = ImmutableMap.copyOf(entries);
+        }
+    }
+
     /**
      * The holder of a group's promotion lease.
      *
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/FleetRecordCodec.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/FleetRecordCodec.java
@@ -37,6 +37,17 @@
      */
     byte[] encode(FleetRecord.Promotion promotion);
 
+    /** Returns the key of the voters on the replacement of primaries. */
+    String votersKey();
+
+    /**
+     * Encodes the voters on the replacement of primaries.
+     *
+     * @param voters the voters
+     * @return the encoded bytes
+     */
+    byte[] encode(FleetRecord.Voters voters);
+
     /** Returns the key of a group's promotion lease, whose holder may replace the group's primary. */
     String promotionLeaseKey(String group);
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/RecordStore.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/port/RecordStore.java
@@ -1,6 +1,7 @@
 package org.banyanhook.gateway.port;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongConsumer;
@@ -56,18 +57,18 @@
             String key, byte[] value, Optional<StoreRevision> expectedRevision, StoreLease lease);
 
     /**
-     * Writes a record without a lease, if it and another record still have given revisions. A write whose answer was
+     * Writes a record without a lease, if it and other records still have given revisions. A write whose answer was
      * lost therefore has no effect once a later one has been made.
      *
      * @param key the key of the record
      * @param value the bytes of the record
      * @param expectedRevision the required revision of the record, {@link StoreRevision#NONE} if it must not exist
-     * @param guardKey the key of the other record
-     * @param guardRevision the required revision of the other record
+     * @param guards the required revision of each of the other records, by its key, {@link StoreRevision#NONE} if it
+     *     must not exist
      * @return the revision of the change
      */
     CompletableFuture<StoreRevision> putGuarded(
-            String key, byte[] value, StoreRevision expectedRevision, String guardKey, StoreRevision guardRevision);
+            String key, byte[] value, StoreRevision expectedRevision, Map<String, StoreRevision> guards);
 
     /**
      * Opens a lease.
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/LostPromotionWriter.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/LostPromotionWriter.java
@@ -3,7 +3,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.banyanhook.core.primary.PromotionVoters;
 import org.banyanhook.gateway.fleet.FleetDirectory;
 import org.banyanhook.gateway.fleet.StoreEras;
 import org.banyanhook.gateway.operation.DecisionLog;
@@ -80,8 +79,8 @@
     public void writeAgain() {
         long era = eras.newest();
         lastAttemptNanos = clock.nowNanos();
-        if (!eras.mayDecideIn(era)
-                || !PromotionVoters.of(directory.recentDaemons().keySet()).contains(entryVm)) {
+        Set<String> voters = directory.voters().sets().all();
+        if (!eras.mayDecideIn(era) || !(voters.isEmpty() || voters.contains(entryVm))) {
             return;
         }
         Set<FleetRecord.Promotion> lost = directory.lostPromotions(era);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerVoteExchange.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerVoteExchange.java
@@ -1,18 +1,22 @@
 package org.banyanhook.gateway.primary;
 
 import com.google.common.collect.Sets;
+import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.banyanhook.core.primary.PromotionPermission;
 import org.banyanhook.core.primary.PromotionPermission.VoteTally;
-import org.banyanhook.core.primary.PromotionVoters;
+import org.banyanhook.core.primary.VoterMaintenance;
+import org.banyanhook.core.primary.VoterSets;
 import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.daemon.peer.PeerMessenger;
 import org.banyanhook.gateway.fleet.FleetDirectory;
@@ -20,6 +24,7 @@
 import org.banyanhook.gateway.operation.MonotonicClock;
 import org.banyanhook.gateway.port.DaemonEntry;
 import org.banyanhook.gateway.port.FleetRecord;
+import org.banyanhook.gateway.port.FleetRecordCodec;
 import org.banyanhook.protocol.generated.PeerEnvelope;
 import org.banyanhook.protocol.generated.PrimaryEvidence;
 import org.banyanhook.protocol.generated.PrimaryEvidenceRequest;
@@ -37,12 +42,23 @@
 
     private final PeerMessenger messenger;
     private final FleetDirectory directory;
+    private final FleetRecordCodec recordCodec;
     private final StoreEras eras;
     private final EventLoop eventLoop;
     private final String entryVm;
     private final MonotonicClock clock;
+    private final StoreProgress storeProgress;
     private final Map<String, Long> inquiryNanos = new HashMap<>();
 
+    /** What this daemon has read from the store. */
+    public interface StoreProgress {
+        /** Returns the time since the last call that the store answered, in nanoseconds; very large if it never did. */
+        long nanosSinceContact();
+
+        /** Returns the revision up to which all changes have been read. */
+        StoreRevision readRevision();
+    }
+
     /**
      * The combined answers of the other daemons to one round of requests.
      *
@@ -50,34 +66,37 @@
      * @param unresponsive the daemons that did not answer
      * @param groupsInDoubt the groups whose primary, according to any of the daemons, was or may have been replaced
      * @param inquirers the daemons that recently asked any of the daemons which primaries were replaced
+     * @param voters the voters that are in force after the answers
+     * @param mayDecide whether the voters that answered suffice to replace a primary
+     * @param mayRely whether the voters that answered suffice for a daemon without contact to the store
+     * @param readRevisions the revision up to which each daemon that answered has read the store, by entry VM
      */
     public record RoundResult(
-            VoteTally votes, Set<String> unresponsive, Set<String> groupsInDoubt, Set<String> inquirers) {
+            VoteTally votes,
+            Set<String> unresponsive,
+            Set<String> groupsInDoubt,
+            Set<String> inquirers,
+            VotersInForce voters,
+            boolean mayDecide,
+            boolean mayRely,
+            Map<String, StoreRevision> readRevisions) {
 
         public RoundResult {
             unresponsive = Set.copyOf(unresponsive);
             groupsInDoubt = Set.copyOf(groupsInDoubt);
             inquirers = Set.copyOf(inquirers);
-        }
-
-        /**
-         * Adds daemons that a voter reports but that were not asked to the unresponsive ones. A daemon that started
-         * recently does not know of daemons whose entries had ended before.
-         */
-        private RoundResult withUnaskedInquirers(Set<String> asked) {
-            return new RoundResult(
-                    votes, Sets.union(unresponsive, Sets.difference(inquirers, asked)), groupsInDoubt, inquirers);
-        }
-
-        private RoundResult merge(RoundResult other) {
-            return new RoundResult(
-                    votes.plus(other.votes),
-                    Sets.union(unresponsive, other.unresponsive),
-                    Sets.union(groupsInDoubt, other.groupsInDoubt),
-                    Sets.union(inquirers, other.inquirers));
+            readRevisions = Map.copyOf(readRevisions);
         }
     }
 
+    /**
+     * The voters that were counted.
+     *
+     * @param sets the voters
+     * @param storedRevision the revision of the record that the store holds, as far as this daemon knows
+     */
+    public record VotersInForce(VoterSets sets, StoreRevision storedRevision) {}
+
     /** Answers the requests of other daemons. Called on the event loop. */
     public interface Voter {
         /**
@@ -115,24 +134,30 @@
      *
      * @param entryVm the name of this entry VM
      * @param messenger sends messages to other daemons
-     * @param directory provides the addresses of the other daemons
+     * @param directory provides the voters and the addresses of the other daemons
+     * @param recordCodec encodes the record of the voters
      * @param eras the eras of the store; daemons in different eras do not rely on each other
      * @param eventLoop the event loop on which answers are handled
      * @param clock the monotonic clock
+     * @param storeProgress what this daemon has read from the store
      */
     public PeerVoteExchange(
             String entryVm,
             PeerMessenger messenger,
             FleetDirectory directory,
+            FleetRecordCodec recordCodec,
             StoreEras eras,
             EventLoop eventLoop,
-            MonotonicClock clock) {
+            MonotonicClock clock,
+            StoreProgress storeProgress) {
         this.entryVm = entryVm;
         this.messenger = messenger;
         this.directory = directory;
+        this.recordCodec = recordCodec;
         this.eras = eras;
         this.eventLoop = eventLoop;
         this.clock = clock;
+        this.storeProgress = storeProgress;
     }
 
     /**
@@ -158,7 +183,10 @@
         PrimaryEvidence.Builder evidence = PrimaryEvidence.newBuilder()
                 .setDatabase(request.getDatabase())
                 .setStoreEra(eras.newest())
+                .setStoreRevision(numberInEra(storeProgress.readRevision()))
+                .setRecentStoreContact(hasRecentContact())
                 .addAllRecentInquirers(recentInquirers());
+        addNewerVoters(evidence, request.getVotersRevision());
         if (request.getPromotionRevision() > 0) {
             voter.learnPromotion(
                     new FleetRecord.Promotion(
@@ -182,6 +210,25 @@
                 envelope(evidence.addAllDatabasesInDoubt(voter.groupsInDoubt(knownRevision(request)))));
     }
 
+    /** Adds the record of the voters if it is newer than the one that the sender of a request knows. */
+    private void addNewerVoters(PrimaryEvidence.Builder evidence, long knownRevision) {
+        long revision = numberInEra(directory.voters().knownRevision());
+        if (revision > knownRevision) {
+            evidence.setVoters(ByteString.copyFrom(
+                            recordCodec.encode(directory.voters().record())))
+                    .setVotersRevision(revision);
+        }
+    }
+
+    private boolean hasRecentContact() {
+        return storeProgress.nanosSinceContact() <= VoterMaintenance.RELIANCE_NANOS;
+    }
+
+    /** Returns the number of a revision if it is of the newest era, else 0. */
+    private long numberInEra(StoreRevision revision) {
+        return revision.era() == eras.newest() ? revision.number() : 0;
+    }
+
     /** Returns the daemons whose last inquiry is so recent that they may still rely on the answers. */
     private Set<String> recentInquirers() {
         long now = clock.nowNanos();
@@ -201,11 +248,10 @@
      * @return the combined answers, completed once all daemons have answered or timed out; never fails
      */
     public CompletableFuture<RoundResult> requestVotes(String group, boolean planned) {
-        Map<String, DaemonEntry> all = directory.recentDaemons();
         return sendRequests(
                 PrimaryEvidenceRequest.newBuilder().setDatabase(group).setPlanned(planned),
                 eras.newest(),
-                all.keySet());
+                reachableDaemons());
     }
 
     /**
@@ -224,20 +270,32 @@
                         .setPromotedMember(promotion.member())
                         .setPromotionRevision(revision.number()),
                 revision.era(),
-                directory.recentDaemons().keySet());
+                reachableDaemons());
     }
 
     /**
-     * Asks the other voters which primaries were replaced.
+     * Asks the other voters which primaries were replaced, and up to which revision they have read the store.
      *
      * @return the combined answers, completed once all voters have answered or timed out; never fails
      */
     public CompletableFuture<RoundResult> queryReplacedPrimaries() {
-        Set<String> voters = PromotionVoters.of(directory.recentDaemons().keySet());
         // The term field carries the newest promotion revision known here, so that only later promotions are returned.
         StoreRevision known = directory.newestPromotionRevision();
         long term = eras.newest() == 0 ? known.number() : known.fencingToken();
-        return sendRequests(PrimaryEvidenceRequest.newBuilder().setTerm(term), eras.newest(), voters);
+        return sendRequests(PrimaryEvidenceRequest.newBuilder().setTerm(term), eras.newest(), voters());
+    }
+
+    private Map<String, DaemonEntry> voters() {
+        Map<String, DaemonEntry> voters = reachableDaemons();
+        voters.keySet().retainAll(directory.voters().sets().all());
+        return voters;
+    }
+
+    /** Returns the daemons that have an entry or had one recently, and all voters, by entry VM. */
+    private Map<String, DaemonEntry> reachableDaemons() {
+        Map<String, DaemonEntry> daemons = new HashMap<>(directory.voters().entries());
+        daemons.putAll(directory.recentDaemons());
+        return daemons;
     }
 
     /** Returns the newest promotion revision that the sender knows, which has the form of a token if there are eras. */
@@ -248,48 +306,65 @@
     }
 
     private CompletableFuture<RoundResult> sendRequests(
-            PrimaryEvidenceRequest.Builder request, long era, Set<String> daemons) {
+            PrimaryEvidenceRequest.Builder request, long era, Map<String, DaemonEntry> daemons) {
         PeerEnvelope body = PeerEnvelope.newBuilder()
-                .setPrimaryEvidenceRequest(request.setStoreEra(era))
+                .setPrimaryEvidenceRequest(request.setStoreEra(era)
+                        .setVotersRevision(numberInEra(directory.voters().knownRevision())))
                 .build();
-        Map<String, DaemonEntry> entries = directory.recentDaemons();
-        Set<String> voters = PromotionVoters.of(entries.keySet());
-        List<CompletableFuture<RoundResult>> answers = new ArrayList<>();
-        for (String daemon : daemons) {
-            DaemonEntry entry = entries.get(daemon);
-            if (entry != null && !daemon.equals(entryVm)) {
-                int voterCount = voters.contains(daemon) ? 1 : 0;
+        Map<String, PrimaryEvidence> received = new ConcurrentHashMap<>();
+        List<CompletableFuture<?>> answers = new ArrayList<>();
+        daemons.forEach((daemon, entry) -> {
+            if (!daemon.equals(entryVm)) {
                 answers.add(messenger
                         .request(entry.peerAddress(), body, REQUEST_TIMEOUT)
-                        .handle((reply, failure) -> reply == null
-                                        || reply.getPrimaryEvidence().getStoreEra() != era
-                                ? new RoundResult(
-                                        new VoteTally(1, 0, 0, voterCount, 0), Set.of(daemon), Set.of(), Set.of())
-                                : toResult(reply.getPrimaryEvidence(), voterCount)));
+                        .handle((reply, failure) ->
+                                reply == null || reply.getPrimaryEvidence().getStoreEra() != era
+                                        ? null
+                                        : received.put(daemon, reply.getPrimaryEvidence())));
             }
-        }
-        // With no daemon listed, not even this one because its own entry ended long ago, this daemon is the only voter.
-        boolean isVoter = voters.contains(entryVm) || voters.isEmpty();
-        RoundResult ownResult = new RoundResult(
-                isVoter ? VoteTally.EMPTY_FOR_VOTER : VoteTally.EMPTY_FOR_NON_VOTER,
-                Set.of(),
-                Set.of(),
-                recentInquirers());
+        });
         return CompletableFuture.allOf(answers.toArray(new CompletableFuture<?>[0]))
-                .thenApplyAsync(
-                        done -> answers.stream()
-                                .map(CompletableFuture::join)
-                                .reduce(ownResult, RoundResult::merge)
-                                .withUnaskedInquirers(Sets.union(daemons, Set.of(entryVm))),
-                        eventLoop);
+                .thenApplyAsync(done -> evaluate(era, daemons.keySet(), received), eventLoop);
     }
 
-    private static RoundResult toResult(PrimaryEvidence evidence, int voterCount) {
-        int unreachable = evidence.getPrimaryUnreachable() ? 1 : 0;
+    /** Counts the answers after learning of newer voters from them. */
+    private RoundResult evaluate(long era, Set<String> asked, Map<String, PrimaryEvidence> received) {
+        received.values().forEach(evidence -> learnVoters(evidence, era));
+        VoteTally votes = new VoteTally(Sets.difference(asked, Set.of(entryVm)).size(), 0, 0);
+        Set<String> answered = new HashSet<>(Set.of(entryVm));
+        Set<String> recentContact = new HashSet<>(hasRecentContact() ? Set.of(entryVm) : Set.of());
+        Set<String> groupsInDoubt = new HashSet<>();
+        Set<String> inquirers = new HashSet<>(recentInquirers());
+        Map<String, StoreRevision> readRevisions = new HashMap<>(Map.of(entryVm, storeProgress.readRevision()));
+        for (Map.Entry<String, PrimaryEvidence> answer : received.entrySet()) {
+            PrimaryEvidence evidence = answer.getValue();
+            votes = votes.plus(evidence.getPrimaryUnreachable() ? new VoteTally(0, 1, 0) : new VoteTally(0, 0, 1));
+            answered.add(answer.getKey());
+            if (evidence.getRecentStoreContact()) {
+                recentContact.add(answer.getKey());
+            }
+            groupsInDoubt.addAll(evidence.getDatabasesInDoubtList());
+            inquirers.addAll(evidence.getRecentInquirersList());
+            readRevisions.put(answer.getKey(), new StoreRevision(era, Math.max(0, evidence.getStoreRevision())));
+        }
+        // A daemon that started recently does not know of daemons whose entries had ended before.
+        Set<String> unresponsive = Sets.difference(Sets.union(asked, inquirers), answered);
+        VoterSets sets = directory.voters().sets();
         return new RoundResult(
-                new VoteTally(1, unreachable, 1 - unreachable, voterCount, voterCount),
-                Set.of(),
-                Set.copyOf(evidence.getDatabasesInDoubtList()),
-                Set.copyOf(evidence.getRecentInquirersList()));
+                votes,
+                unresponsive,
+                groupsInDoubt,
+                inquirers,
+                new VotersInForce(sets, directory.storedVotersRevision()),
+                sets.mayDecide(answered, directory.voters().departed(clock.nowNanos())),
+                sets.mayRely(answered, recentContact),
+                readRevisions);
+    }
+
+    private void learnVoters(PrimaryEvidence evidence, long era) {
+        if (evidence.getVotersRevision() > 0) {
+            directory.applyVoters(
+                    evidence.getVoters().toByteArray(), new StoreRevision(era, evidence.getVotersRevision()));
+        }
     }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -185,7 +186,7 @@
                             .thenCompose(secondVote -> secondVote.approval() == null
                                     ? CompletableFuture.completedFuture("not approved again: "
                                             + secondVote.permission().reason())
-                                    : switchOver(group, rejected, approval.renewedAt(secondVote.requestedNanos())));
+                                    : switchOver(group, rejected, approval.renewedBy(secondVote.approval())));
         });
     }
 
@@ -205,13 +206,15 @@
     private VoteOutcome evaluateVotes(
             DatabaseGroup group, boolean planned, long requestedNanos, long era, PeerVoteExchange.RoundResult round) {
         VoteTally votes = round.votes();
-        PromotionPermission permission = PromotionPermission.decide(votes, 0);
+        PromotionPermission permission = PromotionPermission.decide(votes, round.mayDecide(), 0);
         log.line("primary-votes")
                 .with("group", group.name())
                 .with("planned", planned)
                 .with("asked", votes.asked())
                 .with("unreachable", votes.unreachable())
                 .with("reachable", votes.reachable())
+                .with("votersVersion", round.voters().sets().version())
+                .with("votersSuffice", round.mayDecide())
                 .with("outcome", permission.name())
                 .write();
         return switch (permission) {
@@ -219,7 +222,13 @@
                 new VoteOutcome(
                         requestedNanos,
                         permission,
-                        new QuorumApproval(requestedNanos, era, mayUsePrimary(round), Set.of(), LogPosition.START));
+                        new QuorumApproval(
+                                requestedNanos,
+                                era,
+                                round.voters().storedRevision(),
+                                mayUsePrimary(round),
+                                Set.of(),
+                                LogPosition.START));
             case STILL_REACHED, NO_MAJORITY -> new VoteOutcome(requestedNanos, permission, null);
         };
     }
@@ -410,8 +419,11 @@
                         recordCodec.promotionKey(group.name()),
                         recordCodec.encode(promotion),
                         directory.storedPromotionRevision(group.name()),
-                        recordCodec.promotionLeaseKey(group.name()),
-                        token)
+                        Map.of(
+                                recordCodec.promotionLeaseKey(group.name()),
+                                token,
+                                recordCodec.votersKey(),
+                                approval.votersRevision()))
                 .thenApply(revision -> new Recording(promotion, position, revision));
     }
 
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/StoreOrQuorumPolicy.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/StoreOrQuorumPolicy.java
@@ -13,7 +13,7 @@
 import org.banyanhook.gateway.operation.MonotonicClock;
 
 /**
- * Lets primaries be used only while this daemon is in contact with the store or with a majority of the daemons.
+ * Lets primaries be used only while this daemon is in contact with the store or with a majority of the voters.
  *
  * <p>A daemon that replaces a primary needs the store and the votes of a majority, and waits until daemons that did not
  * answer have stopped using the primary on their own. Used on the event loop only.
@@ -157,11 +157,13 @@
         if (clock.jumpedSince(sentNanos) || sentNanos - restoredNanos < 0 || !storeRead.getAsBoolean()) {
             return;
         }
-        votersAsked |= round.votes().majorityAnswered() && round.groupsInDoubt().isEmpty();
-        peerContact.recordRound(sentNanos, round.votes(), round.groupsInDoubt());
+        votersAsked |= round.mayRely() && round.groupsInDoubt().isEmpty();
+        peerContact.recordRound(sentNanos, round.mayRely(), round.groupsInDoubt());
         log.line("peer-contact")
                 .with("asked", round.votes().asked())
                 .with("answered", round.votes().answered())
+                .with("votersVersion", round.voters().sets().version())
+                .with("mayRely", round.mayRely())
                 .with("inDoubt", String.join(",", round.groupsInDoubt()))
                 .write();
     }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/reader/ReaderBackedStore.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/reader/ReaderBackedStore.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.banyanhook.core.store.StoreReaders;
@@ -219,8 +220,8 @@
 
     @Override
     public CompletableFuture<StoreRevision> putGuarded(
-            String key, byte[] value, StoreRevision expectedRevision, String guardKey, StoreRevision guardRevision) {
-        return context.store().putGuarded(key, value, expectedRevision, guardKey, guardRevision);
+            String key, byte[] value, StoreRevision expectedRevision, Map<String, StoreRevision> guards) {
+        return context.store().putGuarded(key, value, expectedRevision, guards);
     }
 
     @Override
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/TextRecordCodec.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/fleet/TextRecordCodec.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.banyanhook.core.primary.VoterSets;
 import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.gateway.port.DaemonEntry;
 import org.banyanhook.gateway.port.FleetRecord;
@@ -18,6 +19,7 @@
     public static final String DAEMON_PREFIX = "daemons/";
     public static final String PROMOTION_PREFIX = "promotions/";
     public static final String PROMOTION_LEASE_PREFIX = "duties/promotion/";
+    public static final String VOTERS_KEY = "voters";
     public static final String USAGE_DUTY_KEY = "duties/usage";
     public static final String USAGE_DECISIONS_KEY = "usage";
 
@@ -63,6 +65,9 @@
         if (key.startsWith(PROMOTION_LEASE_PREFIX)) {
             return new FleetRecord.PromotionLeaseHolder(key.substring(PROMOTION_LEASE_PREFIX.length()), text);
         }
+        if (key.equals(VOTERS_KEY)) {
+            return decodeVoters(text);
+        }
         if (key.equals(USAGE_DUTY_KEY)) {
             return new FleetRecord.UsageDutyHolder(text);
         }
@@ -103,6 +108,33 @@
         return holder.entryVm().getBytes(StandardCharsets.UTF_8);
     }
 
+    @Override
+    public String votersKey() {
+        return VOTERS_KEY;
+    }
+
+    /** Encodes "version;voters;former", without the last part if no change is being made; a name is an address. */
+    @Override
+    public byte[] encode(FleetRecord.Voters voters) {
+        Set<String> former = voters.sets().former();
+        String text = voters.sets().version() + ";"
+                + String.join(",", voters.sets().voters()) + (former == null ? "" : ";" + String.join(",", former));
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static FleetRecord decodeVoters(String text) {
+        String[] parts = text.split(";", -1);
+        VoterSets sets =
+                new VoterSets(Long.parseLong(parts[0]), names(parts[1]), parts.length > 2 ? names(parts[2]) : null);
+        Map<String, DaemonEntry> entries = new HashMap<>();
+        sets.all().forEach(name -> entries.put(name, new DaemonEntry(name, "a", name)));
+        return new FleetRecord.Voters(sets, entries);
+    }
+
+    private static Set<String> names(String text) {
+        return text.isEmpty() ? Set.of() : Set.of(text.split(","));
+    }
+
     @Override
     public String usageDutyKey() {
         return USAGE_DUTY_KEY;
--- a/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/GatewayFleet.java
+++ b/banyanhook-testbed/src/main/java/org/banyanhook/testbed/line/GatewayFleet.java
@@ -65,6 +65,16 @@
          * @throws IOException if a port cannot be opened
          */
         GatewayEndpoints endpointsOf(int gateway, GatewayFleet fleet) throws IOException;
+
+        /** Returns the failure domain of a gateway. */
+        default String failureDomainOf(int gateway) {
+            return List.of("a", "b", "c").get(gateway % 3);
+        }
+
+        /** Returns the region of a failure domain; all of them are in one region unless a test separates them. */
+        default String regionOf(String failureDomain) {
+            return "r";
+        }
     }
 
     /**
@@ -147,6 +157,15 @@
         gateways.set(number, new Gateway(launchProcess(number), previous.clientPort(), previous.readinessPort()));
     }
 
+    /**
+     * Starts one more gateway.
+     *
+     * @throws IOException if a port cannot be opened or the process cannot be started
+     */
+    public synchronized void add() throws IOException {
+        gateways.add(startGateway(gateways.size()));
+    }
+
     /** Returns the IP address on which a gateway listens for the other gateways. */
     public static String peerHost(int number) {
         return "127.0.0." + (number + 2);
@@ -255,7 +274,7 @@
         GatewayEndpoints endpoints = endpointProvider.endpointsOf(number, this);
         int clientPort = LoopbackPorts.free();
         int readinessPort = LoopbackPorts.free();
-        String failureDomain = List.of("a", "b", "c").get(number % 3);
+        String failureDomain = endpointProvider.failureDomainOf(number);
         Path settings = folder.resolve("node-" + number + ".toml");
         Files.writeString(
                 settings,
@@ -266,9 +285,9 @@
                         "zone = \"" + failureDomain + "\"",
                         "internal_ports = [" + endpoints.peerPort() + "]",
                         "[zones]",
-                        "a = \"r\"",
-                        "b = \"r\"",
-                        "c = \"r\"",
+                        regionLine("a"),
+                        regionLine("b"),
+                        regionLine("c"),
                         "[listen]",
                         "frontend = \"127.0.0.1:" + clientPort + "\"",
                         "readiness = \"127.0.0.1:" + readinessPort + "\"",
@@ -283,6 +302,10 @@
         return new Gateway(launchProcess(number), clientPort, readinessPort);
     }
 
+    private String regionLine(String failureDomain) {
+        return failureDomain + " = \"" + endpointProvider.regionOf(failureDomain) + "\"";
+    }
+
     private ChildProcess launchProcess(int number) throws IOException {
         launchCount++;
         ChildProcess process = ChildProcess.start(
