Send statements only behind a confirmed session state

The caller was told INDOUBT, and the write had been committed. With DISCARD and PREPARE rejected, the EXECUTE of a read ran as another client's write.

Cause: MemberConnection noted a change of the session state when its command was written, and the statement was written behind it without the answer. The connection was closed when the error arrived, after the member had received the statement. Homes send the same commands through the same class.

Change: a statement waits on the connection until the member has confirmed the changes that were sent. If one is rejected or the connection is lost, the statement is answered as not run and is run elsewhere. BEGIN is still sent behind the changes, since its answer is awaited anyway. An idle connection that has the state of the session is preferred.

Why it works: the member has the statement only after it has confirmed the state. A connection with a rejected or unconfirmed change is not used again.

The cost of the wait is not measured yet.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionAllocator.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionAllocator.java
@@ -67,7 +67,7 @@
     /** Returns how a connection for a request can be obtained, or null if none is available now. */
     @Nullable
     Access access(MemberServer server, ConnectionRequest request, boolean primary, IntSupplier limit, long nowNanos) {
-        if (findIdle(server, request.account()) != null) {
+        if (findIdle(server, request) != null) {
             return Access.IDLE_CONNECTION;
         }
         if (!request.avoidsHomes() && context.homes().isReachable(server, request.account())) {
@@ -96,7 +96,7 @@
         if (placement.access() == Access.HOME_CONNECTION && useHome(server, request, placement)) {
             return;
         }
-        MemberConnection idle = findIdle(server, request.account());
+        MemberConnection idle = findIdle(server, request);
         if (idle != null) {
             idle.lent(request.isForOtherDaemon());
             request.listener().onConnectionLeased(idle.lease(placement.primary()), placement);
@@ -200,13 +200,21 @@
         }
     }
 
-    private static @Nullable MemberConnection findIdle(MemberServer server, String account) {
+    /**
+     * Returns an idle connection for the account of a request, or null if there is none. One that has the session state
+     * of the request already is preferred, since its statement need not wait for a change of the state.
+     */
+    private static @Nullable MemberConnection findIdle(MemberServer server, ConnectionRequest request) {
+        MemberConnection found = null;
         for (MemberConnection connection : server.connections()) {
-            if (connection.isIdle() && connection.account().equals(account)) {
-                return connection;
+            if (connection.isIdle() && connection.account().equals(request.account())) {
+                if (request.matchesSessionState(connection)) {
+                    return connection;
+                }
+                found = found == null ? connection : found;
             }
         }
-        return null;
+        return found;
     }
 
     /** Returns the least recently leased idle connection, or null if none is idle. */
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionLease.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionLease.java
@@ -93,6 +93,11 @@
         return checkCurrent("prepare") ? connection.prepare(shape) : "";
     }
 
+    /** Returns whether the member has not confirmed a change of the session state yet, so that a statement waits. */
+    public boolean awaitsStateAnswer() {
+        return connection.awaitsStateAnswer();
+    }
+
     /** Discards the session state if too many statements are prepared; call outside a transaction. */
     public void discardExcessStatements() {
         if (checkCurrent("discard")) {
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionRequest.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/ConnectionRequest.java
@@ -1,9 +1,11 @@
 package org.banyanhook.gateway.backend;
 
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import org.banyanhook.core.admission.ServiceClass;
 import org.banyanhook.core.replication.LogPosition;
+import org.banyanhook.gateway.message.SessionStatement.PreparedShape;
 import org.jspecify.annotations.Nullable;
 
 /** A request for a connection to a member, for a statement or a transaction. Used on the event loop only. */
@@ -21,6 +23,8 @@
     private boolean heldInTime;
     private boolean cancelled;
     private boolean avoidsHomes;
+    private Map<String, String> sessionVariables = Map.of();
+    private @Nullable PreparedShape preparedStatement;
 
     /**
      * The requirements on the member.
@@ -97,6 +101,21 @@
         avoidsHomes = true;
     }
 
+    /**
+     * Sets the session state that the work relies on. An idle connection that has it is preferred.
+     *
+     * @param variables the variables of the session
+     * @param statement the prepared statement to run, or null
+     */
+    public void sessionState(Map<String, String> variables, @Nullable PreparedShape statement) {
+        sessionVariables = variables;
+        preparedStatement = statement;
+    }
+
+    boolean matchesSessionState(MemberConnection connection) {
+        return connection.hasSessionState(sessionVariables, preparedStatement);
+    }
+
     boolean avoidsHomes() {
         return avoidsHomes;
     }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberConnection.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/MemberConnection.java
@@ -13,6 +13,7 @@
 import org.banyanhook.gateway.message.MemberAnswer;
 import org.banyanhook.gateway.message.MemberCommand;
 import org.banyanhook.gateway.message.MemberRows;
+import org.banyanhook.gateway.message.SessionError;
 import org.banyanhook.gateway.message.SessionStatement;
 import org.banyanhook.gateway.message.SessionStatement.PreparedShape;
 import org.banyanhook.gateway.message.TransactionState;
@@ -21,8 +22,10 @@
 
 /**
  * One connection to a member, opened for one client account. Commands are answered in order, so several may be pending.
- * A connection whose state is uncertain is closed and never reused. The member is reached over the network, or through
- * a home, for one use only. Used on the event loop only.
+ * A caller's statement waits until the member has confirmed the session state that it relies on, since a member that
+ * rejects a change of the state runs what is sent behind it with the state of another session. A connection whose state
+ * is uncertain is closed and never reused. The member is reached over the network, or through a home, for one use only.
+ * Used on the event loop only.
  */
 public final class MemberConnection extends SimpleChannelInboundHandler<Object> implements MemberTransport.Receiver {
 
@@ -37,9 +40,11 @@
     private final MonotonicClock clock;
     private final Owner owner;
     private final Deque<PendingCommand> pendingCommands = new ArrayDeque<>();
+    private final Deque<WaitingCommand> waitingCommands = new ArrayDeque<>();
     private final Map<String, String> sessionVariables = new LinkedHashMap<>();
     private final Map<PreparedShape, String> preparedNames = new HashMap<>();
     private @Nullable MemberTransport transport;
+    private int unconfirmedStateCommands;
     private boolean atHome;
     private boolean lent;
     private boolean open;
@@ -51,13 +56,17 @@
 
     private record PendingCommand(long sentNanos, AnswerListener listener) {}
 
+    /** A command that is sent once the session state is confirmed. */
+    private record WaitingCommand(MemberCommand command, AnswerListener listener) {}
+
     /** Handles the answer to one command. */
     @FunctionalInterface
     public interface AnswerListener {
         /**
          * Handles an answer.
          *
-         * @param answer the answer, or null if the connection was closed before a complete one arrived
+         * @param answer the answer, or null if the connection was closed before a complete one arrived; a command that
+         *     was not sent because the session state was not confirmed gets {@link SessionError#OVERLOADED}
          * @param sentNanos when the command was sent
          */
         void onAnswer(@Nullable MemberAnswer answer, long sentNanos);
@@ -235,12 +244,37 @@
         long now = clock.nowNanos();
         if (active == null || closed) {
             listener.onAnswer(null, now);
-            return;
+        } else if (mustWait(command)) {
+            waitingCommands.add(new WaitingCommand(command, listener));
+        } else {
+            write(active, command, listener);
         }
-        pendingCommands.add(new PendingCommand(now, listener));
+    }
+
+    /**
+     * Returns whether a command has to wait for the answers to changes of the session state. BEGIN need not, as the
+     * statement behind it is sent only after its answer. A home waits itself.
+     */
+    private boolean mustWait(MemberCommand command) {
+        return !atHome
+                && (!waitingCommands.isEmpty()
+                        || (unconfirmedStateCommands > 0 && command instanceof MemberCommand.PassOn));
+    }
+
+    private void write(MemberTransport active, MemberCommand command, AnswerListener listener) {
+        pendingCommands.add(new PendingCommand(clock.nowNanos(), listener));
         active.write(command);
     }
 
+    private void sendWaiting() {
+        MemberTransport active = transport;
+        while (active != null && !closed && !waitingCommands.isEmpty()) {
+            WaitingCommand waiting = waitingCommands.remove();
+            write(active, waiting.command(), waiting.listener());
+        }
+        flush();
+    }
+
     /** Writes the commands sent so far to the network. */
     public void flush() {
         MemberTransport active = transport;
@@ -249,6 +283,17 @@
         }
     }
 
+    /** Returns whether a statement of a session could be sent without a change of the session state. */
+    boolean hasSessionState(Map<String, String> variables, @Nullable PreparedShape preparedStatement) {
+        return sessionVariables.equals(variables)
+                && (preparedStatement == null || preparedNames.containsKey(preparedStatement));
+    }
+
+    /** Returns whether the member has not confirmed a change of the session state yet. */
+    boolean awaitsStateAnswer() {
+        return unconfirmedStateCommands > 0;
+    }
+
     /**
      * Sets the variables of a session on the connection, with as few commands as possible.
      *
@@ -261,7 +306,8 @@
         for (Map.Entry<String, String> variable : variables.entrySet()) {
             if (!variable.getValue().equals(sessionVariables.get(variable.getKey()))) {
                 sessionVariables.put(variable.getKey(), variable.getValue());
-                sendStateCommand(new SessionStatement.SetValue(variable.getKey(), variable.getValue()));
+                sendStateCommand(new MemberCommand.Own(
+                        new SessionStatement.SetValue(variable.getKey(), variable.getValue()), null));
             }
         }
     }
@@ -280,7 +326,7 @@
         }
         String name = "p" + preparedNames.size();
         preparedNames.put(shape, name);
-        sendStateCommand(new SessionStatement.Prepare(name, shape));
+        sendStateCommand(new MemberCommand.Own(new SessionStatement.Prepare(name, shape), null));
         return name;
     }
 
@@ -383,16 +429,27 @@
     private void discardSessionState() {
         sessionVariables.clear();
         preparedNames.clear();
-        send(new MemberCommand.Discard(), this::closeOnError);
+        sendStateCommand(new MemberCommand.Discard());
     }
 
-    private void sendStateCommand(SessionStatement statement) {
-        send(new MemberCommand.Own(statement, null), this::closeOnError);
+    /** Sends a change of the session state at once, also while commands wait, since they may rely on it. */
+    private void sendStateCommand(MemberCommand command) {
+        MemberTransport active = transport;
+        if (active != null && !closed) {
+            unconfirmedStateCommands++;
+            write(active, command, this::onStateAnswer);
+        }
     }
 
-    private void closeOnError(@Nullable MemberAnswer answer, long sentNanos) {
-        if (answer != null && answer.error() != null) {
+    private void onStateAnswer(@Nullable MemberAnswer answer, long sentNanos) {
+        unconfirmedStateCommands--;
+        if (answer == null) {
+            return;
+        }
+        if (answer.error() != null) {
             close("session state refused: " + answer.error() + " " + answer.detail());
+        } else if (unconfirmedStateCommands == 0) {
+            sendWaiting();
         }
     }
 
@@ -406,5 +463,14 @@
         while (!pendingCommands.isEmpty()) {
             Objects.requireNonNull(pendingCommands.poll()).listener().onAnswer(null, now);
         }
+        while (!waitingCommands.isEmpty()) {
+            waitingCommands.remove().listener().onAnswer(notSent(reason), now);
+        }
+    }
+
+    /** Returns the answer to a command that never reached the member. */
+    private static MemberAnswer notSent(String reason) {
+        return new MemberAnswer(
+                List.of(), null, SessionError.OVERLOADED, "not sent: " + reason, TransactionState.IDLE, null);
     }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLease.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/home/HomeLease.java
@@ -15,6 +15,7 @@
 import org.banyanhook.gateway.message.MemberAnswer;
 import org.banyanhook.gateway.message.MemberCommand;
 import org.banyanhook.gateway.message.SessionError;
+import org.banyanhook.gateway.message.SessionStatement.PreparedShape;
 import org.banyanhook.gateway.message.TransactionState;
 import org.banyanhook.protocol.generated.HomeAnswer;
 import org.banyanhook.protocol.generated.HomeAnswers;
@@ -92,6 +93,15 @@
                 this);
         request.objective(terms.getPriority(), TimeUnit.MILLISECONDS.toNanos(terms.getTargetLatencyMillis()));
         request.avoidHomes();
+        request.sessionState(terms.getSessionValuesMap(), preparedStatement(terms));
+    }
+
+    private static @Nullable PreparedShape preparedStatement(HomeCommands commands) {
+        return commands.getCommandsList().stream()
+                .filter(command -> !command.getPreparedText().isEmpty())
+                .findFirst()
+                .map(HomeMessages::preparedShape)
+                .orElse(null);
     }
 
     /** Requests the connection, and refuses the commands if there is none in time. */
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/session/StatementExecution.java
@@ -251,6 +251,7 @@
         ConnectionRequest newRequest =
                 new ConnectionRequest(account, weight, requirements, arrivedNanos, deadlineNanos, this);
         newRequest.objective(route.priority(), TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMillis()));
+        newRequest.sessionState(sessionValues, preparedStatement);
         laggingMembers.forEach(newRequest::exclude);
         if (!failedMember.isEmpty()) {
             newRequest.exclude(failedMember);
@@ -322,6 +323,7 @@
         if (transaction != null && isWrite()) {
             transaction.recordWrite();
         }
+        context.metrics().count("session.state", "result", currentLease.awaitsStateAnswer() ? "awaited" : "present");
         phase = ExecutionPhase.RUNNING;
         if (!isCommit()) {
             usage.recordSent();
