Miss a replica that is not listed for as long as it answers

Cause: a replica whose failure domain is cut off from the platform is not listed any more, but still makes commits acknowledged. CommitHolders took the end of its entry for its departure and missed it only until another replica had caught up with the position of that moment.

It is missed while it answers as the run that departed, and then until enough replicas have reached a position of the primary from after its first silence. A promotion asks it too. If its log is the longest, nothing is promoted until it is listed again.

Why it works: a replica that may be the only one with an acknowledged commit is among the possible holders, without which SuccessorChoice does not decide.

Tests: three cases of CommitHoldersTest and SynchronousReplicationTest that expect a departed member to be dropped now say first that it is silent, as it is where a member has gone.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/primary/CommitHolders.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/CommitHolders.java
@@ -14,9 +14,10 @@
  * The members of a database group that may hold a commit that no other reachable member holds.
  *
  * <p>With synchronous replicas, a commit is acknowledged once enough replicas have received it, whichever they are. A
- * member that is not listed any more, or that has started again without its log, may have been one of them. It is
- * therefore missed until enough replicas have caught up with the log of the primary as it was after the departure. A
- * member that is listed again is the same one if its start time is the same. Not thread-safe.
+ * member that is not listed any more, or that has started again without its log, may have been one of them. One that is
+ * only cut off from the platform still is. A departed member is therefore missed until it does not answer, and enough
+ * replicas have caught up with the log of the primary as it was after that. A member that is listed again is the same
+ * one if its start time is the same. Not thread-safe.
  */
 public final class CommitHolders {
 
@@ -46,20 +47,34 @@
                             && address.equals(predecessor.address));
         }
 
-        private String key() {
+        /** Returns the name under which it is missed after its departure. */
+        public String departedName() {
             return member + " started at " + startedAtMillis;
         }
     }
 
     private static final class Departure {
         private final ListedMember former;
-        private final long departedNanos;
         private final Set<String> caughtUp = new HashSet<>();
+        private boolean silent;
+        private long silentSinceNanos;
         private @Nullable LogPosition primaryPosition;
 
-        private Departure(ListedMember former, long departedNanos) {
+        private Departure(ListedMember former) {
             this.former = former;
-            this.departedNanos = departedNanos;
+        }
+
+        private void recordSilence(long nowNanos) {
+            if (!silent) {
+                silent = true;
+                silentSinceNanos = nowNanos;
+            }
+        }
+
+        private void recordAnswer() {
+            silent = false;
+            primaryPosition = null;
+            caughtUp.clear();
         }
     }
 
@@ -75,7 +90,12 @@
         members.forEach(member -> current.put(member.member(), member));
         for (ListedMember former : listed.values()) {
             if (!former.isSameRunAs(current.get(former.member()))) {
-                departures.put(former.key(), new Departure(former, nowNanos));
+                Departure departure = new Departure(former);
+                if (current.containsKey(former.member())) {
+                    // Its former run has ended.
+                    departure.recordSilence(nowNanos);
+                }
+                departures.put(former.departedName(), departure);
             }
         }
         departures
@@ -96,7 +116,10 @@
     public void recordReport(
             String member, boolean primary, LogPosition position, long sentNanos, int synchronousReplicas) {
         for (Departure departure : departures.values()) {
-            if (primary && departure.primaryPosition == null && sentNanos - departure.departedNanos >= 0) {
+            if (!departure.silent) {
+                continue;
+            }
+            if (primary && departure.primaryPosition == null && sentNanos - departure.silentSinceNanos >= 0) {
                 departure.primaryPosition = position;
             } else if (!primary && departure.primaryPosition != null && position.covers(departure.primaryPosition)) {
                 departure.caughtUp.add(member);
@@ -105,6 +128,22 @@
         departures.values().removeIf(departure -> departure.caughtUp.size() >= synchronousReplicas);
     }
 
+    /**
+     * Records whether a departed member answered, which receives further commits if it did.
+     *
+     * @param departedName the name under which it is missed
+     * @param answered whether it answered as the run that departed
+     * @param nowNanos the reading of this entry VM's monotonic clock when that was known
+     */
+    public void recordDeparted(String departedName, boolean answered, long nowNanos) {
+        Departure departure = departures.get(departedName);
+        if (departure != null && answered) {
+            departure.recordAnswer();
+        } else if (departure != null) {
+            departure.recordSilence(nowNanos);
+        }
+    }
+
     /** Returns whether a member has departed whose commits may not have reached enough of the others. */
     public boolean hasDepartures() {
         return !departures.isEmpty();
--- a/banyanhook-core/src/main/java/org/banyanhook/core/primary/SuccessorChoice.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/SuccessorChoice.java
@@ -22,7 +22,8 @@
  * acknowledged commit may be lost. A commit was acknowledged only after the primary and the required number of replicas
  * had it, so it is in one of the reported logs if at most that number of members did not report, the primary included.
  * The longest log then contains all acknowledged commits, and its member is chosen even if it is leaving, taken out or
- * was refused before: another member replaces it once it has caught up. Immutable and thread-safe.
+ * was refused before: another member replaces it once it has caught up. If its member is not listed, nothing is
+ * promoted until it is, since nobody could use it. Immutable and thread-safe.
  */
 public final class SuccessorChoice {
 
@@ -30,6 +31,7 @@
             Comparator.comparing(LogReport::position).thenComparing(LogReport::member);
 
     private static final Comparator<LogReport> BY_LOG_THEN_ELIGIBILITY = Comparator.comparing(LogReport::position)
+            .thenComparing(LogReport::listed)
             .thenComparing(LogReport::eligible)
             .thenComparing(LogReport::member);
 
@@ -47,8 +49,14 @@
      * @param eligible whether it may serve as the primary for longer: it is neither leaving nor taken out, and the
      *     platform has not refused to promote it
      * @param primary whether it takes itself for the primary, of an earlier term if another member has taken over
+     * @param listed whether its group lists it
      */
-    public record LogReport(String member, LogPosition position, boolean eligible, boolean primary) {
+    public record LogReport(String member, LogPosition position, boolean eligible, boolean primary, boolean listed) {
+
+        /** Creates the report of a member that its group lists. */
+        public LogReport(String member, LogPosition position, boolean eligible, boolean primary) {
+            this(member, position, eligible, primary, true);
+        }
 
         private boolean isEmpty() {
             return position.position() == 0;
@@ -127,6 +135,11 @@
         if (longest == null) {
             return await(missing, "no member reported its log");
         }
+        if (!longest.listed()) {
+            return await(
+                    List.of(longest.member()),
+                    "the member with the longest log is not listed, but may have an acknowledged commit");
+        }
         if (!requiredPosition.equals(LogPosition.START)) {
             return longest.position().covers(requiredPosition)
                     ? promote(longest, "its log contains that of the old primary")
--- a/banyanhook-core/src/test/java/org/banyanhook/core/primary/CommitHoldersTest.java
+++ b/banyanhook-core/src/test/java/org/banyanhook/core/primary/CommitHoldersTest.java
@@ -46,6 +46,7 @@
     @Test
     void departedMemberIsNotMissedOnceAReplicaHasCaughtUpWithThePrimary() {
         holders.update(List.of(PRIMARY, OTHER), DEPARTED_NANOS);
+        holders.recordDeparted("b started at 1", false, DEPARTED_NANOS);
         holders.recordReport("c", false, POSITION, DEPARTED_NANOS, 1);
         assertThat(holders.hasDepartures()).isTrue();
         holders.recordReport("a", true, POSITION, DEPARTED_NANOS - 1, 1);
@@ -58,9 +59,31 @@
         assertThat(holders.hasDepartures()).isFalse();
     }
 
+    /** Review case 13: guards against a replica that is not listed, but still makes commits acknowledged. */
+    @Test
+    void departedMemberIsMissedAsLongAsItAnswers() {
+        holders.update(List.of(PRIMARY, OTHER), DEPARTED_NANOS);
+        reportPositions(DEPARTED_NANOS);
+        assertThat(holders.hasDepartures()).isTrue();
+        holders.recordDeparted("b started at 1", true, DEPARTED_NANOS + 1);
+        reportPositions(DEPARTED_NANOS + 1);
+        assertThat(holders.hasDepartures()).isTrue();
+        holders.recordDeparted("b started at 1", false, DEPARTED_NANOS + 2);
+        reportPositions(DEPARTED_NANOS + 1);
+        assertThat(holders.hasDepartures()).isTrue();
+        reportPositions(DEPARTED_NANOS + 2);
+        assertThat(holders.hasDepartures()).isFalse();
+    }
+
+    private void reportPositions(long sentNanos) {
+        holders.recordReport("a", true, POSITION, sentNanos, 1);
+        holders.recordReport("c", false, POSITION, sentNanos, 1);
+    }
+
     @Test
     void asManyReplicasHaveToCatchUpAsReceiveACommit() {
         holders.update(List.of(PRIMARY, OTHER), DEPARTED_NANOS);
+        holders.recordDeparted("b started at 1", false, DEPARTED_NANOS);
         holders.recordReport("a", true, POSITION, DEPARTED_NANOS, 2);
         holders.recordReport("c", false, POSITION, DEPARTED_NANOS, 2);
         holders.recordReport("c", false, POSITION, DEPARTED_NANOS, 2);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/backend/DatabaseGroup.java
@@ -43,6 +43,7 @@
     private final PositionHistory positionHistory = new PositionHistory();
     private final GroupTerms terms = new GroupTerms();
     private final CommitHolders commitHolders = new CommitHolders();
+    private final Map<String, MemberServer> departed = new HashMap<>();
     private final MemberSelection memberSelection;
     private final GroupCapacity capacity;
     private @Nullable MemberServer primary;
@@ -108,6 +109,16 @@
         return commitHolders;
     }
 
+    /**
+     * Returns the members that are not listed any more and may hold acknowledged commits, by the name under which they
+     * are missed. A member that has started again is not among them.
+     */
+    public Map<String, MemberServer> departedMembers() {
+        departed.keySet().retainAll(commitHolders.possibleHolders());
+        departed.values().removeIf(server -> servers.containsKey(server.name()));
+        return Map.copyOf(departed);
+    }
+
     /** Returns the retries at the overloaded primary. */
     public BusyRetries busyRetries() {
         return busyRetries;
@@ -342,6 +353,7 @@
         for (MemberServer server : List.copyOf(servers.values())) {
             if (!listed.containsKey(server.name())) {
                 removeMember(server, "the member is not listed any more");
+                departed.put(holderOf(server.entry()).departedName(), server);
             }
         }
         closeUnavailableConnections();
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionCandidates.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionCandidates.java
@@ -7,11 +7,13 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.banyanhook.core.primary.SuccessorChoice.LogReport;
+import org.banyanhook.core.replication.LogPosition;
 import org.banyanhook.gateway.backend.DatabaseGroup;
 import org.banyanhook.gateway.backend.MemberProbe;
 import org.banyanhook.gateway.backend.MemberServer;
 import org.banyanhook.gateway.fleet.FleetDirectory;
 import org.banyanhook.gateway.message.MemberCommand;
+import org.banyanhook.gateway.message.MemberReport;
 import org.banyanhook.gateway.operation.MonotonicClock;
 
 /** Asks the members of a group for the ends of their logs. Used on the event loop only. */
@@ -32,7 +34,7 @@
 
     /**
      * Asks the members other than the primary for their status. Without synchronous replicas, only those that are
-     * eligible are asked.
+     * eligible are asked; with them, also those that are not listed any more and may hold acknowledged commits.
      *
      * @param group the database group
      * @param rejected members that are not eligible, since the platform refused to promote them
@@ -60,6 +62,9 @@
                 reports.add(ask(group, server, eligible, timeout));
             }
         }
+        if (group.synchronousReplicas() > 0) {
+            group.departedMembers().forEach((name, server) -> reports.add(askDeparted(group, name, server, timeout)));
+        }
         return CompletableFuture.allOf(reports.toArray(new CompletableFuture<?>[0]))
                 .thenApply(done -> reports.stream()
                         .map(CompletableFuture::join)
@@ -76,4 +81,23 @@
                     return new LogReport(server.name(), found.position(), eligible, found.primary());
                 }));
     }
+
+    /** Asks the members that are not listed any more whether they still receive commits. */
+    void checkDeparted(DatabaseGroup group) {
+        group.departedMembers().forEach((name, server) -> {
+            var unused = askDeparted(group, name, server, MemberProbe.DEFAULT_TIMEOUT);
+        });
+    }
+
+    private CompletableFuture<Optional<LogReport>> askDeparted(
+            DatabaseGroup group, String departedName, MemberServer server, Duration timeout) {
+        LogPosition before = server.position();
+        return probe.send(server, new MemberCommand.Status(), timeout).thenApply(report -> {
+            // A member that has started again lacks what it had received before.
+            Optional<LogPosition> position = report.map(MemberReport::position).filter(found -> found.covers(before));
+            group.commitHolders().recordDeparted(departedName, position.isPresent(), clock.nowNanos());
+            return position.map(found ->
+                    new LogReport(departedName, found, false, report.get().primary(), false));
+        });
+    }
 }
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionController.java
@@ -184,8 +184,8 @@
     }
 
     /**
-     * Asks the primary and then the other members for their positions while a departed member is missed. Traffic need
-     * not reach this daemon, and a failed primary could not be asked any more.
+     * Asks the departed members, the primary and then the other members for their positions while one is missed.
+     * Traffic need not reach this daemon, and a failed primary could not be asked any more.
      */
     private void checkDepartures(DatabaseGroup group, GroupState state, long now) {
         MemberServer primary = group.primary().orElse(null);
@@ -197,6 +197,7 @@
             return;
         }
         state.nextDepartureCheckNanos = now + DEPARTURE_CHECK_INTERVAL_NANOS;
+        workflow.checkDeparted(group);
         var unused = voter.isResponding(group, primary)
                 .thenAccept(answered -> List.copyOf(group.servers()).stream()
                         .filter(server -> server != primary)
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PromotionWorkflow.java
@@ -144,6 +144,11 @@
                         unresolvedPromotions.observePrimary(group.name(), primary.name(), recordedPromotion(group)));
     }
 
+    /** Asks the members that are not listed any more whether they still receive commits. */
+    void checkDeparted(DatabaseGroup group) {
+        candidates.checkDeparted(group);
+    }
+
     private @Nullable RecordedPromotion recordedPromotion(DatabaseGroup group) {
         return directory.recordedPromotion(group.name()).orElse(null);
     }
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/SynchronousReplicationTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/SynchronousReplicationTest.java
@@ -139,12 +139,8 @@
     /** Guards against a group that stays without a primary, although the remaining replica has all commits. */
     @Test
     void departedMemberIsNotMissedOnceAnotherHasCaughtUp() {
-        PromotionController controller = promotions.newController();
-        gateway.listDaemon();
-        gateway.listGone("b");
-        gateway.advanceMillis(10_000);
-        gateway.directory().tick();
-        controller.tick();
+        members.remove("b");
+        PromotionController controller = departB();
         assertThat(gateway.group().commitHolders().hasDepartures()).isTrue();
         members.set("c", false, 1, COMPLETE);
         gateway.advanceMillis(1_000);
@@ -154,6 +150,42 @@
         assertThat(requests).containsExactly("c");
     }
 
+    /**
+     * Review case 13: a replica that only the platform does not reach still receives commits, and may be the only one.
+     */
+    @Test
+    void replicaThatIsNotListedAnyMoreButAliveIsMissed() {
+        PromotionController controller = departB();
+        members.set("c", false, 1, COMPLETE);
+        gateway.advanceMillis(1_000);
+        controller.tick();
+        members.set("b", false, 1, new LogPosition(1, 12));
+        assertThat(replaceFailedPrimary()).contains("not listed");
+        assertThat(requests).isEmpty();
+        gateway.listIn("west", "b", false);
+        replaceFailedPrimary();
+        assertThat(requests).containsExactly("b");
+    }
+
+    /** Guards against a group without a primary as long as a replica is not listed that no commit depends on. */
+    @Test
+    void replicaThatIsNotListedAnyMoreIsNotMissedIfAnotherHasItsLog() {
+        departB();
+        members.set("c", false, 1, COMPLETE);
+        replaceFailedPrimary();
+        assertThat(requests).containsExactly("c");
+    }
+
+    private PromotionController departB() {
+        PromotionController controller = promotions.newController();
+        gateway.listDaemon();
+        gateway.listGone("b");
+        gateway.advanceMillis(10_000);
+        gateway.directory().tick();
+        controller.tick();
+        return controller;
+    }
+
     private String replaceFailedPrimary() {
         members.remove("a");
         return replace(PromotionController.Reason.UNREACHABLE);
