--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeLeasesTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/home/HomeLeasesTest.java
@@ -4,6 +4,7 @@
 import static java.util.Objects.requireNonNull;
 
 import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.List;
 import org.banyanhook.gateway.GatewayFixture;
 import org.banyanhook.gateway.ScriptedMember;
 import org.banyanhook.gateway.message.ClientAnswer;
@@ -48,6 +49,30 @@
         assertThat(primary.runs().get(0).statement()).isInstanceOf(SessionStatement.Execute.class);
     }
 
+    /** Review case 14: guards against a statement that runs at a home with the session values of another client. */
+    @Test
+    void writeDoesNotRunBehindAValueThatTheMemberRejects() {
+        run("w0", new SessionStatement.Write("item data"));
+        run("s", new SessionStatement.SetValue("area", "north"));
+        GatewayFixture.send(session, "w1", new SessionStatement.Write("item more"));
+        fleet.deliverAll();
+        ScriptedMember.Link shared = primary.links().get(0);
+        assertThat(shared.refuse(SessionError.OVERLOADED)).isTrue();
+        while (shared.run()) {
+            assertThat(primary.runs()).hasSize(1);
+        }
+        for (int step = 0; step < 10; step++) {
+            fleet.advanceMillis(50);
+            settle();
+        }
+        List<ScriptedMember.Link> ranOn = primary.runs().stream()
+                .filter(run -> run.requestId().equals("w1"))
+                .map(ScriptedMember.Run::link)
+                .toList();
+        assertThat(ranOn).hasSize(1);
+        assertThat(ranOn).doesNotContain(shared);
+    }
+
     /** Guards against statements of a transaction that run outside of it, and against a connection that is kept. */
     @Test
     void transactionRunsOnOneConnectionWhichIsReleased() {
