Open the links between daemons before voters are recorded

What callers saw: in a fleet that had just started on a loaded machine, a statement about 4 s after the start took 0.7 to 0.8 s.

Cause: a daemon that has just started asked the others, so that it opened its links and initialized the messages before it was ready. Since the voters are recorded, it knew nobody to ask until the first change of the voters was to be acknowledged, and the first message then held up the event loop.

Change: before voters are recorded, the daemons that would be selected are asked. Nothing rests on their answers.

--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerVoteExchange.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerVoteExchange.java
@@ -13,9 +13,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import org.banyanhook.core.primary.PromotionPermission;
 import org.banyanhook.core.primary.PromotionPermission.VoteTally;
 import org.banyanhook.core.primary.VoterMaintenance;
+import org.banyanhook.core.primary.VoterSelection;
 import org.banyanhook.core.primary.VoterSets;
 import org.banyanhook.core.store.StoreRevision;
 import org.banyanhook.daemon.peer.PeerMessenger;
@@ -285,10 +287,20 @@
         return sendRequests(PrimaryEvidenceRequest.newBuilder().setTerm(term), eras.newest(), voters());
     }
 
+    /**
+     * Returns the daemons to ask. Before voters are recorded these are the ones that would be selected: nothing rests
+     * on their answers, but the links to them are open when the first voters are asked.
+     */
     private Map<String, DaemonEntry> voters() {
-        Map<String, DaemonEntry> voters = reachableDaemons();
-        voters.keySet().retainAll(directory.voters().sets().all());
-        return voters;
+        Map<String, DaemonEntry> daemons = reachableDaemons();
+        Set<String> recorded = directory.voters().sets().all();
+        daemons.keySet()
+                .retainAll(
+                        recorded.isEmpty()
+                                ? VoterSelection.select(
+                                        directory.recentFailureDomains(), UnaryOperator.identity(), Set.of())
+                                : recorded);
+        return daemons;
     }
 
     /** Returns the daemons that have an entry or had one recently, and all voters, by entry VM. */
--- a/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PeerVoteExchangeTest.java
+++ b/banyanhook-gateway/src/test/java/org/banyanhook/gateway/primary/PeerVoteExchangeTest.java
@@ -104,6 +104,16 @@
                 .isTrue();
     }
 
+    /** Guards against the first message between daemons, which takes long, in the middle of their work. */
+    @Test
+    void daemonsAreAskedBeforeVotersAreRecordedButNotReliedOn() throws Exception {
+        daemon("vm-2", "vm-1");
+        PeerVoteExchange.RoundResult result =
+                daemon("vm-1", "vm-2").queryReplacedPrimaries().get(5, TimeUnit.SECONDS);
+        assertThat(result.votes().answered()).isEqualTo(1);
+        assertThat(result.mayRely()).isFalse();
+    }
+
     /** Review case 12: guards against a daemon that relies on the former voters after they have been replaced. */
     @Test
     void newerVotersThatAnAnswerTellsOfAreCounted() throws Exception {
