Rely on all known daemons until the first voters are in force

What callers saw: a store that went down within about 3 s after the first start of a fleet stopped all that needs a primary, until it was back.

Cause: without recorded voters no daemon relied on the others.

Change: until then a daemon without the store relies on the others if all that it knows answer, for at most 25 s after its own last contact. One that has replaced a primary is among them, and says so. Not covered: a daemon that joins in these first seconds, reaches the store, and is not known to the others.

--- a/banyanhook-core/src/main/java/org/banyanhook/core/primary/VoterSelection.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/VoterSelection.java
@@ -22,7 +22,7 @@
 public final class VoterSelection {
 
     /** Large enough that one or two failure domains may be missing, small enough to be queried by a whole fleet. */
-    private static final int MAXIMUM_VOTERS = 9;
+    public static final int MAXIMUM_VOTERS = 9;
 
     private static final long KEY_HASH = RendezvousScores.nameHash("replacement-witnesses");
 
--- a/banyanhook-core/src/main/java/org/banyanhook/core/primary/VoterSets.java
+++ b/banyanhook-core/src/main/java/org/banyanhook/core/primary/VoterSets.java
@@ -47,6 +47,11 @@
         return former != null;
     }
 
+    /** Returns whether voters are recorded and the first ones have been acknowledged. */
+    public boolean isInForce() {
+        return version > 0 && !(former != null && former.isEmpty());
+    }
+
     /** Returns the voters of all sets. */
     public Set<String> all() {
         return former == null ? voters : Sets.union(voters, former);
--- a/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerVoteExchange.java
+++ b/banyanhook-gateway/src/main/java/org/banyanhook/gateway/primary/PeerVoteExchange.java
@@ -287,19 +287,17 @@
         return sendRequests(PrimaryEvidenceRequest.newBuilder().setTerm(term), eras.newest(), voters());
     }
 
-    /**
-     * Returns the daemons to ask. Before voters are recorded these are the ones that would be selected: nothing rests
-     * on their answers, but the links to them are open when the first voters are asked.
-     */
+    /** Returns the voters, or in a small fleet all daemons until the first voters are in force. */
     private Map<String, DaemonEntry> voters() {
         Map<String, DaemonEntry> daemons = reachableDaemons();
-        Set<String> recorded = directory.voters().sets().all();
-        daemons.keySet()
-                .retainAll(
-                        recorded.isEmpty()
-                                ? VoterSelection.select(
-                                        directory.recentFailureDomains(), UnaryOperator.identity(), Set.of())
-                                : recorded);
+        VoterSets sets = directory.voters().sets();
+        if (sets.isInForce()) {
+            daemons.keySet().retainAll(sets.all());
+        } else if (daemons.size() > VoterSelection.MAXIMUM_VOTERS) {
+            daemons.keySet()
+                    .retainAll(VoterSelection.select(
+                            directory.recentFailureDomains(), UnaryOperator.identity(), Set.of()));
+        }
         return daemons;
     }
 
@@ -369,10 +367,19 @@
                 inquirers,
                 new VotersInForce(sets, directory.storedVotersRevision()),
                 sets.mayDecide(answered, directory.voters().departed(clock.nowNanos())),
-                sets.mayRely(answered, recentContact),
+                sets.isInForce() ? sets.mayRely(answered, recentContact) : mayRelyBeforeVoters(answered),
                 readRevisions);
     }
 
+    /**
+     * Returns whether a daemon that knows no voters in force may rely on the others: all daemons that it knows have
+     * answered, so that none of them can have replaced a primary without saying so.
+     */
+    private boolean mayRelyBeforeVoters(Set<String> answered) {
+        return hasRecentContact()
+                && answered.containsAll(directory.recentDaemons().keySet());
+    }
+
     private void learnVoters(PrimaryEvidence evidence, long era) {
         if (evidence.getVotersRevision() > 0) {
             directory.applyVoters(
